--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests: one folder for each area."""
--- /dev/null
+++ b/waxwingwalk/__main__.py
@@ -0,0 +1,6 @@
+"""Runs the command line: ``python -m waxwingwalk``."""
+
+from waxwingwalk import management
+
+if __name__ == "__main__":
+    management.main()
--- /dev/null
+++ b/waxwingwalk/client/asynchronous.py
@@ -0,0 +1,226 @@
+"""The callers' library for asyncio."""
+
+import asyncio
+from collections.abc import Sequence
+import datetime
+import random
+from types import TracebackType
+from typing import Any
+
+import aiohttp
+import orjson
+import pydantic
+import tenacity
+
+from waxwingwalk.client import budget
+from waxwingwalk.client import model
+from waxwingwalk.core import clock
+from waxwingwalk.core import results
+
+Code = results.ResultCode
+CONNECT_TIMEOUT = datetime.timedelta(seconds=1)
+# Beyond its deadline a job's final answer is waited for this long.
+ANSWER_GRACE = datetime.timedelta(seconds=2)
+BACKOFF_MIN_SECONDS = 0.05
+BACKOFF_MAX_SECONDS = 2.0
+# Refusals after which another submission may fare better.
+TEMPORARY = frozenset(
+    {
+        Code.QUEUE_FULL,
+        Code.DRAINING,
+        Code.NOT_READY,
+        Code.STORE_UNAVAILABLE,
+        Code.DRAIN_UNSTARTED,
+        Code.KEYS_EXHAUSTED,
+    }
+)
+
+
+class Client:
+    """Submits jobs through any of several entry addresses.
+
+    A submission is repeated while its deadline and the retry budget allow:
+    after a refusal that says "not run", always; after a lost connection or
+    an unknown outcome, only if the job may be resubmitted.
+    """
+
+    def __init__(
+        self,
+        addresses: Sequence[str],
+        *,
+        team: str,
+        token: str | None = None,
+        time: clock.Clock | None = None,
+        retry_budget: budget.RetryBudget | None = None,
+    ) -> None:
+        self._addresses = list(addresses)
+        self._team = team
+        self._token = token
+        self._clock = time or clock.SystemClock()
+        self._budget = retry_budget or budget.RetryBudget()
+        self._backoff = tenacity.wait_random_exponential(
+            multiplier=BACKOFF_MIN_SECONDS, max=BACKOFF_MAX_SECONDS
+        )
+        self._session: aiohttp.ClientSession | None = None
+
+    async def __aenter__(self) -> "Client":
+        headers = {"Content-Type": "application/json"}
+        if self._token is not None:
+            headers["Authorization"] = f"Bearer {self._token}"
+        self._session = aiohttp.ClientSession(headers=headers)
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        if self._session is not None:
+            await self._session.close()
+
+    async def submit(self, job: model.Job) -> model.Answer:
+        """Submit a job and wait for its whole answer."""
+        self._budget.earn()
+        deadline = self._clock.now() + job.deadline
+        may_have_run = False
+        submissions = 0
+        addresses = random.sample(self._addresses, len(self._addresses))
+        while True:
+            address = addresses[submissions % len(addresses)]
+            submissions += 1
+            reply = await self._submit_once(address, job, deadline)
+            may_have_run |= reply.code.family is not results.Family.NOT_RUN
+            answer = _answer(reply, may_have_run, submissions)
+            pause = self._pause(job, reply, submissions)
+            if pause is None or self._clock.now() + pause >= deadline:
+                return answer
+            if not self._budget.spend():
+                return answer
+            await asyncio.sleep(pause.total_seconds())
+
+    def _pause(
+        self, job: model.Job, reply: model.ReplyModel, submissions: int
+    ) -> datetime.timedelta | None:
+        """Return how long to wait before a resubmission, None for never."""
+        is_unknown = reply.code.family is results.Family.UNKNOWN
+        is_worthwhile = reply.code in TEMPORARY or (
+            is_unknown and job.may_be_resubmitted
+        )
+        if not is_worthwhile:
+            return None
+        state = tenacity.RetryCallState(
+            retry_object=tenacity.AsyncRetrying(),
+            fn=None,
+            args=(),
+            kwargs={},
+        )
+        state.attempt_number = submissions
+        seconds = self._backoff(state)
+        if reply.retry_after_seconds is not None:
+            seconds += reply.retry_after_seconds
+        return datetime.timedelta(seconds=seconds)
+
+    async def _submit_once(
+        self, address: str, job: model.Job, deadline: datetime.datetime
+    ) -> model.ReplyModel:
+        remaining = deadline - self._clock.now()
+        body = {
+            "service": job.service,
+            "team": self._team,
+            "tasks": [task.content() for task in job.tasks],
+            "deadline_seconds": max(0.001, remaining.total_seconds()),
+            "idempotent": job.is_idempotent,
+            "key": job.key,
+        }
+        wait = remaining + ANSWER_GRACE
+        return await self._call("POST", address, "/v1/jobs", body, wait)
+
+    async def _call(
+        self,
+        method: str,
+        address: str,
+        path: str,
+        body: dict[str, Any] | None,
+        wait: datetime.timedelta,
+    ) -> model.ReplyModel:
+        """Send one request; a failure becomes a reply that says so."""
+        assert self._session is not None
+        timeout = aiohttp.ClientTimeout(
+            total=max(0.001, wait.total_seconds()),
+            sock_connect=CONNECT_TIMEOUT.total_seconds(),
+        )
+        data = None if body is None else orjson.dumps(body)
+        try:
+            async with self._session.request(
+                method,
+                f"http://{address}{path}",
+                data=data,
+                timeout=timeout,
+                allow_redirects=False,
+            ) as response:
+                content = await response.read()
+            return model.ReplyModel.model_validate_json(content)
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
+            return model.ReplyModel(
+                code=Code.NOT_READY, detail=f"{address} cannot be reached"
+            )
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            return model.ReplyModel(
+                code=Code.FORWARD_LOST,
+                detail=f"no reply from {address}: {type(error).__name__}",
+            )
+        except pydantic.ValidationError:
+            return model.ReplyModel(
+                code=Code.FORWARD_LOST, detail=f"no sense from {address}"
+            )
+
+    async def status(
+        self, job_id: str, *, wait: datetime.timedelta | None = None
+    ) -> model.ReplyModel:
+        """Return a job's state, or its answer if ``wait`` is given."""
+        path = f"/v1/jobs/{job_id}"
+        if wait is not None:
+            path += "?wait=true"
+        span = (wait or datetime.timedelta()) + ANSWER_GRACE
+        return await self._call("GET", self._any(), path, None, span)
+
+    async def cancel(self, job_id: str) -> model.ReplyModel:
+        """Cancel a job; the reply is its answer."""
+        path = f"/v1/jobs/{job_id}"
+        return await self._call(
+            "DELETE", self._any(), path, None, ANSWER_GRACE
+        )
+
+    async def explain(self, job_id: str) -> model.ReplyModel:
+        """Return a job's story, as its coordinator remembers it."""
+        path = f"/v1/jobs/{job_id}/explain"
+        return await self._call("GET", self._any(), path, None, ANSWER_GRACE)
+
+    async def issue_keys(self, count: int) -> list[str]:
+        """Return a block of fresh keys; empty if none can be had now."""
+        body = {"team": self._team, "count": count}
+        reply = await self._call(
+            "POST", self._any(), "/v1/keys", body, ANSWER_GRACE
+        )
+        return reply.keys
+
+    def _any(self) -> str:
+        return random.choice(self._addresses)
+
+
+def _answer(
+    reply: model.ReplyModel, may_have_run: bool, submissions: int
+) -> model.Answer:
+    retry_after = None
+    if reply.retry_after_seconds is not None:
+        retry_after = datetime.timedelta(seconds=reply.retry_after_seconds)
+    return model.Answer(
+        code=reply.code,
+        detail=reply.detail,
+        job_id=reply.job,
+        results=reply.results,
+        may_have_run=may_have_run,
+        submissions=submissions,
+        retry_after=retry_after,
+    )
--- /dev/null
+++ b/waxwingwalk/core/reducer.py
@@ -0,0 +1,58 @@
+"""The reducer: one function of state and event, with effects as data.
+
+::
+
+    reducer = Reducer(state)
+    effects = reducer.apply(events.Ticked(), clock.now())
+
+It dispatches on the type of the event to a handler in the module that owns
+the state concerned. The caller carries out the effects in their order.
+"""
+
+from collections.abc import Callable
+import datetime
+from typing import Any
+
+from waxwingwalk.core import effects
+from waxwingwalk.core import events
+from waxwingwalk.core import lifecycle
+from waxwingwalk.core import state as core_state
+from waxwingwalk.jobs import handlers as job_handlers
+from waxwingwalk.membership import handlers as membership_handlers
+from waxwingwalk.settings import handlers as settings_handlers
+
+Effects = list[effects.Effect]
+Handler = Callable[[core_state.State, Any, datetime.datetime], Effects]
+
+HANDLERS: dict[type, Handler] = {
+    events.JobSubmitted: job_handlers.submit,
+    events.ClaimSettled: job_handlers.settle_claim,
+    events.JobCancelled: job_handlers.cancel,
+    events.TaskReplied: job_handlers.reply,
+    events.TaskStatusRead: job_handlers.read_status,
+    events.BackendsListed: membership_handlers.list_backends,
+    events.PeersListed: membership_handlers.list_peers,
+    events.PeerLinkOpened: membership_handlers.open_link,
+    events.PeerLinkClosed: membership_handlers.close_link,
+    events.PeerMessageReceived: membership_handlers.receive,
+    events.SettingsRead: settings_handlers.read,
+    events.Ticked: lifecycle.tick,
+    events.DrainRequested: lifecycle.drain,
+    events.DrainForced: lifecycle.force,
+}
+
+
+class Reducer:
+    """Applies events to the state of one entry process."""
+
+    def __init__(self, state: core_state.State) -> None:
+        self._state = state
+
+    @property
+    def state(self) -> core_state.State:
+        """The state, to be read only."""
+        return self._state
+
+    def apply(self, event: events.Event, now: datetime.datetime) -> Effects:
+        """Take in an event; return what has to happen."""
+        return HANDLERS[type(event)](self._state, event, now)
--- /dev/null
+++ b/waxwingwalk/core/state.py
@@ -0,0 +1,182 @@
+"""The whole state of an entry process."""
+
+import collections
+import dataclasses
+import datetime
+import random
+from typing import Protocol
+
+from waxwingwalk.core import identity
+from waxwingwalk.core import model
+from waxwingwalk.jobs import job as jobs
+from waxwingwalk.jobs import queue as job_queue
+from waxwingwalk.membership import members
+from waxwingwalk.routing import backends
+from waxwingwalk.routing import base
+from waxwingwalk.routing import estimates
+from waxwingwalk.settings import adopted
+from waxwingwalk.settings import global_settings
+
+TaskRef = tuple[str, int]
+
+
+@dataclasses.dataclass(slots=True)
+class Counters:
+    """Events worth counting; each becomes a metric."""
+
+    tasks_sent: int = 0
+    tasks_done: int = 0
+    tasks_failed: int = 0
+    tasks_lost: int = 0
+    tasks_not_started: int = 0
+    late_replies: int = 0
+    foreign_replies: int = 0
+    jobs_accepted: int = 0
+    jobs_refused: int = 0
+    jobs_complete: int = 0
+    jobs_ended_otherwise: int = 0
+    backends_set_aside: int = 0
+    members_gone: int = 0
+    wakes_after_pause: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class UsedKey:
+    """The job that a key belongs to."""
+
+    job_id: str
+    fingerprint: str
+    expires_at: datetime.datetime | None
+
+
+class PolicyFactory(Protocol):
+    """Makes the policies that settings name."""
+
+    def job_order(
+        self, name: global_settings.JobOrderName
+    ) -> base.JobOrder: ...
+
+    def admission(
+        self, name: global_settings.AdmissionName
+    ) -> base.Admission: ...
+
+    def placement(
+        self, name: global_settings.PlacementName, state: "State"
+    ) -> base.Placement: ...
+
+    def slot_sharing(
+        self, name: global_settings.SlotSharingName, state: "State"
+    ) -> base.SlotSharing: ...
+
+    def outlier_detector(
+        self, name: global_settings.OutlierDetectionName
+    ) -> base.OutlierDetector: ...
+
+
+@dataclasses.dataclass(slots=True)
+class Drain:
+    """A shutdown under way."""
+
+    deadline: datetime.datetime
+    is_over: bool = False
+
+
+class State:
+    """State that the handlers of every area share.
+
+    Only the reducer's handlers change it; I/O code may read it.
+    """
+
+    def __init__(
+        self,
+        process: identity.ProcessId,
+        place: adopted.Place,
+        policies: PolicyFactory,
+        now: datetime.datetime,
+        generator: random.Random,
+    ) -> None:
+        self.process = process
+        self.place = place
+        self.policies = policies
+        self.random = generator
+        self.settings = adopted.AdoptedSettings(place)
+        self.counters = Counters()
+        self.membership = members.Membership(
+            process, place.zone, place.region, now
+        )
+        self.registry = backends.BackendRegistry()
+        self.estimator = estimates.RunTimeEstimator()
+        self.jobs: dict[str, jobs.Job] = {}
+        self.attempts: dict[TaskRef, jobs.Attempt] = {}
+        self.queues: dict[str, job_queue.ServiceQueue] = {}
+        self.deadlines: list[tuple[datetime.datetime, str]] = []
+        self.ended: collections.deque[str] = collections.deque()
+        self.used_keys: dict[tuple[str, str], UsedKey] = {}
+        self.team_running: dict[str, int] = {}
+        self.drain: Drain | None = None
+        self.last_tick = now
+        self.checked_at = now
+        self.probed_at = now
+        self.membership_seen = 0
+        self.serial = 0
+        self._placements: dict[
+            global_settings.PlacementName, base.Placement
+        ] = {}
+        options = self.settings.process()
+        self.sharing_name = options.slot_sharing
+        self.sharing = policies.slot_sharing(self.sharing_name, self)
+        self.detector_name = options.outlier_detection
+        self.detector = policies.outlier_detector(self.detector_name)
+
+    @property
+    def active_jobs(self) -> int:
+        """How many jobs have no answer yet."""
+        return len(self.jobs) - len(self.ended)
+
+    def placement(self, service: str) -> base.Placement:
+        """Return the placement policy of a service."""
+        name = self.settings.service(service).placement
+        if name not in self._placements:
+            self._placements[name] = self.policies.placement(name, self)
+        return self._placements[name]
+
+    def queue(self, service: str) -> job_queue.ServiceQueue:
+        """Return the queue of a service, a new one if need be."""
+        queue = self.queues.get(service)
+        if queue is None:
+            order = self.settings.service(service).job_order
+            queue = job_queue.ServiceQueue(
+                self.policies.job_order(order),
+                weight=lambda team: self.settings.team(team).weight,
+                may_start=self.is_below_quota,
+            )
+            self.queues[service] = queue
+        return queue
+
+    def is_below_quota(self, team: str) -> bool:
+        """Tell whether a team may start another task here.
+
+        A quota is divided evenly among the live entry processes.
+        """
+        quota = self.settings.team(team).quota
+        if quota == 0:
+            return True
+        processes = len(self.membership.live_addresses())
+        share = max(1, quota // max(1, processes))
+        return self.team_running.get(team, 0) < share
+
+    def next_job_id(self) -> str:
+        """Return an id for a new job of this process."""
+        self.serial += 1
+        return str(identity.JobId(self.process, self.serial))
+
+    def task_name(self, job_id: str, index: int) -> str:
+        """Return the name by which a backend server knows a task."""
+        return f"{job_id}/{index}"
+
+    def backend_for(self, task: model.TaskSpec, service: str) -> bool:
+        """Tell whether some known backend server could hold the task."""
+        return any(
+            backend.spec.fits(task)
+            for backend in self.registry.offering(service)
+        )
--- /dev/null
+++ b/waxwingwalk/entry/backend_client.py
@@ -0,0 +1,233 @@
+"""Client of backend servers over HTTP with JSON.
+
+The difference between "not sent" and "lost" decides whether a task may be
+sent again, so it is made here with care: only a connection that never opened
+proves that a request was not sent.
+"""
+
+from collections.abc import Sequence
+import dataclasses
+import datetime
+import socket
+from typing import Any
+
+import aiohttp
+import orjson
+import pydantic
+
+from waxwingwalk.core import effects
+from waxwingwalk.core import model
+from waxwingwalk.entry import traffic
+
+CONNECT_TIMEOUT = datetime.timedelta(seconds=1)
+CONTROL_TIMEOUT = datetime.timedelta(seconds=1)
+# Sent data that stays unacknowledged for this long breaks the connection.
+UNACKNOWLEDGED_MAX = datetime.timedelta(seconds=3)
+
+
+@dataclasses.dataclass(slots=True)
+class Reply:
+    """How an attempt ended, with what the reply said of itself."""
+
+    outcome: model.TaskOutcome
+    result: Any = None
+    detail: str = ""
+    leaving: bool = False
+    task: str | None = None
+    incarnation: str | None = None
+
+
+@dataclasses.dataclass(slots=True)
+class TaskStatus:
+    """What a backend server says of a task; ``state`` "" means no reply."""
+
+    state: str
+    reply: Reply | None = None
+
+
+class _ReplyModel(pydantic.BaseModel):
+    task: str
+    incarnation: str
+    status: str
+    result: Any = None
+    error: str = ""
+    leaving: bool = False
+
+
+_OUTCOMES = {
+    "done": model.TaskOutcome.DONE,
+    "failed": model.TaskOutcome.FAILED,
+    "not_run": model.TaskOutcome.NOT_RUN,
+}
+
+
+def parse_reply(content: bytes) -> Reply:
+    """Return what a reply says; one that makes no sense proves nothing."""
+    try:
+        parsed = _ReplyModel.model_validate_json(content)
+    except pydantic.ValidationError:
+        return Reply(model.TaskOutcome.LOST, detail="malformed reply")
+    outcome = _OUTCOMES.get(parsed.status)
+    if outcome is None:
+        return Reply(model.TaskOutcome.LOST, detail="malformed reply")
+    return Reply(
+        outcome,
+        parsed.result,
+        parsed.error,
+        parsed.leaving,
+        parsed.task,
+        parsed.incarnation,
+    )
+
+
+def _open_socket(address_info: Any) -> socket.socket:
+    family, kind, protocol, _, _ = address_info
+    opened = socket.socket(family=family, type=kind, proto=protocol)
+    milliseconds = int(UNACKNOWLEDGED_MAX.total_seconds() * 1000)
+    opened.setsockopt(
+        socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, milliseconds
+    )
+    opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    return opened
+
+
+class BackendClient:
+    """Runs, stops and looks up tasks on backend servers.
+
+    An idle connection is reused only while it is fresh: a reply came over it
+    within ``freshness``. Otherwise a new one is opened.
+    """
+
+    def __init__(
+        self,
+        zone: str,
+        incarnation: str,
+        freshness: datetime.timedelta,
+        counted: traffic.Traffic,
+    ) -> None:
+        self._zone = zone
+        self._incarnation = incarnation
+        self._traffic = counted
+        self._freshness = freshness
+        self._session = self._new_session()
+        self._old_sessions: list[aiohttp.ClientSession] = []
+
+    def _new_session(self) -> aiohttp.ClientSession:
+        connector = aiohttp.TCPConnector(
+            limit=0,
+            keepalive_timeout=self._freshness.total_seconds(),
+            use_dns_cache=False,
+            socket_factory=_open_socket,
+        )
+        return aiohttp.ClientSession(
+            connector=connector,
+            cookie_jar=aiohttp.DummyCookieJar(),
+            auto_decompress=False,
+            skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding"),
+            headers={"Content-Type": "application/json"},
+        )
+
+    def use_freshness(self, freshness: datetime.timedelta) -> None:
+        """Apply a new freshness to connections opened from now on."""
+        if freshness != self._freshness:
+            self._freshness = freshness
+            self._old_sessions.append(self._session)
+            self._session = self._new_session()
+
+    async def close(self) -> None:
+        """Close every connection."""
+        for session in [*self._old_sessions, self._session]:
+            await session.close()
+
+    async def run(self, effect: effects.SendTask) -> Reply:
+        """Run a task and wait for its end."""
+        body = orjson.dumps(
+            {
+                "task": f"{effect.job_id}/{effect.index}",
+                "incarnation": self._incarnation,
+                "service": effect.service,
+                "payload": effect.payload,
+                "lease_seconds": effect.lease.total_seconds(),
+                "zone": self._zone,
+            }
+        )
+        timeout = aiohttp.ClientTimeout(
+            total=max(0.001, effect.timeout.total_seconds()),
+            sock_connect=CONNECT_TIMEOUT.total_seconds(),
+        )
+        self._traffic.count("task", len(body))
+        try:
+            async with self._session.post(
+                f"http://{effect.address}/v1/tasks",
+                data=body,
+                timeout=timeout,
+                allow_redirects=False,
+            ) as response:
+                content = await response.read()
+        except (
+            aiohttp.ClientConnectorError,
+            aiohttp.ConnectionTimeoutError,
+        ) as error:
+            return Reply(model.TaskOutcome.NOT_SENT, detail=str(error))
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            detail = str(error) or type(error).__name__
+            return Reply(model.TaskOutcome.LOST, detail=detail)
+        return parse_reply(content)
+
+    async def status(self, address: str, task: str) -> TaskStatus:
+        """Look a task up, on a connection of its own."""
+        self._traffic.count("status")
+        content = await self._control(
+            address, "/v1/tasks/status", {"task": task}, is_fresh=True
+        )
+        if content is None:
+            return TaskStatus("")
+        try:
+            parsed = _ReplyModel.model_validate_json(content)
+        except pydantic.ValidationError:
+            return TaskStatus("")
+        if parsed.status in ("done", "failed"):
+            return TaskStatus(parsed.status, parse_reply(content))
+        return TaskStatus(parsed.status)
+
+    async def stop(self, address: str, tasks: Sequence[str]) -> None:
+        """Stop tasks; best effort."""
+        self._traffic.count("stop")
+        await self._control(address, "/v1/tasks/stop", {"tasks": list(tasks)})
+
+    async def renew(
+        self, address: str, tasks: Sequence[str], lease: datetime.timedelta
+    ) -> None:
+        """Extend the leases of running tasks; best effort."""
+        self._traffic.count("renew")
+        body = {"tasks": list(tasks), "lease_seconds": lease.total_seconds()}
+        await self._control(address, "/v1/leases", body)
+
+    async def _control(
+        self,
+        address: str,
+        path: str,
+        body: dict[str, Any],
+        *,
+        is_fresh: bool = False,
+    ) -> bytes | None:
+        timeout = aiohttp.ClientTimeout(total=CONTROL_TIMEOUT.total_seconds())
+        headers = {"Connection": "close"} if is_fresh else None
+        session = self._session
+        if is_fresh:
+            session = self._new_session()
+        try:
+            async with session.post(
+                f"http://{address}{path}",
+                data=orjson.dumps(body),
+                timeout=timeout,
+                headers=headers,
+                allow_redirects=False,
+            ) as response:
+                content = await response.read()
+                return content if response.status == 200 else None
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            return None
+        finally:
+            if is_fresh:
+                await session.close()
--- /dev/null
+++ b/waxwingwalk/entry/callers_api.py
@@ -0,0 +1,109 @@
+"""The callers' interface: jobs, keys and health."""
+
+from collections.abc import Mapping
+
+from aiohttp import web
+
+import waxwingwalk
+from waxwingwalk.core import results
+from waxwingwalk.entry import access
+from waxwingwalk.entry import engine as entry_engine
+from waxwingwalk.entry import replies
+from waxwingwalk.entry import submission
+
+
+class CallersApi:
+    """Routes of the callers' listener."""
+
+    def __init__(
+        self,
+        engine: entry_engine.Engine,
+        submissions: submission.Submissions,
+        tokens: Mapping[str, str] | None,
+    ) -> None:
+        self._engine = engine
+        self._submissions = submissions
+        self._tokens = tokens
+
+    def application(self, body_max: int) -> web.Application:
+        """Return the application to serve."""
+        app = web.Application(client_max_size=body_max)
+        app.router.add_post("/v1/jobs", self._submit)
+        app.router.add_get("/v1/jobs/{job}", self._status)
+        app.router.add_delete("/v1/jobs/{job}", self._cancel)
+        app.router.add_get("/v1/jobs/{job}/explain", self._explain)
+        app.router.add_post("/v1/keys", self._issue_keys)
+        add_health_routes(app, self._engine)
+        return app
+
+    def _team(self, request: web.Request) -> tuple[bool, str | None]:
+        """Return whether the caller may speak, and for which team."""
+        if self._tokens is None:
+            return True, None
+        team = access.holder_of(request, self._tokens)
+        return team is not None, team
+
+    async def _submit(self, request: web.Request) -> web.Response:
+        is_allowed, team = self._team(request)
+        if not is_allowed:
+            return replies.Reply(results.ResultCode.UNAUTHORIZED).response()
+        try:
+            body = await request.read()
+        except web.HTTPRequestEntityTooLarge:
+            return replies.Reply(results.ResultCode.BODY_TOO_LARGE).response()
+        reply = await self._submissions.submit(body, team=team)
+        return reply.response()
+
+    async def _about(self, request: web.Request, action: str) -> web.Response:
+        is_allowed, _ = self._team(request)
+        if not is_allowed:
+            return replies.Reply(results.ResultCode.UNAUTHORIZED).response()
+        job_id = request.match_info["job"]
+        reply = await self._submissions.about(action, job_id)
+        return reply.response()
+
+    async def _status(self, request: web.Request) -> web.Response:
+        is_waiting = request.query.get("wait") == "true"
+        return await self._about(request, "wait" if is_waiting else "status")
+
+    async def _cancel(self, request: web.Request) -> web.Response:
+        return await self._about(request, "cancel")
+
+    async def _explain(self, request: web.Request) -> web.Response:
+        return await self._about(request, "explain")
+
+    async def _issue_keys(self, request: web.Request) -> web.Response:
+        is_allowed, team = self._team(request)
+        if not is_allowed:
+            return replies.Reply(results.ResultCode.UNAUTHORIZED).response()
+        body = await request.read()
+        return self._submissions.issue_keys(body, team=team).response()
+
+
+def add_health_routes(
+    app: web.Application, engine: entry_engine.Engine
+) -> None:
+    """Add health, readiness and version, which need no token."""
+
+    async def health(request: web.Request) -> web.Response:
+        return replies.Reply(results.ResultCode.OK).response()
+
+    async def ready(request: web.Request) -> web.Response:
+        state = engine.state
+        if state.drain is not None:
+            return replies.Reply(results.ResultCode.DRAINING).response()
+        if not state.settings.is_ready:
+            return replies.Reply(results.ResultCode.NOT_READY).response()
+        return replies.Reply(results.ResultCode.OK).response()
+
+    async def version(request: web.Request) -> web.Response:
+        members = {
+            "version": waxwingwalk.VERSION,
+            "process": str(engine.state.process),
+            "revision": engine.state.settings.number,
+        }
+        return replies.Reply(results.ResultCode.OK, members).response()
+
+    app.router.add_get("/health", health)
+    app.router.add_get("/ready", ready)
+    app.router.add_get("/version", version)
--- /dev/null
+++ b/waxwingwalk/entry/engine.py
@@ -0,0 +1,235 @@
+"""The engine: feeds events to the reducer and carries out its effects."""
+
+import asyncio
+from collections.abc import Callable
+from collections.abc import Coroutine
+import datetime
+from typing import Any
+from typing import Protocol
+
+import structlog
+
+from waxwingwalk.core import clock
+from waxwingwalk.core import effects
+from waxwingwalk.core import events
+from waxwingwalk.core import messages
+from waxwingwalk.core import model
+from waxwingwalk.core import reducer as core_reducer
+from waxwingwalk.core import state as core_state
+from waxwingwalk.entry import backend_client
+
+
+class BackendRunner(Protocol):
+    """What the engine needs of a client of backend servers."""
+
+    def use_freshness(self, freshness: datetime.timedelta) -> None: ...
+
+    async def run(self, effect: effects.SendTask) -> backend_client.Reply: ...
+
+    async def status(
+        self, address: str, task: str
+    ) -> backend_client.TaskStatus: ...
+
+    async def stop(self, address: str, tasks: list[str]) -> None: ...
+
+    async def renew(
+        self, address: str, tasks: list[str], lease: datetime.timedelta
+    ) -> None: ...
+
+
+class PeerSender(Protocol):
+    """What the engine needs of the links to peers."""
+
+    def send(self, address: str, message: messages.Message) -> None: ...
+
+
+class Engine:
+    """One entry process's reducer at work.
+
+    Collaborators that need the engine themselves are attached after it is
+    built, by :func:`waxwingwalk.wiring.build_entry`.
+    """
+
+    def __init__(
+        self,
+        reducer: core_reducer.Reducer,
+        time: clock.Clock,
+        backends: BackendRunner,
+        logger: structlog.typing.FilteringBoundLogger,
+    ) -> None:
+        self._reducer = reducer
+        self._clock = time
+        self._backends = backends
+        self._log = logger
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._waiters: dict[str, list[asyncio.Future[model.Answer]]] = {}
+        self.peers: PeerSender | None = None
+        self.claim: Callable[[effects.ClaimKey], None] | None = None
+        self.fetch_settings: (
+            Callable[[str], Coroutine[Any, Any, None]] | None
+        ) = None
+        self.exited = asyncio.Event()
+
+    @property
+    def state(self) -> core_state.State:
+        """The reducer's state, to be read only."""
+        return self._reducer.state
+
+    @property
+    def clock(self) -> clock.Clock:
+        """The clock that events are timed by."""
+        return self._clock
+
+    def apply(self, event: events.Event) -> None:
+        """Apply an event and carry out its effects."""
+        done = self._reducer.apply(event, self._clock.now())
+        stops: dict[str, list[str]] = {}
+        for effect in done:
+            match effect:
+                case effects.SendTask():
+                    self._log_placement(effect)
+                    self._spawn(self._run(effect))
+                case effects.SendToPeer():
+                    if self.peers is not None:
+                        self.peers.send(effect.address, effect.message)
+                case effects.DeliverAnswer():
+                    self._deliver(effect.answer)
+                case effects.StopTask():
+                    name = f"{effect.job_id}/{effect.index}"
+                    stops.setdefault(effect.address, []).append(name)
+                case effects.Log():
+                    self._log.info(effect.event, **effect.fields)
+                case _:
+                    self._carry_out_rare(effect)
+        for address, tasks in stops.items():
+            self._spawn(self._backends.stop(address, tasks))
+
+    def _carry_out_rare(self, effect: effects.Effect) -> None:
+        match effect:
+            case effects.ClaimKey():
+                if self.claim is not None:
+                    self.claim(effect)
+            case effects.ReadTaskStatus():
+                self._spawn(self._read_status(effect))
+            case effects.RenewLeases():
+                tasks = [f"{job}/{index}" for job, index in effect.tasks]
+                self._spawn(
+                    self._backends.renew(effect.address, tasks, effect.lease)
+                )
+            case effects.FetchSettings():
+                if self.fetch_settings is not None:
+                    self._spawn(self.fetch_settings(effect.address))
+            case effects.Exit():
+                self.exited.set()
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def close(self) -> None:
+        """Cancel what is under way."""
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    # Tasks.
+
+    async def _run(self, effect: effects.SendTask) -> None:
+        options = self.state.settings.process()
+        self._backends.use_freshness(options.connection_freshness)
+        reply = await self._backends.run(effect)
+        self._apply_reply(
+            effect.job_id,
+            effect.index,
+            effect.attempt,
+            effect.backend_id,
+            reply,
+        )
+
+    def _apply_reply(
+        self,
+        job_id: str,
+        index: int,
+        attempt: int,
+        backend_id: str,
+        reply: backend_client.Reply,
+    ) -> None:
+        self.apply(
+            events.TaskReplied(
+                job_id=job_id,
+                index=index,
+                attempt=attempt,
+                backend_id=backend_id,
+                outcome=reply.outcome,
+                result=reply.result,
+                detail=reply.detail,
+                leaving=reply.leaving,
+                reply_task=reply.task,
+                reply_incarnation=reply.incarnation,
+            )
+        )
+
+    async def _read_status(self, effect: effects.ReadTaskStatus) -> None:
+        name = f"{effect.job_id}/{effect.index}"
+        status = await self._backends.status(effect.address, name)
+        if status.reply is not None:
+            self._recover(effect, status.reply)
+            return
+        is_known = None if status.state == "" else status.state == "running"
+        self.apply(
+            events.TaskStatusRead(
+                effect.job_id, effect.index, effect.attempt, is_known
+            )
+        )
+
+    def _recover(
+        self, effect: effects.ReadTaskStatus, reply: backend_client.Reply
+    ) -> None:
+        """Use a result that was looked up because its reply never came."""
+        attempt = self.state.attempts.get((effect.job_id, effect.index))
+        if attempt is None or attempt.number != effect.attempt:
+            return
+        self._apply_reply(
+            effect.job_id,
+            effect.index,
+            effect.attempt,
+            attempt.backend_id,
+            reply,
+        )
+
+    def _log_placement(self, effect: effects.SendTask) -> None:
+        share = self.state.settings.process().decision_log_share
+        if share < 1.0 and self.state.random.random() >= share:
+            return
+        self._log.info(
+            "task.placed",
+            job=effect.job_id,
+            task=effect.index,
+            service=effect.service,
+            backend_server=effect.backend_id,
+            reason=effect.reason,
+            runner_up=effect.runner_up,
+            idle=effect.idle_slots,
+            estimate=round(effect.estimate, 4),
+            revision=self.state.settings.number,
+        )
+
+    # Answers.
+
+    def wait_for(self, job_id: str) -> asyncio.Future[model.Answer]:
+        """Return a future of a job's answer; ask before it is submitted."""
+        future: asyncio.Future[model.Answer] = (
+            asyncio.get_running_loop().create_future()
+        )
+        job = self.state.jobs.get(job_id)
+        if job is not None and job.answer is not None:
+            future.set_result(job.answer)
+        else:
+            self._waiters.setdefault(job_id, []).append(future)
+        return future
+
+    def _deliver(self, answer: model.Answer) -> None:
+        for future in self._waiters.pop(answer.job_id, []):
+            if not future.done():
+                future.set_result(answer)
--- /dev/null
+++ b/waxwingwalk/entry/links.py
@@ -0,0 +1,217 @@
+"""Links to peers: JSON messages over WebSockets, one way each.
+
+A process sends over links that it opened and receives over links that its
+peers opened. Messages for one peer that arise together travel in one frame.
+A link is opened when there is something to send, and again at once when it
+breaks, so that the death of a peer is known from the refused connection.
+"""
+
+import asyncio
+import collections
+from collections.abc import Callable
+from collections.abc import Sequence
+import contextlib
+import dataclasses
+import datetime
+
+import aiohttp
+from aiohttp import web
+import orjson
+
+from waxwingwalk.core import events
+from waxwingwalk.core import identity
+from waxwingwalk.core import messages
+from waxwingwalk.entry import traffic
+
+CONNECT_TIMEOUT = datetime.timedelta(seconds=1)
+# A connection attempt that failed is not repeated sooner than this.
+RECONNECT_PAUSE = datetime.timedelta(milliseconds=200)
+# A link whose queue grows beyond this many messages is given up.
+QUEUE_MAX = 2000
+FRAME_MAX = 16 * 2**20
+ADDRESS_HEADER = "X-Waxwingwalk-Address"
+INCARNATION_HEADER = "X-Waxwingwalk-Incarnation"
+
+Notify = Callable[[events.Event], None]
+# Seconds by which a message to this address is held back; for test benches.
+Delay = Callable[[str], float]
+
+
+def no_delay(address: str) -> float:
+    """Hold no message back."""
+    return 0.0
+
+
+@dataclasses.dataclass(slots=True)
+class _Link:
+    address: str
+    queue: collections.deque[messages.Message]
+    wake: asyncio.Event
+    task: asyncio.Task[None] | None = None
+
+
+class PeerLinks:
+    """Links of one process to all its peers."""
+
+    def __init__(
+        self,
+        process: identity.ProcessId,
+        secret: str,
+        notify: Notify,
+        counted: traffic.Traffic,
+        delay: Delay = no_delay,
+    ) -> None:
+        self._process = process
+        self._notify = notify
+        self._traffic = counted
+        self._delay = delay
+        self._headers = {
+            "Authorization": f"Bearer {secret}",
+            ADDRESS_HEADER: process.address,
+            INCARNATION_HEADER: process.incarnation,
+        }
+        self._links: dict[str, _Link] = {}
+        self._incoming: set[web.WebSocketResponse] = set()
+        self._session = aiohttp.ClientSession(
+            headers=self._headers, cookie_jar=aiohttp.DummyCookieJar()
+        )
+
+    @property
+    def session(self) -> aiohttp.ClientSession:
+        """A client session that carries this process's credentials."""
+        return self._session
+
+    def send(self, address: str, message: messages.Message) -> None:
+        """Queue a message; it is dropped if the peer cannot be reached."""
+        link = self._links.get(address)
+        if link is None:
+            link = _Link(address, collections.deque(), asyncio.Event())
+            self._links[address] = link
+            link.task = asyncio.create_task(self._run(link))
+        if len(link.queue) >= QUEUE_MAX:
+            link.queue.clear()
+        link.queue.append(message)
+        link.wake.set()
+
+    async def close(self) -> None:
+        """Close every link."""
+        for link in list(self._links.values()):
+            if link.task is not None:
+                link.task.cancel()
+                with contextlib.suppress(asyncio.CancelledError):
+                    await link.task
+        for socket in list(self._incoming):
+            await socket.close()
+        await self._session.close()
+
+    async def _run(self, link: _Link) -> None:
+        """Keep a link open until its peer refuses connections."""
+        incarnation: str | None = None
+        while True:
+            try:
+                timeout = CONNECT_TIMEOUT.total_seconds()
+                async with asyncio.timeout(timeout):
+                    socket = await self._session.ws_connect(
+                        f"http://{link.address}/v1/link",
+                        max_msg_size=FRAME_MAX,
+                        compress=0,
+                    )
+            except aiohttp.ClientConnectorError as error:
+                self._close(link, incarnation, _is_refused(error))
+                return
+            except (aiohttp.ClientError, TimeoutError, OSError):
+                self._close(link, incarnation, False)
+                return
+            incarnation = socket._response.headers.get(INCARNATION_HEADER, "")
+            self._notify(events.PeerLinkOpened(link.address, incarnation))
+            with contextlib.suppress(aiohttp.ClientError, OSError):
+                await self._pump(link, socket)
+            link.queue.clear()
+
+    def _close(
+        self, link: _Link, incarnation: str | None, refused: bool
+    ) -> None:
+        del self._links[link.address]
+        self._notify(events.PeerLinkClosed(link.address, incarnation, refused))
+
+    async def _pump(
+        self, link: _Link, socket: aiohttp.ClientWebSocketResponse
+    ) -> None:
+        """Send what is queued until the peer closes the link."""
+        closed = asyncio.create_task(_wait_closed(socket))
+        closed.add_done_callback(lambda _: link.wake.set())
+        try:
+            while not closed.done():
+                await link.wake.wait()
+                link.wake.clear()
+                if link.queue and not closed.done():
+                    batch = list(link.queue)
+                    link.queue.clear()
+                    await self._send_batch(link.address, socket, batch)
+        finally:
+            closed.cancel()
+            await socket.close()
+
+    async def _send_batch(
+        self,
+        address: str,
+        socket: aiohttp.ClientWebSocketResponse,
+        batch: Sequence[messages.Message],
+    ) -> None:
+        frame = orjson.dumps(batch)
+        self._traffic.count("peer_frame", len(frame))
+        for message in batch:
+            self._traffic.count(f"peer_{message.kind}")
+        delay = self._delay(address)
+        if delay > 0:
+            asyncio.get_running_loop().call_later(
+                delay, _send_later, socket, frame
+            )
+            return
+        await socket.send_str(frame.decode())
+
+    async def accept(self, request: web.Request) -> web.WebSocketResponse:
+        """Receive messages over a link that a peer opened."""
+        address = request.headers.get(ADDRESS_HEADER, "")
+        incarnation = request.headers.get(INCARNATION_HEADER, "")
+        socket = web.WebSocketResponse(max_msg_size=FRAME_MAX, compress=False)
+        socket.headers[INCARNATION_HEADER] = self._process.incarnation
+        await socket.prepare(request)
+        self._incoming.add(socket)
+        self._notify(events.PeerLinkOpened(address, incarnation))
+        try:
+            async for frame in socket:
+                self._receive(address, incarnation, frame)
+        finally:
+            self._incoming.discard(socket)
+            self._notify(events.PeerLinkClosed(address, incarnation))
+        return socket
+
+    def _receive(
+        self, address: str, incarnation: str, frame: aiohttp.WSMessage
+    ) -> None:
+        if frame.type is not aiohttp.WSMsgType.TEXT:
+            return
+        for content in orjson.loads(frame.data):
+            message = messages.decoder.validate_python(content)
+            self._notify(
+                events.PeerMessageReceived(address, incarnation, message)
+            )
+
+
+def _is_refused(error: aiohttp.ClientConnectorError) -> bool:
+    return isinstance(error.os_error, ConnectionRefusedError)
+
+
+async def _wait_closed(socket: aiohttp.ClientWebSocketResponse) -> None:
+    """Return when the peer closes a link; it sends nothing over it."""
+    async for _ in socket:
+        continue
+
+
+def _send_later(socket: aiohttp.ClientWebSocketResponse, frame: bytes) -> None:
+    async def send() -> None:
+        with contextlib.suppress(aiohttp.ClientError, OSError):
+            await socket.send_str(frame.decode())
+
+    asyncio.ensure_future(send())
--- /dev/null
+++ b/waxwingwalk/entry/metrics.py
@@ -0,0 +1,70 @@
+"""Metrics, collected from the state when they are asked for."""
+
+from collections.abc import Sequence
+import dataclasses
+
+from aioprometheus import collectors
+from aioprometheus import renderer
+
+from waxwingwalk.core import state as core_state
+from waxwingwalk.entry import traffic
+
+PREFIX = "waxwingwalk"
+
+
+class MetricsExporter:
+    """Copies counts into metrics at each scrape."""
+
+    def __init__(
+        self, state: core_state.State, counted: traffic.Traffic
+    ) -> None:
+        self._state = state
+        self._traffic = counted
+        self._registry = collectors.Registry()
+        self._counters = {
+            field.name: self._counter(field.name)
+            for field in dataclasses.fields(core_state.Counters)
+        }
+        self._messages = self._counter("messages_sent")
+        self._gauges = {
+            name: collectors.Gauge(
+                f"{PREFIX}_{name}", text, registry=self._registry
+            )
+            for name, text in (
+                ("jobs_active", "Jobs without an answer."),
+                ("tasks_running", "Tasks sent and not heard of."),
+                ("tasks_queued", "Tasks that wait for a slot."),
+                ("members_live", "Live entry processes."),
+                ("settings_revision", "The settings revision in force."),
+            )
+        }
+
+    def _counter(self, name: str) -> collectors.Counter:
+        return collectors.Counter(
+            f"{PREFIX}_{name}_total",
+            f"{name.replace('_', ' ').capitalize()}.",
+            registry=self._registry,
+        )
+
+    def render(self, accepts: Sequence[str]) -> tuple[bytes, dict[str, str]]:
+        """Return the metrics and the headers that describe them."""
+        self._collect()
+        content, headers = renderer.render(self._registry, accepts)
+        return content, headers
+
+    def _collect(self) -> None:
+        state = self._state
+        for name, counter in self._counters.items():
+            counter.set({}, getattr(state.counters, name))
+        for kind, count in self._traffic.messages.items():
+            self._messages.set({"kind": kind}, count)
+        queued = sum(queue.task_count for queue in state.queues.values())
+        values = {
+            "jobs_active": state.active_jobs,
+            "tasks_running": len(state.attempts),
+            "tasks_queued": queued,
+            "members_live": len(state.membership.live_addresses()),
+            "settings_revision": state.settings.number,
+        }
+        for name, value in values.items():
+            self._gauges[name].set({}, value)
--- /dev/null
+++ b/waxwingwalk/entry/requests.py
@@ -0,0 +1,88 @@
+"""Requests of callers and operators, validated at the border."""
+
+import datetime
+from typing import Any
+
+import pydantic
+from returns import result
+
+from waxwingwalk.core import model
+
+NAME_PATTERN = r"^[A-Za-z0-9][A-Za-z0-9_\-]{0,63}$"
+
+
+class _Strict(pydantic.BaseModel):
+    model_config = pydantic.ConfigDict(extra="forbid")
+
+
+class TaskRequest(_Strict):
+    """One task of a submission; ``memory`` is in bytes."""
+
+    payload: Any = None
+    run_time_seconds: float = pydantic.Field(0.3, gt=0, le=3600)
+    processors: float = pydantic.Field(0.0, ge=0, le=4096)
+    memory: int = pydantic.Field(0, ge=0)
+    accelerators: int = pydantic.Field(0, ge=0, le=1024)
+
+    def spec(self) -> model.TaskSpec:
+        """Return the task as the reducer knows it."""
+        return model.TaskSpec(
+            self.payload,
+            datetime.timedelta(seconds=self.run_time_seconds),
+            self.processors,
+            self.memory,
+            self.accelerators,
+        )
+
+
+class JobRequest(_Strict):
+    """A submission."""
+
+    service: str = pydantic.Field(pattern=NAME_PATTERN)
+    team: str = pydantic.Field(pattern=NAME_PATTERN)
+    tasks: list[TaskRequest] = pydantic.Field(min_length=1)
+    deadline_seconds: float | None = pydantic.Field(None, gt=0, le=3600)
+    idempotent: bool = True
+    key: str | None = pydantic.Field(None, min_length=1, max_length=256)
+    wait: bool = True
+
+
+class KeysRequest(_Strict):
+    """A request for a block of issued keys."""
+
+    team: str = pydantic.Field(pattern=NAME_PATTERN)
+    count: int = pydantic.Field(1, ge=1, le=1000)
+
+
+class ChangeRequest(_Strict):
+    """A change of settings: paths and new values, None to take away."""
+
+    changes: dict[str, Any] = pydantic.Field(min_length=1)
+    reason: str = pydantic.Field(min_length=1, max_length=500)
+    author: str = pydantic.Field("", max_length=100)
+    based_on: int | None = pydantic.Field(None, ge=0)
+
+
+class RollBackRequest(_Strict):
+    """A request to return to an earlier revision's tree."""
+
+    revision: int = pydantic.Field(ge=0)
+    reason: str = pydantic.Field("", max_length=500)
+    author: str = pydantic.Field("", max_length=100)
+
+
+def describe(error: pydantic.ValidationError) -> str:
+    """Return every fault of a request in one line."""
+    return "; ".join(
+        f"{'.'.join(str(part) for part in fault['loc']) or 'body'}: "
+        f"{fault['msg']}"
+        for fault in error.errors()
+    )
+
+
+def parse_job(body: bytes) -> result.Result[JobRequest, str]:
+    """Return a validated submission, or what is wrong with it."""
+    try:
+        return result.Success(JobRequest.model_validate_json(body))
+    except pydantic.ValidationError as error:
+        return result.Failure(describe(error))
--- /dev/null
+++ b/waxwingwalk/entry/server.py
@@ -0,0 +1,136 @@
+"""The entry process as an aiomisc service."""
+
+import asyncio
+from collections.abc import Callable
+from collections.abc import Coroutine
+import contextlib
+import datetime
+import signal
+import socket
+from typing import Any
+
+from aiohttp import web
+import aiomisc
+from returns import result
+
+from waxwingwalk.core import events
+from waxwingwalk.entry import config as entry_config
+from waxwingwalk.entry import engine as entry_engine
+from waxwingwalk.entry import links
+from waxwingwalk.platform import base as platform_base
+from waxwingwalk.platform import host_list
+from waxwingwalk.settings import store as settings_store
+
+TICK_INTERVAL = datetime.timedelta(milliseconds=20)
+# How long responses get to leave after the last job ended.
+FLUSH_TIME = datetime.timedelta(milliseconds=200)
+# A first revision is asked for this often.
+EAGER_SETTINGS_INTERVAL = datetime.timedelta(milliseconds=500)
+LISTEN_BACKLOG = 1024
+
+
+def bind(listener: entry_config.ListenerConfig) -> socket.socket:
+    """Return a listening socket for an address in a settings file."""
+    return socket.create_server(
+        (listener.address, listener.port), backlog=LISTEN_BACKLOG
+    )
+
+
+class EntryService(aiomisc.Service):
+    """Serves the three listeners, and keeps time."""
+
+    def __init__(
+        self,
+        engine: entry_engine.Engine,
+        peer_links: links.PeerLinks,
+        hosts: platform_base.HostList,
+        store: settings_store.SettingsStore,
+        seeds: list[str],
+        listeners: list[tuple[socket.socket, web.Application]],
+        closers: list[Callable[[], Coroutine[Any, Any, None]]],
+    ) -> None:
+        super().__init__()
+        self._engine = engine
+        self._links = peer_links
+        self._hosts = hosts
+        self._store = store
+        self._seeds = seeds
+        self._listeners = listeners
+        self._closers = closers
+        self._runners: list[web.AppRunner] = []
+        self._tasks: list[asyncio.Task[None]] = []
+
+    async def start(self) -> None:
+        """Open the listeners and start the loops."""
+        self._engine.apply(events.PeersListed(self._seeds))
+        for opened, app in self._listeners:
+            runner = web.AppRunner(app, access_log=None, shutdown_timeout=1)
+            await runner.setup()
+            await web.SockSite(runner, opened).start()
+            self._runners.append(runner)
+        for loop in (self._tick, self._read_hosts, self._read_settings):
+            self._tasks.append(asyncio.create_task(loop()))
+
+    async def stop(self, exception: Exception | None = None) -> None:
+        """Drain: finish the jobs in progress, then close everything."""
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            with contextlib.suppress(ValueError, RuntimeError):
+                loop.add_signal_handler(number, self._force)
+        deadline = self._engine.state.settings.process().drain_timeout
+        self._engine.apply(events.DrainRequested(deadline))
+        await self._engine.exited.wait()
+        await asyncio.sleep(FLUSH_TIME.total_seconds())
+        await self.abort()
+
+    def _force(self) -> None:
+        self._engine.apply(events.DrainForced())
+
+    async def abort(self) -> None:
+        """Close everything at once, as a crash would."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._links.close()
+        for runner in self._runners:
+            await runner.cleanup()
+        await self._engine.close()
+        for close in self._closers:
+            await close()
+
+    async def _tick(self) -> None:
+        while True:
+            await asyncio.sleep(TICK_INTERVAL.total_seconds())
+            self._engine.apply(events.Ticked())
+
+    async def _read_hosts(self) -> None:
+        while True:
+            read = await self._hosts.hosts()
+            listed = read.value_or(None)
+            if listed is not None:
+                self._take_hosts(listed)
+            options = self._engine.state.settings.process()
+            await asyncio.sleep(options.host_list_interval.total_seconds())
+
+    def _take_hosts(self, listed: dict[str, Any]) -> None:
+        parsed = host_list.parse(listed)
+        if not isinstance(parsed, result.Success):
+            return
+        hosts = parsed.unwrap()
+        addresses = [*self._seeds, *hosts.entry_addresses]
+        self._engine.apply(events.PeersListed(addresses))
+        self._engine.apply(events.BackendsListed(hosts.backends))
+
+    async def _read_settings(self) -> None:
+        """Ask the store for a newer revision, eagerly until there is one."""
+        while True:
+            read = await self._store.head()
+            if isinstance(read, result.Success):
+                revision, _ = read.unwrap()
+                document = revision.document()
+                self._engine.apply(events.SettingsRead(document))
+            settings = self._engine.state.settings
+            interval = settings.process().settings_interval
+            if not settings.is_ready:
+                interval = EAGER_SETTINGS_INTERVAL
+            await asyncio.sleep(interval.total_seconds())
--- /dev/null
+++ b/waxwingwalk/entry/submission.py
@@ -0,0 +1,290 @@
+"""The way of a submission: validation, keys, forwarding, the wait."""
+
+import datetime
+from typing import Any
+
+import orjson
+import pydantic
+from returns import result
+import xxhash
+
+from waxwingwalk.core import events
+from waxwingwalk.core import identity
+from waxwingwalk.core import model
+from waxwingwalk.core import results
+from waxwingwalk.entry import claims
+from waxwingwalk.entry import engine as entry_engine
+from waxwingwalk.entry import forwarding
+from waxwingwalk.entry import issued_keys
+from waxwingwalk.entry import replies
+from waxwingwalk.entry import requests
+from waxwingwalk.jobs import keys
+
+Code = results.ResultCode
+LONGEST_WAIT = datetime.timedelta(hours=1)
+_NO_WAIT = datetime.timedelta()
+
+
+class Submissions:
+    """Takes requests about jobs, from callers and forwarded by peers."""
+
+    def __init__(
+        self,
+        engine: entry_engine.Engine,
+        issuer: issued_keys.KeyIssuer,
+        forwarder: forwarding.Forwarder,
+    ) -> None:
+        self._engine = engine
+        self._issuer = issuer
+        self._forwarder = forwarder
+        self._holders: dict[str, identity.ProcessId] = {}
+
+    def settle_claim(self, job_id: str, verdict: claims.Verdict) -> None:
+        """Take in a claim's verdict, and remember who else holds the key."""
+        if verdict.holder is not None:
+            self._holders[job_id] = verdict.holder
+        self._engine.apply(events.ClaimSettled(job_id, verdict.code))
+
+    def is_job_free(self, job_id: str) -> bool:
+        """Tell whether a job of this process ended without a start."""
+        job = self._engine.state.jobs.get(job_id)
+        if job is None or job.answer is None:
+            return False
+        return job.answer.code.family is results.Family.NOT_RUN
+
+    async def submit(
+        self, body: bytes, *, team: str | None, is_forwarded: bool = False
+    ) -> replies.Reply:
+        """Run a submission; ``team`` is whom the caller's token names."""
+        parsed = requests.parse_job(body)
+        if not isinstance(parsed, result.Success):
+            return _invalid(parsed.failure())
+        request = parsed.unwrap()
+        if team is not None and request.team != team:
+            return replies.Reply(Code.UNAUTHORIZED)
+        refusal = self._check_limits(request, len(body))
+        if refusal is not None:
+            return refusal
+        return await self._route(request, body, is_forwarded)
+
+    def _check_limits(
+        self, request: requests.JobRequest, body_size: int
+    ) -> replies.Reply | None:
+        settings = self._engine.state.settings
+        options = settings.service(request.service)
+        if body_size > settings.process().body_max:
+            return replies.Reply(Code.BODY_TOO_LARGE)
+        if len(request.tasks) > options.job_max_tasks:
+            detail = (
+                f"{len(request.tasks)} tasks, {options.job_max_tasks} allowed"
+            )
+            return replies.Reply(Code.TOO_MANY_TASKS, {"detail": detail})
+        if body_size <= options.payload_max:
+            return None
+        for index, task in enumerate(request.tasks):
+            if len(orjson.dumps(task.payload)) > options.payload_max:
+                detail = f"task {index}: more than {options.payload_max} bytes"
+                members = {"detail": detail}
+                return replies.Reply(Code.PAYLOAD_TOO_LARGE, members)
+        return None
+
+    async def _route(
+        self,
+        request: requests.JobRequest,
+        body: bytes,
+        is_forwarded: bool,
+    ) -> replies.Reply:
+        """Run the job here, or where its issued key belongs."""
+        if request.key is None or not issued_keys.is_issued(request.key):
+            return await self._run(request, body, None, is_forwarded)
+        verified = self._issuer.verify(request.team, request.key)
+        if not isinstance(verified, result.Success):
+            return replies.Reply(verified.failure())
+        key = verified.unwrap()
+        if key.issuer == self._engine.state.process:
+            return await self._run(request, body, key, is_forwarded)
+        if is_forwarded:
+            return replies.Reply(Code.KEY_INCARNATION_GONE)
+        return await self._forward(
+            key.issuer, request, body, Code.KEY_INCARNATION_GONE
+        )
+
+    async def _forward(
+        self,
+        target: identity.ProcessId,
+        request: requests.JobRequest,
+        body: bytes,
+        gone: Code,
+    ) -> replies.Reply:
+        if self._engine.state.membership.is_gone(target):
+            return replies.Reply(gone)
+        wait = self._deadline_span(request) if request.wait else _NO_WAIT
+        return await self._forwarder.forward(
+            target,
+            "submit",
+            body,
+            wait=wait,
+            gone=gone,
+            lost=Code.FORWARD_LOST,
+        )
+
+    def _deadline_span(
+        self, request: requests.JobRequest
+    ) -> datetime.timedelta:
+        if request.deadline_seconds is not None:
+            return datetime.timedelta(seconds=request.deadline_seconds)
+        options = self._engine.state.settings.service(request.service)
+        return options.job_deadline
+
+    async def _run(
+        self,
+        request: requests.JobRequest,
+        body: bytes,
+        issued: issued_keys.IssuedKey | None,
+        is_forwarded: bool,
+    ) -> replies.Reply:
+        """Run the job in this process, or join the run that its key has."""
+        spec = self._spec(request, issued)
+        if spec.key is not None:
+            lookup = keys.look_up(
+                self._engine.state, spec.team, spec.key, spec.fingerprint
+            )
+            match lookup.earlier:
+                case keys.EarlierRun.REUSED:
+                    return replies.Reply(Code.KEY_REUSED)
+                case keys.EarlierRun.EXPIRED:
+                    return replies.Reply(Code.ANSWER_EXPIRED)
+                case keys.EarlierRun.JOINED:
+                    return await self._await(lookup.job_id, request)
+        if issued is not None and issued.expires_at < spec.submitted_at:
+            return replies.Reply(Code.KEY_EXPIRED)
+        future = self._engine.wait_for(spec.job_id)
+        self._engine.apply(events.JobSubmitted(spec))
+        if not request.wait and not future.done():
+            return _accepted(spec.job_id)
+        answer = await future
+        holder = self._holders.pop(spec.job_id, None)
+        if holder is not None and not is_forwarded:
+            return await self._forward(
+                holder, request, body, Code.EARLIER_ATTEMPT
+            )
+        return replies.of_answer(answer)
+
+    async def _await(
+        self, job_id: str, request: requests.JobRequest
+    ) -> replies.Reply:
+        future = self._engine.wait_for(job_id)
+        if not request.wait and not future.done():
+            return _accepted(job_id)
+        return replies.of_answer(await future)
+
+    def _spec(
+        self,
+        request: requests.JobRequest,
+        issued: issued_keys.IssuedKey | None,
+    ) -> model.JobSpec:
+        now = self._engine.clock.now()
+        spec = model.JobSpec(
+            job_id=self._engine.state.next_job_id(),
+            service=request.service,
+            team=request.team,
+            tasks=[task.spec() for task in request.tasks],
+            submitted_at=now,
+            deadline=now + self._deadline_span(request),
+            idempotent=request.idempotent,
+        )
+        if request.key is not None:
+            spec.key = request.key
+            spec.is_key_issued = issued is not None
+            spec.fingerprint = _fingerprint(request)
+        if issued is not None:
+            spec.key_expires_at = issued.expires_at
+        return spec
+
+    # Requests about a job that was submitted before.
+
+    async def about(
+        self, action: str, job_id: str, *, is_forwarded: bool = False
+    ) -> replies.Reply:
+        """Carry out status, wait, cancel or explain on the coordinator."""
+        parsed = identity.parse_job_id(job_id)
+        if parsed is None:
+            return _invalid(f"'{job_id}' is not a job id")
+        if parsed.coordinator == self._engine.state.process:
+            return await self._about_own(action, parsed)
+        membership = self._engine.state.membership
+        if is_forwarded or membership.is_gone(parsed.coordinator):
+            return replies.Reply(Code.COORDINATOR_LOST)
+        wait = LONGEST_WAIT if action == "wait" else _NO_WAIT
+        return await self._forwarder.forward(
+            parsed.coordinator,
+            action,
+            job_id.encode(),
+            wait=wait,
+            gone=Code.COORDINATOR_LOST,
+            lost=Code.COORDINATOR_UNREACHABLE,
+        )
+
+    async def _about_own(
+        self, action: str, job_id: identity.JobId
+    ) -> replies.Reply:
+        state = self._engine.state
+        job = state.jobs.get(str(job_id))
+        if job is None:
+            is_past = 0 < job_id.serial <= state.serial
+            code = Code.ANSWER_EXPIRED if is_past else Code.NO_SUCH_JOB
+            return replies.Reply(code)
+        if action == "cancel":
+            self._engine.apply(events.JobCancelled(str(job_id)))
+        if action == "wait":
+            return replies.of_answer(await self._engine.wait_for(str(job_id)))
+        if action == "explain":
+            return replies.Reply(Code.OK, {"story": list(job.story)})
+        if job.answer is not None:
+            return replies.of_answer(job.answer)
+        return replies.Reply(
+            Code.RUNNING,
+            {
+                "job": str(job_id),
+                "tasks": len(job.results),
+                "tasks_done": job.done,
+                "tasks_started": job.started,
+            },
+        )
+
+    def issue_keys(self, body: bytes, *, team: str | None) -> replies.Reply:
+        """Issue a block of keys to a team."""
+        try:
+            request = requests.KeysRequest.model_validate_json(body)
+        except pydantic.ValidationError as error:
+            return _invalid(requests.describe(error))
+        if team is not None and request.team != team:
+            return replies.Reply(Code.UNAUTHORIZED)
+        if self._engine.state.drain is not None:
+            return replies.Reply(Code.DRAINING)
+        options = self._engine.state.settings.process()
+        issued = self._issuer.issue(
+            request.team,
+            request.count,
+            lifetime=options.issued_key_lifetime,
+            limit=options.issued_keys_max,
+            now=self._engine.clock.now(),
+        )
+        if issued is None:
+            members: dict[str, Any] = {"retry_after_seconds": 5.0}
+            return replies.Reply(Code.KEYS_EXHAUSTED, members)
+        return replies.Reply(Code.OK, {"keys": issued})
+
+
+def _invalid(detail: str) -> replies.Reply:
+    return replies.Reply(Code.INVALID_REQUEST, {"detail": detail})
+
+
+def _accepted(job_id: str) -> replies.Reply:
+    return replies.Reply(Code.ACCEPTED, {"job": job_id})
+
+
+def _fingerprint(request: requests.JobRequest) -> str:
+    content = request.model_dump(include={"service", "team", "tasks"})
+    canonical = orjson.dumps(content, option=orjson.OPT_SORT_KEYS)
+    return xxhash.xxh3_128_hexdigest(canonical)
--- /dev/null
+++ b/waxwingwalk/management/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Commands, one topic a file."""
--- /dev/null
+++ b/waxwingwalk/management/commands/settings.py
@@ -0,0 +1,238 @@
+"""``waxwingwalk settings ...``: read and change the settings tree."""
+
+from typing import Any
+from urllib import parse
+
+import cleo.helpers
+from returns import result
+
+from waxwingwalk.management import base
+from waxwingwalk.settings import tree as settings_tree
+
+SHARED_OPTIONS = [
+    base.RequestCommand.address_option,
+    base.RequestCommand.token_option,
+    base.BaseCommand.json_option,
+]
+REASON_OPTION = cleo.helpers.option(
+    "reason", "r", "Why the change is made.", flag=False
+)
+BASED_ON_OPTION = cleo.helpers.option(
+    "based-on",
+    None,
+    "The revision that the change was made from.",
+    flag=False,
+)
+
+
+class SettingsGetCommand(base.RequestCommand):
+    """Shows the tree in force, or one path of it."""
+
+    name = "settings get"
+    description = "Show the settings that were set."
+    arguments = [
+        cleo.helpers.argument("path", "A path, or part of one.", optional=True)
+    ]
+    options = SHARED_OPTIONS
+
+    def handle(self) -> int:
+        reply = self.request("GET", "/v1/settings")
+        if reply is None:
+            return base.EXIT_USAGE
+        if "revision" not in reply:
+            return self.finish(reply)
+        revision = reply["revision"]
+        wanted = self.argument("path") or ""
+        flat = {
+            path: value
+            for path, value in settings_tree.flatten(revision["tree"]).items()
+            if path.startswith(wanted)
+        }
+        if self.option("json"):
+            content = {"revision": revision["number"], "settings": flat}
+            self.print_json(content)
+        else:
+            self.line(f"revision {revision['number']}")
+            for path, value in sorted(flat.items()):
+                self.line(f"{path}: {value}")
+        return base.EXIT_OK
+
+
+class ChangeCommand(base.RequestCommand):
+    """A command that makes a new revision."""
+
+    def change(self, changes: dict[str, Any]) -> int:
+        """Send changes and print what became of them."""
+        body: dict[str, Any] = {
+            "changes": changes,
+            "reason": self.option("reason") or "changed by hand",
+        }
+        based_on = self.option("based-on")
+        if based_on is not None:
+            body["based_on"] = int(based_on)
+        reply = self.request("POST", "/v1/settings/changes", body)
+        return base.EXIT_USAGE if reply is None else self.show(reply)
+
+    def show(self, reply: dict[str, Any]) -> int:
+        """Print the new revision or the refusal."""
+        if self.option("json"):
+            self.print_json(reply)
+            return base.exit_code(reply["code"])
+        if "revision" in reply:
+            self.line(f"revision {reply['revision']} accepted")
+        return self.finish(reply)
+
+
+class SettingsSetCommand(ChangeCommand):
+    """Sets paths to values, all in one revision."""
+
+    name = "settings set"
+    description = "Set PATH=VALUE, one or more."
+    arguments = [
+        cleo.helpers.argument("assignment", "PATH=VALUE", multiple=True)
+    ]
+    options = [*SHARED_OPTIONS, REASON_OPTION, BASED_ON_OPTION]
+
+    def handle(self) -> int:
+        changes = {}
+        for assignment in self.argument("assignment"):
+            path, separator, text = assignment.partition("=")
+            if not separator:
+                return self.fail(f"'{assignment}' is not PATH=VALUE")
+            changes[path] = base.parse_value(text)
+        return self.change(changes)
+
+
+class SettingsUnsetCommand(ChangeCommand):
+    """Takes settings away, so that the level above holds again."""
+
+    name = "settings unset"
+    description = "Take PATH away, one or more."
+    arguments = [cleo.helpers.argument("path", "A path.", multiple=True)]
+    options = [*SHARED_OPTIONS, REASON_OPTION, BASED_ON_OPTION]
+
+    def handle(self) -> int:
+        return self.change({path: None for path in self.argument("path")})
+
+
+class SettingsRollbackCommand(ChangeCommand):
+    """Returns to an earlier revision's tree, as a new revision."""
+
+    name = "settings rollback"
+    description = "Return to the tree of REVISION."
+    arguments = [cleo.helpers.argument("revision", "Its number.")]
+    options = [*SHARED_OPTIONS, REASON_OPTION]
+
+    def handle(self) -> int:
+        body = {
+            "revision": int(self.argument("revision")),
+            "reason": self.option("reason") or "",
+        }
+        reply = self.request("POST", "/v1/settings/rollback", body)
+        return base.EXIT_USAGE if reply is None else self.show(reply)
+
+
+class SettingsHistoryCommand(base.RequestCommand):
+    """Lists the newest revisions."""
+
+    name = "settings history"
+    description = "List the newest revisions."
+    options = [
+        *SHARED_OPTIONS,
+        cleo.helpers.option("count", "c", "How many.", flag=False),
+    ]
+
+    def handle(self) -> int:
+        count = self.option("count") or "20"
+        path = f"/v1/settings/history?count={parse.quote(count)}"
+        reply = self.request("GET", path)
+        if reply is None:
+            return base.EXIT_USAGE
+        if self.option("json"):
+            self.print_json(reply)
+        elif "revisions" in reply:
+            rows = [
+                [
+                    str(each["number"]),
+                    each["at"],
+                    each["author"],
+                    each["reason"],
+                    ", ".join(each["changes"]),
+                ]
+                for each in reply["revisions"]
+            ]
+            columns = ["revision", "at", "author", "reason", "changes"]
+            self.print_table(columns, rows)
+        return self.finish(reply)
+
+
+class SettingsDiffCommand(base.RequestCommand):
+    """Compares a YAML file with the tree in force."""
+
+    name = "settings diff"
+    description = "Compare the tree in FILE with the one in force."
+    arguments = [cleo.helpers.argument("file", "A YAML file.")]
+    options = SHARED_OPTIONS
+
+    def handle(self) -> int:
+        document = base.read_document(self.argument("file"))
+        if not isinstance(document, result.Success):
+            return self.fail(document.failure())
+        wanted = document.unwrap()
+        errors = settings_tree.validate(wanted)
+        if errors:
+            return self.fail("; ".join(str(error) for error in errors))
+        reply = self.request("GET", "/v1/settings")
+        if reply is None:
+            return base.EXIT_USAGE
+        if "revision" not in reply:
+            return self.finish(reply)
+        differing = settings_tree.diff(reply["revision"]["tree"], wanted)
+        if self.option("json"):
+            self.print_json(differing)
+        else:
+            for path, (old, new) in differing.items():
+                self.line(f"{path}: {old} -> {new}")
+        return base.EXIT_OK
+
+
+class SettingsEffectiveCommand(base.RequestCommand):
+    """Shows every setting's value in a context, and where it is from."""
+
+    name = "settings effective"
+    description = "Show each setting's value and origin."
+    options = [
+        *SHARED_OPTIONS,
+        *(
+            cleo.helpers.option(name, None, f"In this {text}.", flag=False)
+            for name, text in (
+                ("region", "region"),
+                ("service", "service"),
+                ("host-class", "host class"),
+                ("zone", "availability zone"),
+                ("team", "team"),
+            )
+        ),
+    ]
+
+    def handle(self) -> int:
+        names = ("region", "service", "host-class", "zone", "team")
+        query = {
+            name.replace("-", "_"): self.option(name)
+            for name in names
+            if self.option(name)
+        }
+        path = f"/v1/settings/effective?{parse.urlencode(query)}"
+        reply = self.request("GET", path)
+        if reply is None:
+            return base.EXIT_USAGE
+        if self.option("json"):
+            self.print_json(reply)
+        elif "settings" in reply:
+            columns = ["name", "value", "origin"]
+            rows = [
+                [str(each[column]) for column in columns]
+                for each in reply["settings"]
+            ]
+            self.print_table(columns, rows)
+        return self.finish(reply)
--- /dev/null
+++ b/waxwingwalk/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Which entry processes are there, and who owns which backend server."""
--- /dev/null
+++ b/waxwingwalk/membership/handlers.py
@@ -0,0 +1,195 @@
+"""Handlers of membership events."""
+
+import datetime
+
+from waxwingwalk.core import effects
+from waxwingwalk.core import events
+from waxwingwalk.core import messages
+from waxwingwalk.core import state as core_state
+from waxwingwalk.jobs import dispatch
+from waxwingwalk.membership import members
+from waxwingwalk.routing import health
+from waxwingwalk.settings import handlers as settings_handlers
+
+Effects = list[effects.Effect]
+SLOT_MESSAGES = (
+    messages.SlotRequest,
+    messages.SlotGrant,
+    messages.SlotReturn,
+    messages.SlotRecall,
+    messages.SlotReport,
+)
+
+
+def list_peers(
+    state: core_state.State,
+    event: events.PeersListed,
+    now: datetime.datetime,
+) -> Effects:
+    """Note where entry processes are expected."""
+    state.membership.expect(event.addresses)
+    return []
+
+
+def list_backends(
+    state: core_state.State,
+    event: events.BackendsListed,
+    now: datetime.datetime,
+) -> Effects:
+    """Take in the platform's list of backend servers."""
+    if not state.registry.replace(event.backends):
+        return []
+    done = state.sharing.topology_changed(now)
+    return done + dispatch.dispatch_changed(state, now)
+
+
+def open_link(
+    state: core_state.State,
+    event: events.PeerLinkOpened,
+    now: datetime.datetime,
+) -> Effects:
+    """Take in a new link: the process at its end is there."""
+    member = state.membership.get(event.address)
+    done: Effects = []
+    if member is not None:
+        if member.record.incarnation != event.incarnation:
+            old = member.record.incarnation
+            state.membership.mark_gone(event.address, old, now)
+            done += _topology_if_changed(state, now)
+        state.membership.heard(event.address, event.incarnation, now)
+    done += state.sharing.peer_connected(event.address, now)
+    return done
+
+
+def close_link(
+    state: core_state.State,
+    event: events.PeerLinkClosed,
+    now: datetime.datetime,
+) -> Effects:
+    """Take in a lost link; a refused connection proves a process gone."""
+    member = state.membership.get(event.address)
+    if member is None or not event.refused:
+        return []
+    incarnation = event.incarnation or member.record.incarnation
+    return _count_out(state, event.address, incarnation, now)
+
+
+def _count_out(
+    state: core_state.State,
+    address: str,
+    incarnation: str,
+    now: datetime.datetime,
+) -> Effects:
+    if not state.membership.mark_gone(address, incarnation, now):
+        return []
+    state.counters.members_gone += 1
+    log = effects.Log("member.gone", {"address": address})
+    return [log, *_topology_if_changed(state, now)]
+
+
+def _topology_if_changed(
+    state: core_state.State, now: datetime.datetime
+) -> Effects:
+    if state.membership.version == state.membership_seen:
+        return []
+    state.membership_seen = state.membership.version
+    done = state.sharing.topology_changed(now)
+    return done + dispatch.dispatch_changed(state, now)
+
+
+def receive(
+    state: core_state.State,
+    event: events.PeerMessageReceived,
+    now: datetime.datetime,
+) -> Effects:
+    """Take in a message from a peer."""
+    state.membership.heard(event.address, event.incarnation, now)
+    message = event.message
+    match message:
+        case messages.Probe():
+            return _receive_probe(state, event.address, message, now)
+        case messages.BackendNotice():
+            return health.receive_notice(state, message, now)
+        case messages.SettingsNotice():
+            return settings_handlers.adopt_document(
+                state, message.document, now
+            )
+    if not _is_from_member(state, event):
+        return []
+    done = state.sharing.receive(event.address, message, now)
+    return done + dispatch.dispatch_changed(state, now)
+
+
+def _is_from_member(
+    state: core_state.State, event: events.PeerMessageReceived
+) -> bool:
+    """Slot messages of an incarnation that was counted out do not count."""
+    member = state.membership.get(event.address)
+    return (
+        member is not None
+        and member.is_present
+        and member.record.incarnation == event.incarnation
+    )
+
+
+def _receive_probe(
+    state: core_state.State,
+    address: str,
+    message: messages.Probe,
+    now: datetime.datetime,
+) -> Effects:
+    membership = state.membership
+    known = membership.get(address)
+    is_new = known is None or not known.is_present
+    membership.learn(message.sender, now, is_direct=True)
+    membership.heard(address, message.sender.incarnation, now)
+    for record in message.changes:
+        membership.learn(record, now)
+    done = state.sharing.receive(address, message, now)
+    if message.revision > state.settings.number:
+        done.append(effects.FetchSettings(address))
+    if not message.is_reply:
+        reply = _probe(state, is_reply=True, everything=is_new)
+        done.append(effects.SendToPeer(address, reply))
+    return done + _topology_if_changed(state, now)
+
+
+def _probe(
+    state: core_state.State, *, is_reply: bool, everything: bool
+) -> messages.Probe:
+    return messages.Probe(
+        sender=state.membership.own,
+        changes=state.membership.changes_to_send(everything=everything),
+        revision=state.settings.number,
+        free=state.sharing.free_hints(),
+        is_reply=is_reply,
+    )
+
+
+def tick(state: core_state.State, now: datetime.datetime) -> Effects:
+    """Probe the most silent peer; count out those that stay silent."""
+    options = state.settings.process()
+    done: Effects = []
+    for member in state.membership.silent(options.peer_timeout, now):
+        record = member.record
+        done += _count_out(state, record.address, record.incarnation, now)
+    if now - state.probed_at < options.probe_interval:
+        return done
+    state.probed_at = now
+    state.membership.forget_gone(now)
+    for address in state.membership.next_to_probe(options.probe_interval, now):
+        probe = _probe(state, is_reply=False, everything=False)
+        done.append(effects.SendToPeer(address, probe))
+    return done
+
+
+def leave(state: core_state.State, now: datetime.datetime) -> Effects:
+    """Tell the peers that this process shuts down."""
+    state.membership.leave()
+    done = _topology_if_changed(state, now)
+    for member in state.membership.peers():
+        if member.record.state == members.GONE:
+            continue
+        probe = _probe(state, is_reply=True, everything=False)
+        done.append(effects.SendToPeer(member.record.address, probe))
+    return done
--- /dev/null
+++ b/waxwingwalk/membership/members.py
@@ -0,0 +1,254 @@
+"""Membership of entry processes.
+
+Each process probes one peer at a time, the one that it has not heard from for
+the longest. Changes of membership ride on probes and their replies, each a
+bounded number of times, so that the traffic of a process does not grow with
+the number of processes. A peer that stays silent is suspected, then counted
+as gone; a process that learns that it was counted out raises its version and
+is back. A refused connection proves that an incarnation is gone.
+"""
+
+from collections.abc import Iterable
+import dataclasses
+import datetime
+import math
+
+from waxwingwalk.core import identity
+from waxwingwalk.core import messages
+
+LIVE = "live"
+LEAVING = "leaving"
+GONE = "gone"
+# The most changes that one probe carries.
+CHANGES_MAX = 12
+# Each change is passed on this many times the logarithm of the member count.
+SPREAD_FACTOR = 3
+# Gone members are remembered this long, so that old news cannot revive them.
+GONE_RETENTION = datetime.timedelta(minutes=10)
+
+
+@dataclasses.dataclass(slots=True)
+class Member:
+    """An entry process as this one sees it."""
+
+    record: messages.MemberRecord
+    last_heard: datetime.datetime
+    probed_at: datetime.datetime | None = None
+    gone_at: datetime.datetime | None = None
+
+    @property
+    def is_present(self) -> bool:
+        """Whether the process is there, if only to finish its work."""
+        return self.record.state != GONE
+
+
+@dataclasses.dataclass(slots=True)
+class _Change:
+    record: messages.MemberRecord
+    transmissions: int
+
+
+class Membership:
+    """The members, this process included.
+
+    ``version`` grows with every change that matters to others.
+    """
+
+    def __init__(
+        self,
+        process: identity.ProcessId,
+        zone: str,
+        region: str,
+        now: datetime.datetime,
+    ) -> None:
+        self._own = messages.MemberRecord(
+            process.address, process.incarnation, zone, region, LIVE, 1
+        )
+        self._members = {process.address: Member(self._own, now)}
+        self._changes: dict[str, _Change] = {}
+        self._expected: set[str] = set()
+        self._live: list[str] = [process.address]
+        self.version = 0
+
+    @property
+    def own(self) -> messages.MemberRecord:
+        """This process's own record."""
+        return self._own
+
+    def get(self, address: str) -> Member | None:
+        """Return the member at an address, if any was ever heard of."""
+        return self._members.get(address)
+
+    def all(self) -> list[Member]:
+        """Return every member, gone ones included."""
+        return list(self._members.values())
+
+    def live_addresses(self) -> list[str]:
+        """Return the addresses of live members, in order."""
+        return self._live
+
+    def peers(self) -> list[Member]:
+        """Return the other members that are present."""
+        return [
+            member
+            for address, member in self._members.items()
+            if member.is_present and address != self._own.address
+        ]
+
+    def is_gone(self, process: identity.ProcessId) -> bool:
+        """Tell whether this incarnation is known to have ended."""
+        member = self._members.get(process.address)
+        if member is None:
+            return False
+        if member.record.incarnation != process.incarnation:
+            return True
+        return not member.is_present
+
+    def expect(self, addresses: Iterable[str]) -> None:
+        """Note addresses at which members should be found."""
+        self._expected = set(addresses) - {self._own.address}
+
+    def leave(self) -> None:
+        """Declare that this process shuts down."""
+        self._own = dataclasses.replace(
+            self._own, state=LEAVING, version=self._own.version + 1
+        )
+        self._members[self._own.address].record = self._own
+        self._spread(self._own)
+        self._changed()
+
+    def heard(
+        self, address: str, incarnation: str, now: datetime.datetime
+    ) -> None:
+        """Note that a message came from a process."""
+        member = self._members.get(address)
+        if member is None or member.record.incarnation != incarnation:
+            return
+        member.last_heard = now
+        member.probed_at = None
+
+    def learn(
+        self,
+        record: messages.MemberRecord,
+        now: datetime.datetime,
+        *,
+        is_direct: bool = False,
+    ) -> bool:
+        """Take in a record; True if it is news.
+
+        ``is_direct`` means that the process itself sent it just now, which
+        settles which incarnation lives at the address.
+        """
+        if record.address == self._own.address:
+            return self._learn_of_self(record)
+        known = self._members.get(record.address)
+        if known is not None:
+            is_same = known.record.incarnation == record.incarnation
+            if not _is_newer(record, known.record):
+                if is_same or not is_direct:
+                    return False
+        if known is None and record.state == GONE:
+            return False
+        gone_at = now if record.state == GONE else None
+        self._members[record.address] = Member(record, now, None, gone_at)
+        self._spread(record)
+        self._changed()
+        return True
+
+    def _learn_of_self(self, record: messages.MemberRecord) -> bool:
+        if record.incarnation != self._own.incarnation:
+            return False
+        if record.version < self._own.version or record == self._own:
+            return False
+        self._own = dataclasses.replace(self._own, version=record.version + 1)
+        self._members[self._own.address].record = self._own
+        self._spread(self._own)
+        return True
+
+    def mark_gone(
+        self, address: str, incarnation: str, now: datetime.datetime
+    ) -> bool:
+        """Count a process out; True if that is news."""
+        member = self._members.get(address)
+        if member is None or not member.is_present:
+            return False
+        if member.record.incarnation != incarnation:
+            return False
+        member.record = dataclasses.replace(member.record, state=GONE)
+        member.gone_at = now
+        self._spread(member.record)
+        self._changed()
+        return True
+
+    def silent(
+        self, timeout: datetime.timedelta, now: datetime.datetime
+    ) -> list[Member]:
+        """Return members that were probed and gave no sign for too long."""
+        return [
+            member
+            for member in self.peers()
+            if member.probed_at is not None
+            and now - member.probed_at > timeout
+        ]
+
+    def next_to_probe(
+        self, interval: datetime.timedelta, now: datetime.datetime
+    ) -> list[str]:
+        """Return addresses to probe now: the most silent, and newcomers."""
+        peers = self.peers()
+        unanswered = [each for each in peers if each.probed_at is not None]
+        due = [member.record.address for member in unanswered]
+        others = [each for each in peers if each.probed_at is None]
+        if others:
+            oldest = min(others, key=lambda member: member.last_heard)
+            if now - oldest.last_heard >= interval:
+                oldest.probed_at = now
+                due.append(oldest.record.address)
+        known = {member.record.address for member in peers}
+        return due + sorted(self._expected - known)
+
+    def changes_to_send(
+        self, *, everything: bool
+    ) -> list[messages.MemberRecord]:
+        """Return the records that the next probe carries."""
+        if everything:
+            return [
+                member.record for member in self.all() if member.is_present
+            ]
+        chosen = list(self._changes.values())[:CHANGES_MAX]
+        for change in chosen:
+            change.transmissions -= 1
+            del self._changes[change.record.address]
+            if change.transmissions > 0:
+                self._changes[change.record.address] = change
+        return [change.record for change in chosen]
+
+    def forget_gone(self, now: datetime.datetime) -> None:
+        """Drop members that have been gone for long."""
+        for address, member in list(self._members.items()):
+            if member.gone_at and now - member.gone_at > GONE_RETENTION:
+                del self._members[address]
+
+    def _spread(self, record: messages.MemberRecord) -> None:
+        count = max(2, len(self._members))
+        transmissions = SPREAD_FACTOR * math.ceil(math.log2(count + 1))
+        self._changes[record.address] = _Change(record, transmissions)
+
+    def _changed(self) -> None:
+        self.version += 1
+        self._live = sorted(
+            address
+            for address, member in self._members.items()
+            if member.record.state == LIVE
+        )
+
+
+def _is_newer(
+    record: messages.MemberRecord, known: messages.MemberRecord
+) -> bool:
+    if record.incarnation != known.incarnation:
+        return record.incarnation > known.incarnation
+    if record.version != known.version:
+        return record.version > known.version
+    ranks = {LIVE: 0, LEAVING: 1, GONE: 2}
+    return ranks.get(record.state, 0) > ranks.get(known.state, 0)
--- /dev/null
+++ b/waxwingwalk/routing/slots/simple.py
@@ -0,0 +1,105 @@
+"""Slot sharing without messages: the baselines of the owner's leases."""
+
+from collections.abc import Callable
+from collections.abc import Collection
+import datetime
+
+import xxhash
+
+from waxwingwalk.core import effects
+from waxwingwalk.core import messages
+from waxwingwalk.routing import backends
+
+MembersView = Callable[[], list[str]]
+
+
+class UnlimitedSlots:
+    """Sends at once, bounded only by the share of connections."""
+
+    def __init__(
+        self,
+        registry: backends.BackendRegistry,
+        self_address: str,
+        members: MembersView,
+    ) -> None:
+        self._registry = registry
+        self._self_address = self_address
+        self._members = members
+        self._busy: dict[str, int] = {}
+        self._changed: set[str] = set()
+
+    def _limit(self, backend: backends.Backend) -> int:
+        return max(1, backend.spec.connections // len(self._members()))
+
+    def idle(self, service: str) -> Collection[backends.Backend]:
+        return [
+            backend
+            for backend in self._registry.offering(service)
+            if self._busy.get(backend.backend_id, 0) < self._limit(backend)
+        ]
+
+    def take(self, backend_id: str) -> None:
+        self._busy[backend_id] = self._busy.get(backend_id, 0) + 1
+
+    def release(
+        self, backend_id: str, now: datetime.datetime
+    ) -> list[effects.Effect]:
+        self._busy[backend_id] -= 1
+        backend = self._registry.get(backend_id)
+        if backend is not None:
+            self._changed |= backend.spec.services
+        return []
+
+    def demand(
+        self,
+        service: str,
+        waiting: int,
+        teams: Callable[[], dict[str, float]],
+        now: datetime.datetime,
+    ) -> list[effects.Effect]:
+        return []
+
+    def tick(self, now: datetime.datetime) -> list[effects.Effect]:
+        self._changed.update(self._registry.services())
+        return []
+
+    def topology_changed(self, now: datetime.datetime) -> list[effects.Effect]:
+        return self.tick(now)
+
+    def peer_connected(
+        self, address: str, now: datetime.datetime
+    ) -> list[effects.Effect]:
+        return []
+
+    def receive(
+        self, address: str, message: messages.Message, now: datetime.datetime
+    ) -> list[effects.Effect]:
+        return []
+
+    def free_hints(self) -> dict[str, int]:
+        return {}
+
+    def held_total(self, service: str) -> int:
+        return sum(
+            self._limit(each) for each in self._registry.offering(service)
+        )
+
+    def served_services(self) -> Collection[str]:
+        changed = self._changed
+        self._changed = set()
+        return changed
+
+
+class EqualShareSlots(UnlimitedSlots):
+    """Every entry process uses an equal, fixed share of every slot count.
+
+    What does not divide evenly is dealt out in an order that differs from
+    one backend server to the next.
+    """
+
+    def _limit(self, backend: backends.Backend) -> int:
+        members = sorted(self._members())
+        share, rest = divmod(backend.spec.slots, len(members))
+        offset = xxhash.xxh32_intdigest(backend.backend_id.encode())
+        rank = (members.index(self._self_address) + offset) % len(members)
+        return share + (1 if rank < rest else 0)
--- /dev/null
+++ b/waxwingwalk/settings/__init__.py
@@ -0,0 +1,1 @@
+"""The settings tree: defaults, inheritance, validation and revisions."""
--- /dev/null
+++ b/waxwingwalk/settings/handlers.py
@@ -0,0 +1,101 @@
+"""Handlers of settings events."""
+
+import datetime
+
+import pydantic
+
+from waxwingwalk.core import effects
+from waxwingwalk.core import events
+from waxwingwalk.core import messages
+from waxwingwalk.core import state as core_state
+from waxwingwalk.jobs import dispatch
+from waxwingwalk.jobs import job as jobs
+from waxwingwalk.settings import adopted
+from waxwingwalk.settings import tree
+
+Effects = list[effects.Effect]
+
+
+def read(
+    state: core_state.State,
+    event: events.SettingsRead,
+    now: datetime.datetime,
+) -> Effects:
+    """Take in a revision from the store or from a peer."""
+    done = adopt_document(state, event.document, now)
+    if event.is_new and done:
+        done += announce(state)
+    return done
+
+
+def adopt_document(
+    state: core_state.State, document: str, now: datetime.datetime
+) -> Effects:
+    """Adopt a revision if it is valid and higher than the one in force."""
+    try:
+        revision = adopted.Revision.model_validate_json(document)
+    except pydantic.ValidationError as error:
+        return [_rejected(str(error))]
+    errors = tree.validate(revision.tree)
+    if errors:
+        return [_rejected("; ".join(str(each) for each in errors))]
+    if not state.settings.adopt(revision):
+        return []
+    log = effects.Log(
+        "settings.adopted",
+        {
+            "revision": revision.number,
+            "author": revision.author,
+            "reason": revision.reason,
+        },
+    )
+    return [log, *_apply(state, now)]
+
+
+def _rejected(message: str) -> effects.Effect:
+    return effects.Log("settings.rejected", {"error": message})
+
+
+def _apply(state: core_state.State, now: datetime.datetime) -> Effects:
+    options = state.settings.process()
+    done: Effects = []
+    if options.slot_sharing is not state.sharing_name:
+        done += _replace_sharing(state, now)
+    if options.outlier_detection is not state.detector_name:
+        state.detector_name = options.outlier_detection
+        state.detector = state.policies.outlier_detector(state.detector_name)
+    _rebuild_queues(state)
+    for service in list(state.queues):
+        done += dispatch.dispatch(state, service, now)
+    return done
+
+
+def _replace_sharing(
+    state: core_state.State, now: datetime.datetime
+) -> Effects:
+    """Change the way slots are shared; tasks in progress keep their slot."""
+    state.sharing_name = state.settings.process().slot_sharing
+    state.sharing = state.policies.slot_sharing(state.sharing_name, state)
+    done = state.sharing.topology_changed(now)
+    for attempt in state.attempts.values():
+        state.sharing.take(attempt.backend_id)
+    return done
+
+
+def _rebuild_queues(state: core_state.State) -> None:
+    """Queue the waiting jobs anew, in the order that holds now."""
+    state.queues.clear()
+    for job in state.jobs.values():
+        if job.phase is jobs.JobPhase.ACTIVE:
+            state.queue(job.spec.service).add(job)
+
+
+def announce(state: core_state.State) -> Effects:
+    """Send the adopted revision to every peer."""
+    revision = state.settings.revision
+    assert revision is not None
+    notice = messages.SettingsNotice(revision.number, revision.document())
+    return [
+        effects.SendToPeer(member.record.address, notice)
+        for member in state.membership.peers()
+    ]
--- /dev/null
+++ b/waxwingwalk/settings/store.py
@@ -0,0 +1,238 @@
+"""Settings revisions in the table service: one total order.
+
+The head row holds the newest revision; each revision also has a row of its
+own. Both are written in one atomic write that is conditional on the head's
+version, so of two racing changes one must start again from the other.
+"""
+
+from collections.abc import Callable
+import datetime
+from typing import Any
+
+from returns import result
+
+from waxwingwalk.core import results
+from waxwingwalk.platform import base
+from waxwingwalk.settings import adopted
+from waxwingwalk.settings import exceptions
+from waxwingwalk.settings import tree as settings_tree
+
+TABLE = "settings"
+HEAD = "head"
+# How often a change starts again from a newer head before it gives up.
+RACES_MAX = 20
+
+ChangeResult = result.Result[adopted.Revision, "ChangeRefusal"]
+
+
+class ChangeRefusal:
+    """Why a change was not accepted, with every fault or conflict."""
+
+    def __init__(
+        self,
+        code: results.ResultCode,
+        errors: list[exceptions.SettingsError] | None = None,
+    ) -> None:
+        self.code = code
+        self.errors = errors or []
+
+    def __repr__(self) -> str:
+        return f"<ChangeRefusal {self.code.name} {self.errors}>"
+
+
+def revision_key(number: int) -> str:
+    """Return the row key of a revision."""
+    return f"revision-{number:012d}"
+
+
+class SettingsStore:
+    """Reads and changes the settings in the table service."""
+
+    def __init__(
+        self,
+        table: base.TableService,
+        now: Callable[[], datetime.datetime],
+        new_change_id: Callable[[], str],
+    ) -> None:
+        self._table = table
+        self._now = now
+        self._new_change_id = new_change_id
+
+    async def head(
+        self,
+    ) -> result.Result[tuple[adopted.Revision, int], base.PlatformFailure]:
+        """Return the newest revision and its row's version."""
+        read = await self._table.read([(TABLE, HEAD)])
+        return read.map(lambda rows: _parse_head(rows[0]))
+
+    async def revision(
+        self, number: int
+    ) -> result.Result[adopted.Revision | None, base.PlatformFailure]:
+        """Return a revision by its number; None if there is none."""
+        if number == 0:
+            return result.Success(adopted.EMPTY)
+        read = await self._table.read([(TABLE, revision_key(number))])
+        return read.map(lambda rows: _parse(rows[0]))
+
+    async def change(
+        self,
+        changes: dict[str, Any],
+        *,
+        author: str,
+        reason: str,
+        based_on: int | None,
+    ) -> ChangeResult:
+        """Apply changes as a new revision.
+
+        A path that another operator changed since the revision ``based_on``
+        is a conflict; changes of other paths are merged.
+        """
+        change_id = self._new_change_id()
+        for _ in range(RACES_MAX):
+            read = await self.head()
+            if not isinstance(read, result.Success):
+                return _refused(results.ResultCode.SETTINGS_STORE_UNAVAILABLE)
+            head, version = read.unwrap()
+            conflicts = await self._conflicts(changes, based_on, head)
+            if conflicts:
+                return _refused(
+                    results.ResultCode.SETTINGS_CONFLICT, conflicts
+                )
+            built = settings_tree.changed(head.tree, changes)
+            if not isinstance(built, result.Success):
+                return _refused(
+                    results.ResultCode.SETTINGS_INVALID, built.failure()
+                )
+            revision = adopted.Revision(
+                number=head.number + 1,
+                change_id=change_id,
+                author=author,
+                at=self._now().isoformat(),
+                reason=reason,
+                changes=changes,
+                tree=built.unwrap(),
+            )
+            outcome = await self._write(revision, version)
+            if outcome is not None:
+                return outcome
+        return _refused(results.ResultCode.SETTINGS_CONFLICT)
+
+    async def _write(
+        self, revision: adopted.Revision, version: int
+    ) -> ChangeResult | None:
+        """Write a revision; None means that another one came first."""
+        value = revision.model_dump()
+        key = revision_key(revision.number)
+        writes = [
+            base.Write(TABLE, HEAD, value, version),
+            base.Write(TABLE, key, value, 0),
+        ]
+        written = await self._table.write(writes, is_atomic=True)
+        match written:
+            case result.Success(outcomes):
+                if all(outcome.is_written for outcome in outcomes):
+                    return result.Success(revision)
+                return None
+            case result.Failure(base.PlatformFailure.LOST):
+                return await self._settle(revision)
+        return _refused(results.ResultCode.SETTINGS_STORE_UNAVAILABLE)
+
+    async def _settle(self, revision: adopted.Revision) -> ChangeResult | None:
+        """Find out whether a write without a reply took effect.
+
+        The row of the revision's number decides, by the change's id. Where
+        it is missing the write may still be on its way, so nothing can be
+        said, and nothing is written again.
+        """
+        read = await self.revision(revision.number)
+        if not isinstance(read, result.Success):
+            return _refused(results.ResultCode.SETTINGS_UNSETTLED)
+        found = read.unwrap()
+        if found is None:
+            return _refused(results.ResultCode.SETTINGS_UNSETTLED)
+        if found.change_id == revision.change_id:
+            return result.Success(revision)
+        return None
+
+    async def _conflicts(
+        self,
+        changes: dict[str, Any],
+        based_on: int | None,
+        head: adopted.Revision,
+    ) -> list[exceptions.SettingsError]:
+        if based_on is None or based_on == head.number:
+            return []
+        read = await self.revision(based_on)
+        known = read.value_or(None)
+        if known is None:
+            message = "cannot be compared: the base revision was not found"
+            return [exceptions.SettingsError("*", message)]
+        differing = settings_tree.diff(known.tree, head.tree)
+        return [
+            exceptions.SettingsError(
+                path,
+                f"was {differing[path][0]!r} at revision {based_on}, is "
+                f"{differing[path][1]!r} at revision {head.number}",
+            )
+            for path in changes
+            if path in differing
+        ]
+
+    async def roll_back(
+        self, number: int, *, author: str, reason: str
+    ) -> ChangeResult:
+        """Make a new revision whose tree is that of an earlier one."""
+        read = await self.head()
+        earlier = await self.revision(number)
+        if not isinstance(read, result.Success) or not isinstance(
+            earlier, result.Success
+        ):
+            return _refused(results.ResultCode.SETTINGS_STORE_UNAVAILABLE)
+        old = earlier.unwrap()
+        if old is None:
+            return _refused(results.ResultCode.NOT_FOUND)
+        head, _ = read.unwrap()
+        differing = settings_tree.diff(head.tree, old.tree)
+        changes = {path: values[1] for path, values in differing.items()}
+        return await self.change(
+            changes,
+            author=author,
+            reason=reason or f"roll back to revision {number}",
+            based_on=head.number,
+        )
+
+    async def history(
+        self, count: int
+    ) -> result.Result[list[adopted.Revision], base.PlatformFailure]:
+        """Return the newest revisions, newest first."""
+        read = await self.head()
+        if not isinstance(read, result.Success):
+            return result.Failure(read.failure())
+        newest = read.unwrap()[0].number
+        numbers = range(newest, max(0, newest - count), -1)
+        keys = [(TABLE, revision_key(number)) for number in numbers]
+        if not keys:
+            return result.Success([])
+        rows = await self._table.read(keys)
+        return rows.map(
+            lambda found: [
+                revision for row in found if (revision := _parse(row))
+            ]
+        )
+
+
+def _parse(row: base.Row | None) -> adopted.Revision | None:
+    return None if row is None else adopted.Revision(**row.value)
+
+
+def _parse_head(row: base.Row | None) -> tuple[adopted.Revision, int]:
+    if row is None:
+        return adopted.EMPTY, 0
+    return adopted.Revision(**row.value), row.version
+
+
+def _refused(
+    code: results.ResultCode,
+    errors: list[exceptions.SettingsError] | None = None,
+) -> result.Failure[ChangeRefusal]:
+    return result.Failure(ChangeRefusal(code, errors))
--- /dev/null
+++ b/waxwingwalk/testing/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins of outside systems, with faults injected at their edges."""
--- /dev/null
+++ b/waxwingwalk/testing/backend.py
@@ -0,0 +1,264 @@
+"""A stand-in backend server, as docs/ref/backend-server.md describes it.
+
+It has no guards: it runs every task that it is sent, a second time too, and
+beyond its slots. It counts the starts of each task, so that a test can assert
+on what really ran.
+
+A payload says what the task does: ``run_seconds`` of work at speed 1,
+``value`` as the result, ``fail`` to fail.
+"""
+
+import asyncio
+import collections
+import dataclasses
+import enum
+from typing import Any
+
+from aiohttp import web
+import orjson
+
+from waxwingwalk.testing import workload
+
+DEFAULT_RUN_SECONDS = 0.05
+# Finished tasks whose outcome can still be looked up.
+FINISHED_MAX = 10_000
+
+
+class Fault(enum.Enum):
+    """What a stand-in backend server does wrong."""
+
+    NONE = "none"
+    FAIL_ALL = "fail all"
+    SILENT = "accept and never answer"
+    RESET = "reset after the request was read"
+    RUN_AND_RESET = "run the task, then reset"
+    NOT_RUN = "say not run"
+    OTHER_TASK = "answer with another task's name"
+    OTHER_INCARNATION = "answer another incarnation"
+    MALFORMED = "answer nonsense"
+    TWICE = "answer twice"
+    LATE = "answer late"
+
+
+@dataclasses.dataclass(slots=True)
+class BackendOptions:
+    """How a stand-in behaves; delays are one way, in seconds, by zone."""
+
+    backend_id: str = "backend-1"
+    zone: str = "zone-1"
+    rack: str = "rack-1"
+    services: tuple[str, ...] = ("refunds",)
+    slots: int = 8
+    speed: float = 1.0
+    late_seconds: float = 0.5
+    delays: dict[str, float] = dataclasses.field(default_factory=dict)
+
+
+class BackendServer:
+    """A backend server on a loopback port."""
+
+    def __init__(self, options: BackendOptions) -> None:
+        self.options = options
+        self.fault = Fault.NONE
+        self.is_leaving = False
+        self.starts: collections.Counter[str] = collections.Counter()
+        self.started_at: list[float] = []
+        self.incarnation = f"{options.backend_id}-1"
+        self.address = ""
+        self._sharing = workload.ProcessorSharing(options.slots, options.speed)
+        self._tasks: dict[str, asyncio.Task[dict[str, Any]]] = {}
+        self._finished: collections.OrderedDict[str, dict[str, Any]] = (
+            collections.OrderedDict()
+        )
+        self._transports: set[Any] = set()
+        self._silenced: set[Any] = set()
+        self._runner: web.AppRunner | None = None
+
+    async def start(self, address: str = "127.0.0.1", port: int = 0) -> None:
+        """Listen; the address is then in ``address``."""
+        app = web.Application(client_max_size=2**26)
+        app.router.add_post("/v1/tasks", self._run)
+        app.router.add_post("/v1/tasks/status", self._status)
+        app.router.add_post("/v1/tasks/stop", self._stop)
+        app.router.add_post("/v1/tasks/throttle", self._acknowledge)
+        app.router.add_post("/v1/tasks/checkpoint", self._acknowledge)
+        app.router.add_post("/v1/leases", self._acknowledge)
+        app.router.add_get("/v1/usage", self._read_usage)
+        self._runner = web.AppRunner(app, access_log=None, shutdown_timeout=0)
+        await self._runner.setup()
+        site = web.TCPSite(self._runner, address, port, backlog=1024)
+        await site.start()
+        host, bound_port = self._runner.addresses[0][:2]
+        self.address = f"{host}:{bound_port}"
+
+    async def close(self) -> None:
+        """Stop listening and break every connection."""
+        for task in list(self._tasks.values()):
+            task.cancel()
+        for transport in list(self._transports):
+            transport.abort()
+        if self._runner is not None:
+            await self._runner.cleanup()
+            self._runner = None
+
+    def entry(self) -> dict[str, Any]:
+        """Return this backend server's entry in the host list."""
+        options = self.options
+        return {
+            "id": options.backend_id,
+            "address": self.address,
+            "zone": options.zone,
+            "rack": options.rack,
+            "incarnation": self.incarnation,
+            "services": list(options.services),
+            "slots": options.slots,
+            "connections": 64,
+            "processors": 16,
+            "memory": 64 * 2**30,
+            "accelerators": 0,
+            "state": "leaving" if self.is_leaving else "live",
+        }
+
+    def silence_open_connections(self) -> None:
+        """Let open connections go silent for good; new ones work."""
+        self._silenced |= self._transports
+
+    def set_speed(self, speed: float) -> None:
+        """Change the speed of this backend server."""
+        self._sharing.set_speed(speed)
+
+    async def _run(self, request: web.Request) -> web.StreamResponse:
+        transport = request.transport
+        self._transports.add(transport)
+        content = orjson.loads(await request.read())
+        if transport in self._silenced:
+            await asyncio.Event().wait()
+        delay = self.options.delays.get(content.get("zone", ""), 0.0)
+        if delay:
+            await asyncio.sleep(delay)
+        reply = await self._reply_to(content, request)
+        if delay:
+            await asyncio.sleep(delay)
+        if transport in self._silenced:
+            await asyncio.Event().wait()
+        return web.json_response(
+            body=orjson.dumps(reply), content_type="application/json"
+        )
+
+    async def _reply_to(
+        self, content: dict[str, Any], request: web.Request
+    ) -> Any:
+        name = content["task"]
+        match self.fault:
+            case Fault.SILENT:
+                self._note_start(name)
+                await asyncio.Event().wait()
+            case Fault.RESET:
+                self._abort(request)
+            case Fault.NOT_RUN:
+                return self._reply(content, "not_run")
+            case Fault.MALFORMED:
+                self._note_start(name)
+                return {"status": 7}
+        reply = await self._start(name, content)
+        match self.fault:
+            case Fault.RUN_AND_RESET:
+                self._abort(request)
+            case Fault.OTHER_TASK:
+                return {**reply, "task": f"{name}0"}
+            case Fault.OTHER_INCARNATION:
+                return {**reply, "incarnation": "0" * 12}
+            case Fault.LATE:
+                await asyncio.sleep(self.options.late_seconds)
+            case Fault.TWICE:
+                self._answer_early(request, reply)
+        return reply
+
+    def _abort(self, request: web.Request) -> None:
+        assert request.transport is not None
+        request.transport.abort()
+
+    def _answer_early(self, request: web.Request, reply: Any) -> None:
+        """Write a whole response ahead of the one that will follow."""
+        body = orjson.dumps(reply)
+        head = (
+            "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+            f"Content-Length: {len(body)}\r\n\r\n"
+        )
+        assert request.transport is not None
+        request.transport.write(head.encode() + body)
+
+    def _note_start(self, name: str) -> None:
+        self.starts[name] += 1
+        self.started_at.append(asyncio.get_running_loop().time())
+
+    async def _start(
+        self, name: str, content: dict[str, Any]
+    ) -> dict[str, Any]:
+        self._note_start(name)
+        task = asyncio.ensure_future(self._work(content))
+        self._tasks[name] = task
+        try:
+            reply = await asyncio.shield(task)
+        except asyncio.CancelledError:
+            if not task.cancelled():
+                raise
+            reply = self._reply(content, "failed", error="stopped")
+        finally:
+            if task.done():
+                self._tasks.pop(name, None)
+        self._finished[name] = reply
+        if len(self._finished) > FINISHED_MAX:
+            self._finished.popitem(last=False)
+        return reply
+
+    async def _work(self, content: dict[str, Any]) -> dict[str, Any]:
+        payload = content.get("payload")
+        if not isinstance(payload, dict):
+            payload = {"value": payload}
+        if self.fault is Fault.FAIL_ALL or payload.get("fail"):
+            return self._reply(content, "failed", error="task failed")
+        seconds = float(payload.get("run_seconds", DEFAULT_RUN_SECONDS))
+        await self._sharing.run(seconds)
+        return self._reply(content, "done", value=payload.get("value"))
+
+    def _reply(
+        self,
+        content: dict[str, Any],
+        status: str,
+        *,
+        value: Any = None,
+        error: str = "",
+    ) -> dict[str, Any]:
+        return {
+            "task": content["task"],
+            "incarnation": content["incarnation"],
+            "status": status,
+            "result": value,
+            "error": error,
+            "leaving": self.is_leaving,
+        }
+
+    async def _status(self, request: web.Request) -> web.Response:
+        name = orjson.loads(await request.read())["task"]
+        if self.fault is Fault.SILENT:
+            await asyncio.Event().wait()
+        if name in self._finished:
+            return web.json_response(self._finished[name])
+        status = "running" if name in self._tasks else "unknown"
+        content = {"task": name, "incarnation": ""}
+        return web.json_response(self._reply(content, status))
+
+    async def _stop(self, request: web.Request) -> web.Response:
+        for name in orjson.loads(await request.read())["tasks"]:
+            task = self._tasks.get(name)
+            if task is not None:
+                task.cancel()
+        return web.json_response({})
+
+    async def _acknowledge(self, request: web.Request) -> web.Response:
+        await request.read()
+        return web.json_response({})
+
+    async def _read_usage(self, request: web.Request) -> web.Response:
+        return web.json_response({"running": self._sharing.running})
--- /dev/null
+++ b/waxwingwalk/wiring.py
@@ -0,0 +1,221 @@
+"""The one composition root: builds an entry process from its parts."""
+
+import dataclasses
+import random
+import socket
+import uuid
+
+import aiohttp
+import structlog
+
+from waxwingwalk.core import clock
+from waxwingwalk.core import identity
+from waxwingwalk.core import reducer as core_reducer
+from waxwingwalk.core import state as core_state
+from waxwingwalk.entry import backend_client
+from waxwingwalk.entry import callers_api
+from waxwingwalk.entry import claims
+from waxwingwalk.entry import config as entry_config
+from waxwingwalk.entry import engine as entry_engine
+from waxwingwalk.entry import forwarding
+from waxwingwalk.entry import issued_keys
+from waxwingwalk.entry import links
+from waxwingwalk.entry import metrics
+from waxwingwalk.entry import operators_api
+from waxwingwalk.entry import peers_api
+from waxwingwalk.entry import server
+from waxwingwalk.entry import settings_fetch
+from waxwingwalk.entry import submission
+from waxwingwalk.entry import traffic
+from waxwingwalk.membership import ownership
+from waxwingwalk.platform import http as platform_http
+from waxwingwalk.routing import admission
+from waxwingwalk.routing import base
+from waxwingwalk.routing import job_order
+from waxwingwalk.routing import outliers
+from waxwingwalk.routing import placement
+from waxwingwalk.routing.slots import owner
+from waxwingwalk.routing.slots import simple
+from waxwingwalk.settings import adopted
+from waxwingwalk.settings import global_settings
+from waxwingwalk.settings import store as settings_store
+
+# The largest request that a listener reads, in bytes; the settings may allow
+# less.
+BODY_LIMIT = 2**30
+
+
+class Policies:
+    """Resolves the names in settings to policies."""
+
+    def job_order(self, name: global_settings.JobOrderName) -> base.JobOrder:
+        names = global_settings.JobOrderName
+        orders: dict[global_settings.JobOrderName, base.JobOrder] = {
+            names.FIFO: job_order.FifoOrder(),
+            names.DEADLINE: job_order.DeadlineOrder(),
+            names.SHORTEST_REMAINING: job_order.ShortestRemainingOrder(),
+        }
+        return orders[name]
+
+    def admission(self, name: global_settings.AdmissionName) -> base.Admission:
+        if name is global_settings.AdmissionName.OPEN:
+            return admission.OpenAdmission()
+        return admission.DeadlineAdmission()
+
+    def placement(
+        self, name: global_settings.PlacementName, state: core_state.State
+    ) -> base.Placement:
+        names = global_settings.PlacementName
+        match name:
+            case names.RANDOM:
+                return placement.RandomPlacement(state.random)
+            case names.ROUND_ROBIN:
+                return placement.RoundRobinPlacement()
+            case names.LEAST_OUTSTANDING:
+                return placement.LeastOutstandingPlacement(state.random)
+            case _:
+                return placement.LearnedPlacement(state.estimator)
+
+    def slot_sharing(
+        self, name: global_settings.SlotSharingName, state: core_state.State
+    ) -> base.SlotSharing:
+        names = global_settings.SlotSharingName
+        address = state.process.address
+        members = state.membership.live_addresses
+        match name:
+            case names.EQUAL_SHARE:
+                return simple.EqualShareSlots(state.registry, address, members)
+            case names.UNLIMITED:
+                return simple.UnlimitedSlots(state.registry, address, members)
+            case _:
+                return owner.OwnerLeases(
+                    state.registry,
+                    address,
+                    owner_of=lambda backend: ownership.owner_of(
+                        backend.spec, state.membership
+                    ),
+                    members=members,
+                    mean_run_time=state.estimator.mean_run_time,
+                    linger=lambda: state.settings.process().slot_linger,
+                )
+
+    def outlier_detector(
+        self, name: global_settings.OutlierDetectionName
+    ) -> base.OutlierDetector:
+        if name is global_settings.OutlierDetectionName.OFF:
+            return outliers.NoDetection()
+        return outliers.LikelihoodDetector()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EntryProcess:
+    """The parts of an entry process that its host program needs."""
+
+    service: server.EntryService
+    engine: entry_engine.Engine
+    counted: traffic.Traffic
+    callers_address: str
+    operators_address: str
+    peers_address: str
+
+
+def build_reducer(
+    process: identity.ProcessId,
+    place: adopted.Place,
+    time: clock.Clock,
+    generator: random.Random,
+) -> core_reducer.Reducer:
+    """Return a reducer with a fresh state."""
+    state = core_state.State(process, place, Policies(), time.now(), generator)
+    return core_reducer.Reducer(state)
+
+
+def build_entry(
+    config: entry_config.EntryConfig,
+    secrets: entry_config.Secrets,
+    logger: structlog.typing.FilteringBoundLogger,
+    *,
+    time: clock.Clock | None = None,
+    delay: links.Delay = links.no_delay,
+) -> EntryProcess:
+    """Return a whole entry process, listening but not yet serving."""
+    time = time or clock.SystemClock()
+    sockets = [
+        server.bind(listener)
+        for listener in (config.callers, config.operators, config.peers)
+    ]
+    callers_socket, operators_socket, peers_socket = sockets
+    process = identity.ProcessId(
+        _address_of(peers_socket), identity.new_incarnation(time.now())
+    )
+    place = adopted.Place(
+        config.place.region,
+        config.place.availability_zone,
+        config.place.host_class,
+    )
+    generator = random.Random(process.incarnation)
+    reducer = build_reducer(process, place, time, generator)
+    options = reducer.state.settings.process()
+    counted = traffic.Traffic()
+    backends = backend_client.BackendClient(
+        place.zone, process.incarnation, options.connection_freshness, counted
+    )
+    engine = entry_engine.Engine(reducer, time, backends, logger)
+    peer_links = links.PeerLinks(
+        process, secrets.peers, engine.apply, counted, delay
+    )
+    engine.peers = peer_links
+    session = aiohttp.ClientSession(cookie_jar=aiohttp.DummyCookieJar())
+    platform = platform_http.HttpPlatform(config.platform.url, session)
+    store = settings_store.SettingsStore(
+        platform, time.now, lambda: uuid.uuid4().hex
+    )
+    forwarder = forwarding.Forwarder(peer_links.session, counted)
+    issuer = issued_keys.KeyIssuer(process, secrets.peers)
+    submissions = submission.Submissions(engine, issuer, forwarder)
+    key_claims = claims.KeyClaims(
+        platform,
+        process,
+        settle=submissions.settle_claim,
+        is_job_free=submissions.is_job_free,
+        now=time.now,
+    )
+    engine.claim = key_claims.claim
+    engine.fetch_settings = settings_fetch.PeerSettings(
+        peer_links.session, engine.apply
+    ).fetch
+    body_max = BODY_LIMIT
+    callers = callers_api.CallersApi(engine, submissions, secrets.callers)
+    operators = operators_api.OperatorsApi(
+        engine,
+        store,
+        metrics.MetricsExporter(reducer.state, counted),
+        secrets.operators,
+    )
+    peers = peers_api.PeersApi(engine, submissions, peer_links, secrets.peers)
+    service = server.EntryService(
+        engine,
+        peer_links,
+        platform,
+        store,
+        config.seeds,
+        [
+            (callers_socket, callers.application(body_max)),
+            (operators_socket, operators.application()),
+            (peers_socket, peers.application(body_max)),
+        ],
+        [backends.close, session.close],
+    )
+    return EntryProcess(
+        service=service,
+        engine=engine,
+        counted=counted,
+        callers_address=_address_of(callers_socket),
+        operators_address=_address_of(operators_socket),
+        peers_address=process.address,
+    )
+
+
+def _address_of(opened: socket.socket) -> str:
+    host, port = opened.getsockname()[:2]
+    return f"{host}:{port}"
