Proved the promises of the core under faults

Found by them and mended: a member that was counted out by mistake stayed out (it is now told, and refutes it with a higher version); a second submission that joined a lost claim was not forwarded to the claim's holder; equal shares divided by zero in a process that was leaving; a task timeout at the deadline was reported as a lost task.

--- /dev/null
+++ b/tests/entry/test_backend_faults.py
@@ -0,0 +1,179 @@
+"""Faults of backend servers, each caused on the wire.
+
+The stand-in runs every task that it is sent, also a second time, and counts
+the starts: the assertions are on that count.
+"""
+
+import asyncio
+
+from tests.entry import jobs
+from waxwingwalk.core import results
+from waxwingwalk.testing import backend
+from waxwingwalk.testing import fleet
+
+Code = results.ResultCode
+Fault = backend.Fault
+
+# Fault of the only backend server, deadline in seconds, code of the answer,
+# whether the tasks were started.
+FAULTS = [
+    (Fault.FAIL_ALL, 10, Code.TASK_FAILED, True),
+    (Fault.SILENT, 0.6, Code.DEADLINE_EXCEEDED, True),
+    (Fault.RESET, 10, Code.TASK_LOST, False),
+    (Fault.RUN_AND_RESET, 10, Code.TASK_LOST, True),
+    (Fault.NOT_RUN, 0.6, Code.DEADLINE_UNSTARTED, False),
+    (Fault.OTHER_TASK, 10, Code.TASK_LOST, True),
+    (Fault.OTHER_INCARNATION, 10, Code.TASK_LOST, True),
+    (Fault.MALFORMED, 10, Code.TASK_LOST, True),
+    (Fault.TWICE, 10, Code.COMPLETE, True),
+    (Fault.LATE, 0.3, Code.DEADLINE_EXCEEDED, True),
+]
+
+
+class BackendFaultTests(jobs.FleetTestCase):
+    async def test_each_fault_has_a_true_answer_and_one_start(self):
+        for fault, deadline, code, is_started in FAULTS:
+            with self.subTest(fault=fault.value):
+                async with fleet.Fleet() as started:
+                    (server,) = await jobs.add_backends(started, 1)
+                    server.fault = fault
+                    reply = await started.submit(
+                        0, jobs.job(count=1, deadline_seconds=deadline)
+                    )
+                    self.assertEqual(code, reply["code"], reply)
+                    starts = started.starts()
+                    self.assertEqual(is_started, bool(starts))
+                    self.assertLessEqual(max(starts.values(), default=0), 1)
+
+    async def test_foreign_answer_reaches_no_caller(self):
+        async with fleet.Fleet() as started:
+            (server,) = await jobs.add_backends(started, 1)
+            server.fault = Fault.OTHER_TASK
+            reply = await started.submit(0, jobs.job(count=2))
+            self.assertNotIn("results", reply)
+            state = started.entries[0].engine.state
+            self.assertGreater(state.counters.foreign_replies, 0)
+
+    async def test_refused_connection_moves_tasks_elsewhere(self):
+        async with fleet.Fleet() as started:
+            servers = await jobs.add_backends(started, 2)
+            await servers[0].close()
+            reply = await started.submit(0, jobs.job(count=8))
+            self.assertEqual(Code.COMPLETE, reply["code"], reply)
+            self.assertEqual(8, servers[1].starts.total())
+            self.assertEqual({1}, set(started.starts().values()))
+
+    async def test_death_in_the_middle_of_a_task_loses_only_its_job(self):
+        async with fleet.Fleet() as started:
+            servers = await jobs.add_backends(started, 2)
+            running = asyncio.create_task(
+                started.submit(0, jobs.job(count=16, seconds=0.5))
+            )
+            await jobs.until(lambda: servers[0].starts.total() == 8)
+            await servers[0].close()
+            reply = await running
+            self.assertEqual(Code.TASK_LOST, reply["code"])
+            later = await started.submit(0, jobs.job(count=16))
+            self.assertEqual(Code.COMPLETE, later["code"], later)
+            self.assertEqual({1}, set(started.starts().values()))
+
+    async def test_silent_open_connections_are_not_used_after_a_while(self):
+        changes = {"defaults.connection_freshness": "100 ms"}
+        async with fleet.Fleet(settings=changes) as started:
+            (server,) = await jobs.add_backends(started, 1)
+            await started.submit(0, jobs.job(count=8))
+            server.silence_open_connections()
+            await asyncio.sleep(0.3)
+            reply = await started.submit(0, jobs.job(deadline_seconds=5))
+            self.assertEqual(Code.COMPLETE, reply["code"], reply)
+            self.assertEqual({1}, set(started.starts().values()))
+
+    async def test_result_behind_a_silent_connection_is_looked_up(self):
+        """The task ran and its reply was lost: its result is not."""
+        changes = {"defaults.overdue_factor": 1.5}
+        async with fleet.Fleet(settings=changes) as started:
+            (server,) = await jobs.add_backends(started, 1)
+            running = asyncio.create_task(
+                started.submit(0, jobs.job(count=2, seconds=0.3))
+            )
+            await jobs.until(lambda: server.starts.total() == 2)
+            server.silence_open_connections()
+            reply = await asyncio.wait_for(running, 10)
+            self.assertEqual(Code.COMPLETE, reply["code"], reply)
+            self.assertEqual([0, 1], reply["results"])
+            self.assertEqual({1}, set(started.starts().values()))
+
+    async def test_lost_task_ends_its_job_at_once(self):
+        """A request that never arrived is given up before its deadline."""
+        changes = {
+            "defaults.overdue_factor": 1.5,
+            "defaults.connection_freshness": "10 s",
+        }
+        async with fleet.Fleet(settings=changes) as started:
+            (server,) = await jobs.add_backends(started, 1)
+            await started.submit(0, jobs.job(count=8))
+            before = started.starts()
+            server.silence_open_connections()
+            reply = await asyncio.wait_for(
+                started.submit(0, jobs.job(count=1, deadline_seconds=60)), 20
+            )
+            self.assertEqual(Code.TASK_LOST, reply["code"], reply)
+            self.assertEqual(before, started.starts())
+
+    async def test_leaving_backend_server_gets_no_new_work(self):
+        async with fleet.Fleet(entries=2) as started:
+            servers = await jobs.add_backends(started, 2)
+            servers[0].is_leaving = True
+            started.list_backend(servers[0])
+            states = [entry.engine.state for entry in started.entries]
+            await jobs.until(
+                lambda: all(
+                    state.registry.get("backend-0").spec.state.value
+                    == "leaving"
+                    for state in states
+                )
+            )
+            before = servers[0].starts.total()
+            for entry in (0, 1):
+                reply = await started.submit(entry, jobs.job(count=10))
+                self.assertEqual(Code.COMPLETE, reply["code"])
+            self.assertEqual(before, servers[0].starts.total())
+
+    async def test_word_of_the_backend_server_goes_before_an_old_list(self):
+        """The host list lags; a reply that says "leaving" is enough."""
+        async with fleet.Fleet(entries=2) as started:
+            servers = await jobs.add_backends(started, 2)
+            servers[0].is_leaving = True
+            await started.submit(0, jobs.job(count=16))
+            states = [entry.engine.state for entry in started.entries]
+            await jobs.until(
+                lambda: all(
+                    state.registry.get("backend-0").spec.state.value
+                    == "leaving"
+                    for state in states
+                )
+            )
+
+    async def test_backend_server_that_fails_all_is_set_aside(self):
+        async with fleet.Fleet() as started:
+            servers = await jobs.add_backends(started, 3)
+            servers[0].fault = Fault.FAIL_ALL
+            replies = [
+                await started.submit(0, jobs.job(count=24)) for _ in range(12)
+            ]
+            codes = [reply["code"] for reply in replies]
+            self.assertEqual([Code.COMPLETE] * 6, codes[-6:])
+            self.assertEqual({1}, set(started.starts().values()))
+
+    async def test_job_that_always_fails_condemns_no_backend_server(self):
+        async with fleet.Fleet() as started:
+            await jobs.add_backends(started, 2)
+            bad = jobs.job(count=1)
+            bad["tasks"][0]["payload"]["fail"] = True
+            bad["team"] = "pubs"
+            for _ in range(30):
+                await started.submit(0, jobs.job(count=4))
+                reply = await started.submit(0, bad)
+                self.assertEqual(Code.TASK_FAILED, reply["code"])
+            state = started.entries[0].engine.state
+            self.assertEqual(0, state.counters.backends_set_aside)
--- /dev/null
+++ b/tests/entry/test_entry_faults.py
@@ -0,0 +1,237 @@
+"""Faults of entry processes: death, restart, cuts, drain; and callers."""
+
+import asyncio
+
+from tests.entry import jobs
+from waxwingwalk.core import events
+from waxwingwalk.core import results
+from waxwingwalk.testing import fleet
+
+Code = results.ResultCode
+
+
+class DeathTests(jobs.FleetTestCase):
+    async def test_death_costs_only_its_own_jobs_and_slots_come_back(self):
+        async with fleet.Fleet(entries=3) as started:
+            servers = await jobs.add_backends(started, 3)
+            held = asyncio.create_task(
+                started.submit(0, jobs.job(count=24, seconds=2))
+            )
+            held.add_done_callback(lambda task: task.exception())
+            await jobs.until(
+                lambda: sum(s.starts.total() for s in servers) == 24
+            )
+            other = asyncio.create_task(
+                started.submit(1, jobs.job(count=3, deadline_seconds=20))
+            )
+            await started.kill_entry(started.entries[0])
+            reply = await other
+            self.assertEqual(Code.COMPLETE, reply["code"], reply)
+            pools = [
+                pool
+                for entry in started.alive()
+                for pool in entry.engine.state.sharing._pools.values()
+            ]
+            await jobs.until(lambda: all(p.free() == 8 for p in pools))
+            self.assertEqual({1}, set(started.starts().values()))
+
+    async def test_job_of_a_dead_coordinator_is_unknown_not_unrun(self):
+        async with fleet.Fleet(entries=2) as started:
+            await jobs.add_backends(started, 1)
+            accepted = await started.submit(0, jobs.job(seconds=5, wait=False))
+            await started.kill_entry(started.entries[0])
+            path = f"/v1/jobs/{accepted['job']}"
+            reply = await started.request(1, "GET", path)
+            self.assertEqual(Code.COORDINATOR_LOST, reply["code"])
+
+    async def test_restart_under_the_same_address_is_another_process(self):
+        async with fleet.Fleet(entries=2) as started:
+            await jobs.add_backends(started, 1)
+            issued = await started.request(
+                0, "POST", "/v1/keys", {"team": "shops", "count": 1}
+            )
+            (key,) = issued["keys"]
+            accepted = await started.submit(0, jobs.job(wait=False))
+            old = started.entries[0]
+            port = int(old.peers_address.rpartition(":")[2])
+            await started.kill_entry(old)
+            await started.add_entry("zone-1", peers_port=port)
+            await started.ready()
+            self.assertEqual(
+                old.peers_address, started.entries[2].peers_address
+            )
+            path = f"/v1/jobs/{accepted['job']}"
+            for entry in (1, 2):
+                with self.subTest(entry=entry):
+                    reply = await started.request(entry, "GET", path)
+                    self.assertEqual(Code.COORDINATOR_LOST, reply["code"])
+                    reply = await started.submit(entry, jobs.job(key=key))
+                    self.assertEqual(Code.KEY_INCARNATION_GONE, reply["code"])
+
+
+class KeyTests(jobs.FleetTestCase):
+    async def test_resubmissions_anywhere_meet_one_run(self):
+        """With either kind of key, at once and after the end."""
+        async with fleet.Fleet(entries=3) as started:
+            await jobs.add_backends(started, 2)
+            issued = await started.request(
+                1, "POST", "/v1/keys", {"team": "shops", "count": 1}
+            )
+            for key in (issued["keys"][0], "crate-7"):
+                with self.subTest(key=key):
+                    before = len(started.starts())
+                    job = jobs.job(key=key, idempotent=False, seconds=0.1)
+                    replies = await asyncio.gather(
+                        *(started.submit(i % 3, job) for i in range(6))
+                    )
+                    replies.append(await started.submit(2, job))
+                    for reply in replies:
+                        self.assertEqual(Code.COMPLETE, reply["code"], reply)
+                        self.assertEqual(list(range(6)), reply["results"])
+                    self.assertEqual(before + 6, len(started.starts()))
+            self.assertEqual({1}, set(started.starts().values()))
+
+    async def test_key_of_another_job_is_refused(self):
+        async with fleet.Fleet() as started:
+            await jobs.add_backends(started, 1)
+            await started.submit(0, jobs.job(key="crate-7"))
+            reply = await started.submit(0, jobs.job(count=7, key="crate-7"))
+            self.assertEqual(Code.KEY_REUSED, reply["code"])
+
+    async def test_claim_of_a_dead_process_is_never_run_again(self):
+        async with fleet.Fleet(entries=2) as started:
+            await jobs.add_backends(started, 1)
+            job = jobs.job(key="crate-7", seconds=0.2)
+            first = asyncio.create_task(started.submit(0, job))
+            first.add_done_callback(lambda task: task.exception())
+            await jobs.until(lambda: len(started.starts()) == 6)
+            await started.kill_entry(started.entries[0])
+            reply = await started.submit(1, job)
+            self.assertEqual(Code.EARLIER_ATTEMPT, reply["code"])
+            self.assertEqual(6, len(started.starts()))
+
+    async def test_forged_key_of_another_team_is_refused(self):
+        async with fleet.Fleet() as started:
+            await jobs.add_backends(started, 1)
+            issued = await started.request(
+                0, "POST", "/v1/keys", {"team": "pubs", "count": 1}
+            )
+            reply = await started.submit(0, jobs.job(key=issued["keys"][0]))
+            self.assertEqual(Code.KEY_INVALID, reply["code"])
+            self.assertEqual({}, started.starts())
+
+
+class CutTests(jobs.FleetTestCase):
+    settings = {
+        "defaults.probe_interval": "100 ms",
+        "defaults.peer_timeout": "600 ms",
+    }
+
+    async def test_cut_off_zone_serves_and_is_taken_back(self):
+        zones = ("a", "b")
+        async with fleet.Fleet(zones, 4, settings=self.settings) as started:
+            await jobs.add_backends(started, 4, zones=zones)
+            away = await started.platform.listen()
+            started.platform.cut_ports.add(int(away.rpartition(":")[2]))
+            started.cut([0, 2], [1, 3])
+            states = [entry.engine.state for entry in started.entries]
+            await jobs.until(
+                lambda: all(
+                    len(state.membership.live_addresses()) == 2
+                    for state in states
+                )
+            )
+            for entry in range(4):
+                reply = await started.submit(entry, jobs.job(count=12))
+                self.assertEqual(Code.COMPLETE, reply["code"], reply)
+            started.cuts.clear()
+            await jobs.until(
+                lambda: all(
+                    len(state.membership.live_addresses()) == 4
+                    for state in states
+                )
+            )
+            reply = await started.submit(1, jobs.job(count=40))
+            self.assertEqual(Code.COMPLETE, reply["code"], reply)
+            self.assertEqual({1}, set(started.starts().values()))
+
+    async def test_one_way_cut_harms_no_promise(self):
+        async with fleet.Fleet(entries=3, settings=self.settings) as started:
+            await jobs.add_backends(started, 3)
+            started.cut([0], [1], both=False)
+            replies = await asyncio.gather(
+                *(started.submit(i % 3, jobs.job(count=9)) for i in range(30))
+            )
+            self.assertEqual({Code.COMPLETE}, {r["code"] for r in replies})
+            self.assertEqual({1}, set(started.starts().values()))
+
+
+class DrainTests(jobs.FleetTestCase):
+    async def test_drain_finishes_what_is_in_progress(self):
+        async with fleet.Fleet(entries=2) as started:
+            await jobs.add_backends(started, 2)
+            running = asyncio.create_task(
+                started.submit(0, jobs.job(count=30, seconds=0.2))
+            )
+            await jobs.until(lambda: len(started.starts()) > 8)
+            stopping = asyncio.create_task(started.entries[0].service.stop())
+            await asyncio.sleep(0.05)
+            refused = await started.submit(0, jobs.job())
+            self.assertEqual(Code.DRAINING, refused["code"])
+            reply = await running
+            self.assertEqual(Code.COMPLETE, reply["code"], reply)
+            await stopping
+            started._closed.add(str(started.entries[0].engine.state.process))
+            self.assertEqual({1}, set(started.starts().values()))
+
+    async def test_second_signal_ends_a_drain_with_a_marked_answer(self):
+        async with fleet.Fleet() as started:
+            await jobs.add_backends(started, 1)
+            running = asyncio.create_task(
+                started.submit(0, jobs.job(count=9, seconds=5))
+            )
+            await jobs.until(lambda: len(started.starts()) == 8)
+            stopping = asyncio.create_task(started.entries[0].service.stop())
+            await asyncio.sleep(0.05)
+            started.entries[0].engine.apply(events.DrainForced())
+            reply = await running
+            self.assertEqual(Code.DRAIN_ENDED, reply["code"])
+            await stopping
+            started._closed.add(str(started.entries[0].engine.state.process))
+
+
+class CallerTests(jobs.FleetTestCase):
+    async def test_thousand_cancellations_at_once(self):
+        async with fleet.Fleet(entries=2) as started:
+            await jobs.add_backends(started, 2)
+            accepted = [
+                await started.submit(
+                    i % 2, jobs.job(count=1, seconds=3, wait=False)
+                )
+                for i in range(1000)
+            ]
+            paths = [f"/v1/jobs/{each['job']}" for each in accepted]
+            replies = await asyncio.gather(
+                *(
+                    started.request(i % 2, "DELETE", path)
+                    for i, path in enumerate(paths)
+                )
+            )
+            starts = started.starts()
+            for path, reply in zip(paths, replies, strict=True):
+                name = f"{path.removeprefix('/v1/jobs/')}/0"
+                is_started = reply["code"] == Code.CANCELLED
+                self.assertEqual(is_started, name in starts, reply)
+            after = await started.submit(0, jobs.job(count=16))
+            self.assertEqual(Code.COMPLETE, after["code"], after)
+
+    async def test_vanished_caller_picks_the_answer_up_by_key(self):
+        async with fleet.Fleet(entries=2) as started:
+            await jobs.add_backends(started, 1)
+            job = jobs.job(key="crate-7", seconds=0.2)
+            first = asyncio.create_task(started.submit(0, job))
+            await jobs.until(lambda: len(started.starts()) == 6)
+            first.cancel()
+            reply = await started.submit(1, job)
+            self.assertEqual(Code.COMPLETE, reply["code"], reply)
+            self.assertEqual(6, len(started.starts()))
--- a/waxwingwalk/core/events.py
+++ b/waxwingwalk/core/events.py
@@ -4,6 +4,7 @@
 import datetime
 from typing import Any
 
+from waxwingwalk.core import identity
 from waxwingwalk.core import messages
 from waxwingwalk.core import model
 from waxwingwalk.core import results
@@ -18,10 +19,14 @@
 
 @dataclasses.dataclass(slots=True)
 class ClaimSettled:
-    """The claim of a job's key ended; ``code`` is None when it is ours."""
+    """The claim of a job's key ended; ``code`` is None when it is ours.
+
+    ``holder`` is the other process whose claim came first, if any.
+    """
 
     job_id: str
     code: results.ResultCode | None
+    holder: identity.ProcessId | None = None
 
 
 @dataclasses.dataclass(slots=True)
--- a/waxwingwalk/entry/links.py
+++ b/waxwingwalk/entry/links.py
@@ -13,6 +13,7 @@
 import contextlib
 import dataclasses
 import datetime
+import math
 
 import aiohttp
 from aiohttp import web
@@ -33,7 +34,8 @@
 INCARNATION_HEADER = "X-Waxwingwalk-Incarnation"
 
 Notify = Callable[[events.Event], None]
-# Seconds by which a message to this address is held back; for test benches.
+# Seconds by which a message to this address is held back, infinite if it is
+# lost; for tests of failures and benchmarks.
 Delay = Callable[[str], float]
 
 
@@ -163,6 +165,8 @@
         for message in batch:
             self._traffic.count(f"peer_{message.kind}")
         delay = self._delay(address)
+        if delay == math.inf:
+            return
         if delay > 0:
             asyncio.get_running_loop().call_later(
                 delay, _send_later, socket, frame
--- a/waxwingwalk/entry/submission.py
+++ b/waxwingwalk/entry/submission.py
@@ -1,5 +1,6 @@
 """The way of a submission: validation, keys, forwarding, the wait."""
 
+import asyncio
 import datetime
 from typing import Any
 
@@ -37,13 +38,12 @@
         self._engine = engine
         self._issuer = issuer
         self._forwarder = forwarder
-        self._holders: dict[str, identity.ProcessId] = {}
 
     def settle_claim(self, job_id: str, verdict: claims.Verdict) -> None:
-        """Take in a claim's verdict, and remember who else holds the key."""
-        if verdict.holder is not None:
-            self._holders[job_id] = verdict.holder
-        self._engine.apply(events.ClaimSettled(job_id, verdict.code))
+        """Take in a claim's verdict."""
+        self._engine.apply(
+            events.ClaimSettled(job_id, verdict.code, verdict.holder)
+        )
 
     def is_job_free(self, job_id: str) -> bool:
         """Tell whether a job of this process ended without a start."""
@@ -155,28 +155,35 @@
                 case keys.EarlierRun.EXPIRED:
                     return replies.Reply(Code.ANSWER_EXPIRED)
                 case keys.EarlierRun.JOINED:
-                    return await self._await(lookup.job_id, request)
+                    return await self._await(
+                        lookup.job_id, request, body, is_forwarded
+                    )
         if issued is not None and issued.expires_at < spec.submitted_at:
             return replies.Reply(Code.KEY_EXPIRED)
         future = self._engine.wait_for(spec.job_id)
         self._engine.apply(events.JobSubmitted(spec))
-        if not request.wait and not future.done():
-            return _accepted(spec.job_id)
-        answer = await future
-        holder = self._holders.pop(spec.job_id, None)
-        if holder is not None and not is_forwarded:
-            return await self._forward(
-                holder, request, body, Code.EARLIER_ATTEMPT
-            )
-        return replies.of_answer(answer)
+        return await self._await(
+            spec.job_id, request, body, is_forwarded, future
+        )
 
     async def _await(
-        self, job_id: str, request: requests.JobRequest
+        self,
+        job_id: str,
+        request: requests.JobRequest,
+        body: bytes,
+        is_forwarded: bool,
+        future: asyncio.Future[model.Answer] | None = None,
     ) -> replies.Reply:
-        future = self._engine.wait_for(job_id)
+        """Wait for a job's answer, here or from the holder of its key."""
+        future = future or self._engine.wait_for(job_id)
         if not request.wait and not future.done():
             return _accepted(job_id)
-        return replies.of_answer(await future)
+        answer = await future
+        job = self._engine.state.jobs.get(job_id)
+        holder = None if job is None else job.key_holder
+        if holder is None or is_forwarded:
+            return replies.of_answer(answer)
+        return await self._forward(holder, request, body, Code.EARLIER_ATTEMPT)
 
     def _spec(
         self,
--- a/waxwingwalk/jobs/handlers.py
+++ b/waxwingwalk/jobs/handlers.py
@@ -155,6 +155,7 @@
         return []
     if event.code is None:
         return _activate(state, job, now)
+    job.key_holder = event.holder
     return end(state, job, event.code, "", now)
 
 
@@ -271,6 +272,8 @@
         case model.TaskOutcome.LOST:
             state.counters.tasks_lost += 1
             code = results.ResultCode.TASK_LOST
+            if now >= job.spec.deadline:
+                code = results.ResultCode.DEADLINE_EXCEEDED
         case _:
             state.counters.tasks_not_started += 1
             job.started -= 1
--- a/waxwingwalk/jobs/job.py
+++ b/waxwingwalk/jobs/job.py
@@ -5,6 +5,7 @@
 import enum
 from typing import Any
 
+from waxwingwalk.core import identity
 from waxwingwalk.core import model
 
 
@@ -36,6 +37,7 @@
     ``pending`` holds the indexes of unsent tasks, the longest last.
     ``started`` counts the tasks that were sent and are not known to have
     stayed unstarted. ``remaining_work`` is in estimated seconds.
+    ``key_holder`` is the process that had claimed the job's key before.
     """
 
     spec: model.JobSpec
@@ -51,6 +53,7 @@
     order_key: float = 0.0
     ended_at: datetime.datetime | None = None
     answer: model.Answer | None = None
+    key_holder: identity.ProcessId | None = None
     story: list[str] = dataclasses.field(default_factory=list)
 
     @property
--- a/waxwingwalk/membership/handlers.py
+++ b/waxwingwalk/membership/handlers.py
@@ -143,17 +143,43 @@
     is_new = known is None or not known.is_present
     membership.learn(message.sender, now, is_direct=True)
     membership.heard(address, message.sender.incarnation, now)
-    for record in message.changes:
-        membership.learn(record, now)
+    learned = [
+        record.address
+        for record in message.changes
+        if membership.learn(record, now)
+    ]
     done = state.sharing.receive(address, message, now)
     if message.revision > state.settings.number:
         done.append(effects.FetchSettings(address))
     if not message.is_reply:
         reply = _probe(state, is_reply=True, everything=is_new)
+        _tell_if_counted_out(state, address, reply)
         done.append(effects.SendToPeer(address, reply))
+    elif is_new:
+        done += _introduce(state, learned)
     return done + _topology_if_changed(state, now)
 
 
+def _tell_if_counted_out(
+    state: core_state.State, address: str, reply: messages.Probe
+) -> None:
+    """Let a sender that was counted out know, so that it can refute it."""
+    member = state.membership.get(address)
+    if member is not None and not member.is_present:
+        reply.changes.append(member.record)
+
+
+def _introduce(state: core_state.State, addresses: list[str]) -> Effects:
+    """Probe the members that a newcomer has just learned of."""
+    own = state.process.address
+    done: Effects = []
+    for address in addresses:
+        if address != own:
+            probe = _probe(state, is_reply=False, everything=False)
+            done.append(effects.SendToPeer(address, probe))
+    return done
+
+
 def _probe(
     state: core_state.State, *, is_reply: bool, everything: bool
 ) -> messages.Probe:
--- a/waxwingwalk/membership/members.py
+++ b/waxwingwalk/membership/members.py
@@ -68,6 +68,7 @@
         self._changes: dict[str, _Change] = {}
         self._expected: set[str] = set()
         self._live: list[str] = [process.address]
+        self._gone_turn = 0
         self.version = 0
 
     @property
@@ -205,7 +206,20 @@
                 oldest.probed_at = now
                 due.append(oldest.record.address)
         known = {member.record.address for member in peers}
-        return due + sorted(self._expected - known)
+        missing = sorted(self._expected - known)
+        return due + missing + self._next_gone(set(missing))
+
+    def _next_gone(self, excluded: set[str]) -> list[str]:
+        """Return one member that was counted out, in turn: it may be back."""
+        gone = [
+            member
+            for member in self._members.values()
+            if not member.is_present and member.record.address not in excluded
+        ]
+        if not gone:
+            return []
+        self._gone_turn += 1
+        return [gone[self._gone_turn % len(gone)].record.address]
 
     def changes_to_send(
         self, *, everything: bool
--- a/waxwingwalk/routing/slots/simple.py
+++ b/waxwingwalk/routing/slots/simple.py
@@ -29,7 +29,8 @@
         self._changed: set[str] = set()
 
     def _limit(self, backend: backends.Backend) -> int:
-        return max(1, backend.spec.connections // len(self._members()))
+        processes = max(1, len(self._members()))
+        return max(1, backend.spec.connections // processes)
 
     def idle(self, service: str) -> Collection[backends.Backend]:
         return [
@@ -94,11 +95,12 @@
     """Every entry process uses an equal, fixed share of every slot count.
 
     What does not divide evenly is dealt out in an order that differs from
-    one backend server to the next.
+    one backend server to the next. A process that is leaving is no longer
+    among the members, and takes its share beside theirs.
     """
 
     def _limit(self, backend: backends.Backend) -> int:
-        members = sorted(self._members())
+        members = sorted({*self._members(), self._self_address})
         share, rest = divmod(backend.spec.slots, len(members))
         offset = xxhash.xxh32_intdigest(backend.backend_id.encode())
         rank = (members.index(self._self_address) + offset) % len(members)
--- a/waxwingwalk/testing/backend.py
+++ b/waxwingwalk/testing/backend.py
@@ -84,7 +84,9 @@
         app.router.add_post("/v1/tasks/checkpoint", self._acknowledge)
         app.router.add_post("/v1/leases", self._acknowledge)
         app.router.add_get("/v1/usage", self._read_usage)
-        self._runner = web.AppRunner(app, access_log=None, shutdown_timeout=0)
+        self._runner = web.AppRunner(
+            app, access_log=None, shutdown_timeout=0.01
+        )
         await self._runner.setup()
         site = web.TCPSite(self._runner, address, port, backlog=1024)
         await site.start()
@@ -154,7 +156,7 @@
                 self._note_start(name)
                 await asyncio.Event().wait()
             case Fault.RESET:
-                self._abort(request)
+                await self._abort(request)
             case Fault.NOT_RUN:
                 return self._reply(content, "not_run")
             case Fault.MALFORMED:
@@ -163,7 +165,7 @@
         reply = await self._start(name, content)
         match self.fault:
             case Fault.RUN_AND_RESET:
-                self._abort(request)
+                await self._abort(request)
             case Fault.OTHER_TASK:
                 return {**reply, "task": f"{name}0"}
             case Fault.OTHER_INCARNATION:
@@ -174,9 +176,11 @@
                 self._answer_early(request, reply)
         return reply
 
-    def _abort(self, request: web.Request) -> None:
+    async def _abort(self, request: web.Request) -> None:
+        """Break the connection; the handler never gets to answer."""
         assert request.transport is not None
         request.transport.abort()
+        await asyncio.Event().wait()
 
     def _answer_early(self, request: web.Request, reply: Any) -> None:
         """Write a whole response ahead of the one that will follow."""
--- a/waxwingwalk/testing/fleet.py
+++ b/waxwingwalk/testing/fleet.py
@@ -14,6 +14,7 @@
 import asyncio
 from collections.abc import Sequence
 import logging
+import math
 import pathlib
 import tempfile
 import time
@@ -53,6 +54,8 @@
         self.backends: dict[str, backend_stand_in.BackendServer] = {}
         self.entries: list[wiring.EntryProcess] = []
         self._closed: set[str] = set()
+        # Pairs of sender and receiver between whom messages are lost.
+        self.cuts: set[tuple[str, str]] = set()
         self.session: aiohttp.ClientSession
 
     async def __aenter__(self) -> "Fleet":
@@ -79,7 +82,10 @@
         self._folder.cleanup()
 
     async def add_entry(
-        self, zone: str, peers_port: int = 0
+        self,
+        zone: str,
+        peers_port: int = 0,
+        platform_url: str | None = None,
     ) -> wiring.EntryProcess:
         """Start an entry process in a zone."""
         secret = pathlib.Path(self._folder.name, "peers.secret")
@@ -89,12 +95,23 @@
             callers=config.ListenerConfig(port=0),
             operators=config.ListenerConfig(port=0),
             peers=config.ListenerConfig(port=peers_port),
-            platform=config.PlatformConfig(url=self.platform.url),
+            platform=config.PlatformConfig(
+                url=platform_url or self.platform.url
+            ),
             access=config.AccessConfig(peers_secret_file=secret),
-            seeds=[entry.peers_address for entry in self.entries],
+            seeds=[entry.peers_address for entry in self.alive()],
         )
+        own: list[wiring.EntryProcess] = []
+
+        def delay(address: str) -> float:
+            pair = (own[0].peers_address, address)
+            return math.inf if pair in self.cuts else 0.0
+
         secrets = config.Secrets(peers=SECRET)
-        entry = wiring.build_entry(entry_config, secrets, self._logger)
+        entry = wiring.build_entry(
+            entry_config, secrets, self._logger, delay=delay
+        )
+        own.append(entry)
         await entry.service.start()
         self.entries.append(entry)
         return entry
@@ -105,6 +122,18 @@
             self._closed.add(str(entry.engine.state.process))
             await entry.service.abort()
 
+    def cut(
+        self, senders: list[int], receivers: list[int], *, both: bool = True
+    ) -> None:
+        """Lose messages between entry processes, given by index."""
+        for sender in senders:
+            for receiver in receivers:
+                first = self.entries[sender].peers_address
+                second = self.entries[receiver].peers_address
+                self.cuts.add((first, second))
+                if both:
+                    self.cuts.add((second, first))
+
     async def add_backend(
         self, options: backend_stand_in.BackendOptions
     ) -> backend_stand_in.BackendServer:
@@ -122,12 +151,13 @@
     async def ready(self) -> None:
         """Wait until every process knows all, and slots are granted."""
         deadline = time.monotonic() + READY_TIMEOUT
-        while not all(self._is_ready(entry) for entry in self._alive()):
+        while not all(self._is_ready(entry) for entry in self.alive()):
             if time.monotonic() > deadline:
                 raise TimeoutError("the fleet did not become ready")
             await asyncio.sleep(POLL_PAUSE)
 
-    def _alive(self) -> list[wiring.EntryProcess]:
+    def alive(self) -> list[wiring.EntryProcess]:
+        """Return the entry processes that were not killed."""
         return [
             entry
             for entry in self.entries
@@ -141,7 +171,7 @@
         return (
             state.settings.is_ready
             and known >= self.backends.keys()
-            and len(state.membership.live_addresses()) >= len(self._alive())
+            and len(state.membership.live_addresses()) >= len(self.alive())
             and all(hints.values())
         )
 
--- a/waxwingwalk/testing/platform.py
+++ b/waxwingwalk/testing/platform.py
@@ -42,7 +42,8 @@
         self.fault = PlatformFault.NONE
         # Seconds that each table or object request takes.
         self.latency = 0.0
-        self.is_list_frozen = False
+        # Ports at which the platform cannot be reached.
+        self.cut_ports: set[int] = set()
         self.requests: collections.Counter[str] = collections.Counter()
         self.address = ""
         self._rows: dict[tuple[str, str], _Row] = {}
@@ -67,12 +68,19 @@
         app.router.add_put("/v1/objects/{name}", self._put_object)
         app.router.add_get("/v1/objects/{name}", self._get_object)
         app.router.add_put("/v1/fault", self._put_fault)
-        self._runner = web.AppRunner(app, access_log=None, shutdown_timeout=0)
+        self._runner = web.AppRunner(
+            app, access_log=None, shutdown_timeout=0.01
+        )
         await self._runner.setup()
+        self.address = await self.listen(address, port)
+
+    async def listen(self, address: str = "127.0.0.1", port: int = 0) -> str:
+        """Listen on a further port, which can be cut by itself."""
+        assert self._runner is not None
         site = web.TCPSite(self._runner, address, port)
         await site.start()
-        host, bound_port = self._runner.addresses[0][:2]
-        self.address = f"{host}:{bound_port}"
+        host, bound_port = self._runner.addresses[-1][:2]
+        return f"{host}:{bound_port}"
 
     async def close(self) -> None:
         """Stop listening."""
@@ -96,8 +104,12 @@
             row.value for (name, _), row in self._rows.items() if name == table
         ]
 
-    async def _before(self, kind: str) -> None:
+    async def _before(self, kind: str, request: web.Request) -> None:
         """Count a request, and fail it if it must not take effect."""
+        assert request.transport is not None
+        port = request.transport.get_extra_info("sockname")[1]
+        if port in self.cut_ports:
+            await asyncio.Event().wait()
         self.requests[kind] += 1
         if self.latency:
             await asyncio.sleep(self.latency)
@@ -116,7 +128,7 @@
 
     async def _write(self, request: web.Request) -> web.Response:
         content = orjson.loads(await request.read())
-        await self._before("write")
+        await self._before("write", request)
         writes = content["writes"]
         fits = [self._fits(write) for write in writes]
         is_refused = content["atomic"] and not all(fits)
@@ -146,12 +158,12 @@
 
     async def _read(self, request: web.Request) -> web.Response:
         content = orjson.loads(await request.read())
-        await self._before("read")
+        await self._before("read", request)
         rows = [self._shown(key) for key in content["reads"]]
         return await self._answer({"rows": rows})
 
     async def _list_hosts(self, request: web.Request) -> web.Response:
-        await self._before("hosts")
+        await self._before("hosts", request)
         listed = {
             kind: list(entries.values())
             for kind, entries in self._hosts.items()
@@ -165,12 +177,12 @@
         return web.json_response({})
 
     async def _put_object(self, request: web.Request) -> web.Response:
-        await self._before("put_object")
+        await self._before("put_object", request)
         self._objects[request.match_info["name"]] = await request.read()
         return await self._answer({})
 
     async def _get_object(self, request: web.Request) -> web.Response:
-        await self._before("get_object")
+        await self._before("get_object", request)
         content = self._objects.get(request.match_info["name"])
         if content is None:
             raise web.HTTPNotFound
