--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks: policies side by side on real entry processes."""
--- /dev/null
+++ b/bench/report.py
@@ -0,0 +1,114 @@
+"""Percentiles and tables."""
+
+from collections.abc import Sequence
+import dataclasses
+
+from hdrh import histogram
+
+from bench import callers
+from bench import workload
+
+# Ratios are recorded in thousandths.
+RATIO_SCALE = 1000
+RATIO_MAX = 10_000 * RATIO_SCALE
+COMPLETE = 1000
+NOT_RUN_FAMILY = 2
+
+
+@dataclasses.dataclass(slots=True)
+class Row:
+    """One policy's line in a scenario's table."""
+
+    policy: str
+    cells: dict[str, str]
+
+
+def ratios(
+    outcomes: Sequence[callers.Outcome], ideals: Sequence[float]
+) -> histogram.HdrHistogram:
+    """Return the response times over ideal of the complete jobs."""
+    recorded = histogram.HdrHistogram(1, RATIO_MAX, 3)
+    for outcome, ideal in zip(outcomes, ideals, strict=True):
+        if outcome.code == COMPLETE:
+            recorded.record_value(int(outcome.span / ideal * RATIO_SCALE))
+    return recorded
+
+
+def percentile(recorded: histogram.HdrHistogram, rank: float) -> float:
+    """Return a percentile of recorded ratios."""
+    return float(recorded.get_value_at_percentile(rank)) / RATIO_SCALE
+
+
+def response_cells(
+    outcomes: Sequence[callers.Outcome],
+    jobs: Sequence[workload.BenchJob],
+    servers: workload.Servers,
+    round_trip: float,
+) -> dict[str, str]:
+    """Return the columns on response times and endings."""
+    recorded = ratios(
+        outcomes, workload.ideal_spans(jobs, servers, round_trip)
+    )
+    alone = ratios(
+        outcomes,
+        [workload.alone_span(job, servers, round_trip) for job in jobs],
+    )
+    possible = [each for each in outcomes if not each.job.is_impossible]
+    refused = sum(each.code // 1000 == NOT_RUN_FAMILY for each in possible)
+    complete = sum(each.code == COMPLETE for each in possible)
+    return {
+        "p50": f"{percentile(recorded, 50):.2f}",
+        "p99": f"{percentile(recorded, 99):.2f}",
+        "p99.9": f"{percentile(recorded, 99.9):.2f}",
+        "alone p50": f"{percentile(alone, 50):.2f}",
+        "jobs": str(len(possible)),
+        "refused": str(refused),
+        "failed": str(len(possible) - refused - complete),
+    }
+
+
+def cost_cells(
+    before: dict[str, float], after: dict[str, float]
+) -> dict[str, str]:
+    """Return the columns on messages and processor time."""
+
+    def grown(name: str) -> float:
+        return after.get(name, 0.0) - before.get(name, 0.0)
+
+    tasks = max(1.0, grown("task"))
+    # A frame is one message; control requests have a reply each.
+    frames = grown("peer_frame")
+    probes = grown("peer_probe")
+    control = 2 * sum(grown(name) for name in ("status", "stop", "renew"))
+    useless = 2 * (grown("task") - grown("tasks_done_total"))
+    wasted = frames + control + useless
+    return {
+        "wasted": f"{wasted / tasks:.3f}",
+        "slots": f"{max(0.0, frames - probes) / tasks:.3f}",
+        "probes": f"{probes / tasks:.3f}",
+        "control": f"{control / tasks:.3f}",
+        "useless": f"{useless / tasks:.3f}",
+        "cpu us": f"{grown('cpu') / tasks * 1e6:.0f}",
+    }
+
+
+def table(title: str, rows: Sequence[Row]) -> str:
+    """Return a scenario's table as text."""
+    columns = list(rows[0].cells)
+    lines = [["policy", *columns]]
+    for row in rows:
+        cells = [row.cells.get(column, "") for column in columns]
+        lines.append([row.policy, *cells])
+    widths = [
+        max(len(line[index]) for line in lines)
+        for index in range(len(columns) + 1)
+    ]
+    text = [f"## {title}", ""]
+    for line in lines:
+        cells = [line[0].ljust(widths[0])]
+        cells += [
+            cell.rjust(width)
+            for cell, width in zip(line[1:], widths[1:], strict=True)
+        ]
+        text.append("  ".join(cells))
+    return "\n".join([*text, ""])
--- /dev/null
+++ b/bench/stand_ins.py
@@ -0,0 +1,132 @@
+"""A process that holds the platform and all backend servers.
+
+It is told what to do by a JSON object on standard input, a line each, and
+answers each with a line.
+"""
+
+import asyncio
+import json
+import math
+import sys
+from typing import Any
+
+import uvloop
+
+from waxwingwalk.settings import adopted
+from waxwingwalk.testing import backend
+from waxwingwalk.testing import platform
+
+
+class StandIns:
+    """The platform and the backend servers of one run."""
+
+    def __init__(self, plan: dict[str, Any]) -> None:
+        self._plan = plan
+        self.platform = platform.Platform()
+        self.servers: list[backend.BackendServer] = []
+
+    async def start(self) -> dict[str, Any]:
+        """Start everything; return the addresses."""
+        await self.platform.start()
+        zones = self._plan["zones"]
+        ports = {zone: await self.platform.listen() for zone in zones}
+        for index, speed in enumerate(self._plan["speeds"]):
+            zone = zones[index % len(zones)]
+            options = backend.BackendOptions(
+                backend_id=f"backend-{index:02d}",
+                zone=zone,
+                rack=f"rack-{index // 6}",
+                slots=self._plan["slots"],
+                speed=speed,
+                delays={
+                    each: 0.0 if each == zone else self._plan["zone_delay"]
+                    for each in zones
+                },
+            )
+            server = backend.BackendServer(options)
+            await server.start()
+            self.servers.append(server)
+            self.platform.put_host("backend_servers", server.entry())
+        revision = adopted.Revision(number=1, tree=self._plan["tree"])
+        self.platform.seed("settings", "head", json.loads(revision.document()))
+        return {"platforms": ports}
+
+    def do(self, order: dict[str, Any]) -> dict[str, Any]:
+        """Carry out an order."""
+        match order["do"]:
+            case "fault":
+                server = self.servers[order["backend"]]
+                server.fault = backend.Fault[order["fault"]]
+            case "speed":
+                server = self.servers[order["backend"]]
+                server.set_speed(order["speed"])
+            case "leave":
+                server = self.servers[order["backend"]]
+                server.is_leaving = True
+                self.platform.put_host("backend_servers", server.entry())
+            case "platform":
+                self.platform.fault = platform.PlatformFault[order["fault"]]
+            case "cut":
+                self._cut(order["zone"])
+            case "heal":
+                self._heal()
+            case "starts":
+                return {"starts": self._starts()}
+            case "last_starts":
+                return {
+                    "last": [
+                        max(server.started_at, default=0.0)
+                        for server in self.servers
+                    ],
+                    "now": asyncio.get_running_loop().time(),
+                }
+        return {}
+
+    def _cut(self, zone: str) -> None:
+        """Cut a zone off from the other zones and from the platform."""
+        for server in self.servers:
+            for other in server.options.delays:
+                if (other == zone) != (server.options.zone == zone):
+                    server.options.delays[other] = math.inf
+        address = self._plan_address(zone)
+        self.platform.cut_ports.add(int(address.rpartition(":")[2]))
+
+    def _plan_address(self, zone: str) -> str:
+        return str(self.addresses["platforms"][zone])
+
+    def _heal(self) -> None:
+        for server in self.servers:
+            for other in server.options.delays:
+                is_same = other == server.options.zone
+                server.options.delays[other] = (
+                    0.0 if is_same else self._plan["zone_delay"]
+                )
+        self.platform.cut_ports.clear()
+
+    def _starts(self) -> list[dict[str, Any]]:
+        return [
+            {
+                "total": server.starts.total(),
+                "twice": sum(1 for n in server.starts.values() if n > 1),
+            }
+            for server in self.servers
+        ]
+
+    async def serve(self) -> None:
+        """Answer orders until standard input ends."""
+        self.addresses = await self.start()
+        _say(self.addresses)
+        reader = asyncio.StreamReader(limit=2**20)
+        protocol = asyncio.StreamReaderProtocol(reader)
+        loop = asyncio.get_running_loop()
+        await loop.connect_read_pipe(lambda: protocol, sys.stdin)
+        while line := await reader.readline():
+            _say(self.do(json.loads(line)))
+
+
+def _say(content: dict[str, Any]) -> None:
+    print(json.dumps(content), flush=True)
+
+
+if __name__ == "__main__":
+    uvloop.run(StandIns(json.loads(sys.argv[1])).serve())
--- a/waxwingwalk/testing/platform.py
+++ b/waxwingwalk/testing/platform.py
@@ -93,6 +93,10 @@
         name = entry.get("id") or entry["address"]
         self._hosts[kind][name] = entry
 
+    def seed(self, table: str, key: str, value: dict[str, Any]) -> None:
+        """Put a row in place before anyone asks for it."""
+        self._rows[table, key] = _Row(1, value)
+
     def row(self, table: str, key: str) -> dict[str, Any] | None:
         """Return the value of a row, for tests."""
         found = self._rows.get((table, key))
