Shared slots by estimated occupancy and waited for faster servers

Each process now estimates what the others run, from the running count in replies and the mean load in probes, and sends no message for a slot.

--- a/bench/scenarios.py
+++ b/bench/scenarios.py
@@ -38,14 +38,15 @@
 
 
 POLICIES = {
+    "occupancy": policy("occupancy", "learned"),
     "owner leases": policy("owner", "learned"),
     "equal share": policy("equal-share", "learned"),
     "random": policy("unlimited", "random"),
     "round robin": policy("unlimited", "round-robin"),
     "least outstanding": policy("unlimited", "least-outstanding"),
 }
-OURS = ("owner leases",)
-OURS_AND_SHARE = ("owner leases", "equal share")
+OURS = ("occupancy",)
+OURS_AND_SHARE = ("occupancy", "equal share")
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -145,7 +146,7 @@
         "4b one fails all tasks",
         COOPERATIVE,
         workload.Work(load=0.6, seconds=12.0),
-        policies=("owner leases", "equal share", "least outstanding"),
+        policies=("occupancy", "equal share", "least outstanding"),
         trouble=one_fails_all_tasks,
         bad_backends=(0,),
     ),
--- a/tests/core/test_reducer_properties.py
+++ b/tests/core/test_reducer_properties.py
@@ -17,7 +17,7 @@
 BACKENDS = ("b1", "b2", "b3")
 PROVES_UNSTARTED = (model.TaskOutcome.NOT_SENT, model.TaskOutcome.NOT_RUN)
 TEAMS = ("shops", "pubs")
-MODES = ("owner", "equal-share", "unlimited")
+MODES = ("occupancy", "owner", "equal-share", "unlimited")
 
 
 def peer_incarnation(address, serial):
--- a/waxwingwalk/core/events.py
+++ b/waxwingwalk/core/events.py
@@ -40,8 +40,9 @@
 class TaskReplied:
     """An attempt to run a task ended.
 
-    ``reply_task`` and ``reply_incarnation`` are what the reply itself said
-    it answers, None where there was no reply.
+    ``running`` is how many tasks the backend server says that it runs, if it
+    says so. ``reply_task`` and ``reply_incarnation`` are what the reply
+    itself said it answers, None where there was no reply.
     """
 
     job_id: str
@@ -52,6 +53,7 @@
     result: Any = None
     detail: str = ""
     leaving: bool = False
+    running: int | None = None
     reply_task: str | None = None
     reply_incarnation: str | None = None
 
--- a/waxwingwalk/core/lifecycle.py
+++ b/waxwingwalk/core/lifecycle.py
@@ -34,6 +34,8 @@
     done += dispatch.dispatch_changed(state, now)
     if now - state.checked_at >= CHECK_INTERVAL:
         state.checked_at = now
+        for service in state.queues:
+            state.placement(service).refresh(service)
         done += health.look_up_overdue(state, now)
         keys.forget_expired(state, now)
     return done + _drain_step(state, now)
--- a/waxwingwalk/core/messages.py
+++ b/waxwingwalk/core/messages.py
@@ -26,13 +26,18 @@
 
 @dataclasses.dataclass(slots=True)
 class Probe:
-    """Ask a peer whether it is there; carries recent membership changes."""
+    """Ask a peer whether it is there; carries recent membership changes.
+
+    ``free`` gives free slots by backend server, ``running`` the mean number
+    of running tasks by service, each where the slot sharing uses it.
+    """
 
     sender: MemberRecord
     changes: list[MemberRecord]
     revision: int
     free: dict[str, int]
     is_reply: bool = False
+    running: dict[str, float] = dataclasses.field(default_factory=dict)
     kind: Literal["probe"] = "probe"
 
 
--- a/waxwingwalk/entry/backend_client.py
+++ b/waxwingwalk/entry/backend_client.py
@@ -33,6 +33,7 @@
     result: Any = None
     detail: str = ""
     leaving: bool = False
+    running: int | None = None
     task: str | None = None
     incarnation: str | None = None
 
@@ -52,6 +53,7 @@
     result: Any = None
     error: str = ""
     leaving: bool = False
+    running: int | None = None
 
 
 _OUTCOMES = {
@@ -75,6 +77,7 @@
         parsed.result,
         parsed.error,
         parsed.leaving,
+        parsed.running,
         parsed.task,
         parsed.incarnation,
     )
--- a/waxwingwalk/entry/engine.py
+++ b/waxwingwalk/entry/engine.py
@@ -165,6 +165,7 @@
                 result=reply.result,
                 detail=reply.detail,
                 leaving=reply.leaving,
+                running=reply.running,
                 reply_task=reply.task,
                 reply_incarnation=reply.incarnation,
             )
--- a/waxwingwalk/jobs/dispatch.py
+++ b/waxwingwalk/jobs/dispatch.py
@@ -9,6 +9,10 @@
 from waxwingwalk.routing import backends
 from waxwingwalk.routing import base
 
+# Positions in a job's list of unsent tasks.
+LONGEST = -1
+SHORTEST = 0
+
 
 def dispatch(
     state: core_state.State, service: str, now: datetime.datetime
@@ -34,20 +38,41 @@
         ]
         if not idle:
             break
-        index = job.pending[-1]
+        placed = _place(placement, queue, job, idle)
+        if placed is None:
+            break
+        position, choice = placed
+        done.append(_send(state, queue, job, position, choice, len(idle), now))
+    waiting = 0 if queue.is_blocked else queue.task_count
+    done += state.sharing.demand(service, waiting, queue.waiting_teams, now)
+    return done
+
+
+def _place(
+    placement: base.Placement,
+    queue: job_queue.ServiceQueue,
+    job: jobs.Job,
+    idle: list[backends.Backend],
+) -> tuple[int, base.Choice] | None:
+    """Choose a task of the job, by position, and a backend server for it.
+
+    The longest task goes first. If it had better wait for a faster backend
+    server, the shortest one may still gain by starting now.
+    """
+    for position in (LONGEST, SHORTEST):
+        index = job.pending[position]
         request = base.PlacementRequest(
             job.spec.tasks[index],
-            service,
+            job.spec.service,
             job.estimates[index],
             queue.task_count,
         )
         choice = placement.choose(request, idle)
-        if choice is None:
+        if choice is not None:
+            return position, choice
+        if len(job.pending) == 1:
             break
-        done.append(_send(state, queue, job, choice, len(idle), now))
-    waiting = 0 if queue.is_blocked else queue.task_count
-    done += state.sharing.demand(service, waiting, queue.waiting_teams, now)
-    return done
+    return None
 
 
 def dispatch_changed(
@@ -66,11 +91,12 @@
     state: core_state.State,
     queue: job_queue.ServiceQueue,
     job: jobs.Job,
+    position: int,
     choice: base.Choice,
     idle_count: int,
     now: datetime.datetime,
 ) -> effects.Effect:
-    index = queue.take(job)
+    index = queue.take(job, position)
     spec = job.spec
     backend = choice.backend
     options = state.settings.service(spec.service)
--- a/waxwingwalk/jobs/handlers.py
+++ b/waxwingwalk/jobs/handlers.py
@@ -248,6 +248,8 @@
         del state.team_running[team]
     for queue in state.queues.values():
         queue.retry_team(team)
+    if event.running is not None:
+        state.sharing.note_usage(event.backend_id, event.running, now)
     return state.sharing.release(event.backend_id, now)
 
 
--- a/waxwingwalk/jobs/job.py
+++ b/waxwingwalk/jobs/job.py
@@ -61,9 +61,9 @@
         """Whether the answer is final."""
         return self.phase is JobPhase.ENDED
 
-    def take_longest(self) -> int:
-        """Remove and return the index of the longest unsent task."""
-        index = self.pending.pop()
+    def take(self, position: int) -> int:
+        """Remove the unsent task at a position; return its index."""
+        index = self.pending.pop(position)
         self.remaining_work -= self.estimates[index]
         return index
 
--- a/waxwingwalk/jobs/queue.py
+++ b/waxwingwalk/jobs/queue.py
@@ -2,7 +2,7 @@
 
 Each team has a virtual time that grows with the work it starts, divided by
 its weight; the team furthest behind goes next. Within a team the job order
-decides, within a job the longest task goes first. Every step costs at most
+decides; within a job the dispatcher chooses. Every step costs at most
 the logarithm of the number of waiting teams or jobs.
 """
 
@@ -84,7 +84,7 @@
         job.remaining_work = 0.0
 
     def first(self) -> jobs.Job | None:
-        """Return the job whose longest task goes next."""
+        """Return the job whose tasks go next."""
         while self._heap:
             _, _, name = self._heap[0]
             team = self._teams[name]
@@ -102,9 +102,9 @@
             return job
         return None
 
-    def take(self, job: jobs.Job) -> int:
-        """Remove the longest task of the first job; return its index."""
-        index = job.take_longest()
+    def take(self, job: jobs.Job, position: int) -> int:
+        """Remove an unsent task of the first job; return its index."""
+        index = job.take(position)
         estimate = job.estimates[index]
         self.task_count -= 1
         self.work = max(0.0, self.work - estimate)
--- a/waxwingwalk/routing/backends.py
+++ b/waxwingwalk/routing/backends.py
@@ -11,7 +11,8 @@
     """A backend server, with this process's own view of it.
 
     ``set_aside_until`` holds work back after failures; ``is_on_probation``
-    admits one task at a time after such a pause.
+    admits one task at a time after such a pause. ``occupancy`` is the share
+    of its slots that is thought to be in use, where it is estimated.
     """
 
     spec: model.BackendSpec
@@ -21,6 +22,7 @@
     is_on_probation: bool = False
     connect_failures: int = 0
     last_reply_at: datetime.datetime | None = None
+    occupancy: float = 0.0
 
     @property
     def backend_id(self) -> str:
--- a/waxwingwalk/routing/base.py
+++ b/waxwingwalk/routing/base.py
@@ -34,6 +34,10 @@
         """Return the choice, or None to keep the task waiting."""
         ...
 
+    def refresh(self, service: str) -> None:
+        """Bring what is derived from estimates up to date."""
+        ...
+
 
 class SlotSharing(Protocol):
     """Decides which slots this process may use now."""
@@ -89,6 +93,20 @@
         """Return the free slots that peers may ask this process for."""
         ...
 
+    def note_usage(
+        self, backend_id: str, running: int, now: datetime.datetime
+    ) -> None:
+        """Take in how many tasks a backend server says that it runs.
+
+        Called before the slot of the replied task is released; the count
+        leaves that task out.
+        """
+        ...
+
+    def stated_load(self) -> dict[str, float]:
+        """Return the load to state to peers: mean running tasks."""
+        ...
+
     def held_total(self, service: str) -> int:
         """Return how many slots of a service this process may use."""
         ...
--- a/waxwingwalk/routing/estimates.py
+++ b/waxwingwalk/routing/estimates.py
@@ -41,6 +41,7 @@
         self._biases: dict[tuple[str, str], _Term] = {}
         self._slownesses: dict[tuple[str, str], _Term] = {}
         self._means: dict[str, float] = {}
+        self._mean_works: dict[str, float] = {}
 
     def base(self, service: str, team: str, declared: float) -> float:
         """Return the expected seconds on a server of ordinary speed."""
@@ -63,6 +64,10 @@
         """Return the moving mean of observed run times, in seconds."""
         return self._means.get(service, default)
 
+    def mean_work(self, service: str, default: float = 0.3) -> float:
+        """Return the moving mean of run times at slowness 1, in seconds."""
+        return self._mean_works.get(service, default)
+
     def observe(
         self,
         service: str,
@@ -82,6 +87,9 @@
         slowness.follow(residual, 0.5 if bias.count < 20 else 1.0)
         mean = self._means.get(service, seen)
         self._means[service] = mean + MIN_STEP * (seen - mean)
+        work = seen / slowness.factor
+        mean_work = self._mean_works.get(service, work)
+        self._mean_works[service] = mean_work + MIN_STEP * (work - mean_work)
 
     def forget_backend(self, backend_id: str) -> None:
         """Drop what was learned of a backend server."""
--- a/waxwingwalk/routing/slots/owner.py
+++ b/waxwingwalk/routing/slots/owner.py
@@ -108,6 +108,14 @@
     def free_hints(self) -> dict[str, int]:
         return {key: each.free() for key, each in self._pools.items()}
 
+    def note_usage(
+        self, backend_id: str, running: int, now: datetime.datetime
+    ) -> None:
+        return
+
+    def stated_load(self) -> dict[str, float]:
+        return {}
+
     # Demand: the holder's side.
 
     def demand(
--- a/waxwingwalk/routing/slots/simple.py
+++ b/waxwingwalk/routing/slots/simple.py
@@ -80,6 +80,14 @@
     def free_hints(self) -> dict[str, int]:
         return {}
 
+    def note_usage(
+        self, backend_id: str, running: int, now: datetime.datetime
+    ) -> None:
+        return
+
+    def stated_load(self) -> dict[str, float]:
+        return {}
+
     def held_total(self, service: str) -> int:
         return sum(
             self._limit(each) for each in self._registry.offering(service)
--- a/waxwingwalk/settings/global_settings.py
+++ b/waxwingwalk/settings/global_settings.py
@@ -56,6 +56,7 @@
 class SlotSharingName(enum.StrEnum):
     """How entry processes divide the slots of backend servers."""
 
+    OCCUPANCY = "occupancy"
     OWNER = "owner"
     EQUAL_SHARE = "equal-share"
     UNLIMITED = "unlimited"
@@ -118,7 +119,7 @@
     model_config = pydantic.ConfigDict(frozen=True, extra="forbid")
 
     # How slots of backend servers are divided among entry processes.
-    slot_sharing: SlotSharingName = SlotSharingName.OWNER
+    slot_sharing: SlotSharingName = SlotSharingName.OCCUPANCY
     # How backend servers that fail tasks are set aside.
     outlier_detection: OutlierDetectionName = OutlierDetectionName.LIKELIHOOD
     # How long an unused slot is kept before it goes back to its owner.
@@ -127,7 +128,7 @@
     )
     # How often one peer is probed.
     probe_interval: Duration = pydantic.Field(
-        seconds(1), ge=seconds(0.1), le=seconds(30)
+        seconds(3), ge=seconds(0.1), le=seconds(30)
     )
     # How long a peer may be silent before it counts as gone.
     peer_timeout: Duration = pydantic.Field(
--- a/waxwingwalk/testing/backend.py
+++ b/waxwingwalk/testing/backend.py
@@ -241,6 +241,7 @@
             "result": value,
             "error": error,
             "leaving": self.is_leaving,
+            "running": self._sharing.running,
         }
 
     async def _status(self, request: web.Request) -> web.Response:
--- a/waxwingwalk/wiring.py
+++ b/waxwingwalk/wiring.py
@@ -34,6 +34,7 @@
 from waxwingwalk.routing import job_order
 from waxwingwalk.routing import outliers
 from waxwingwalk.routing import placement
+from waxwingwalk.routing.slots import occupancy
 from waxwingwalk.routing.slots import owner
 from waxwingwalk.routing.slots import simple
 from waxwingwalk.settings import adopted
@@ -74,7 +75,11 @@
             case names.LEAST_OUTSTANDING:
                 return placement.LeastOutstandingPlacement(state.random)
             case _:
-                return placement.LearnedPlacement(state.estimator)
+                return placement.LearnedPlacement(
+                    state.estimator,
+                    state.registry,
+                    state.membership.live_addresses,
+                )
 
     def slot_sharing(
         self, name: global_settings.SlotSharingName, state: core_state.State
@@ -87,6 +92,14 @@
                 return simple.EqualShareSlots(state.registry, address, members)
             case names.UNLIMITED:
                 return simple.UnlimitedSlots(state.registry, address, members)
+            case names.OCCUPANCY:
+                return occupancy.OccupancySlots(
+                    state.registry,
+                    address,
+                    members=members,
+                    mean_run_time=state.estimator.mean_run_time,
+                    generator=state.random,
+                )
             case _:
                 return owner.OwnerLeases(
                     state.registry,
