--- a/waxwingwalk/core/effects.py
+++ b/waxwingwalk/core/effects.py
@@ -12,8 +12,9 @@
 class SendTask:
     """Run a task on a backend server; exactly one TaskReplied follows.
 
-    ``reason``, ``runner_up``, ``idle_slots`` and ``estimate`` (seconds)
-    explain the placement in the decision log.
+    ``reason``, ``runner_up``, ``occupancy`` (the share of slots thought to
+    be in use) and ``estimate`` (seconds) explain the placement in the
+    decision log.
     """
 
     job_id: str
@@ -27,7 +28,7 @@
     timeout: datetime.timedelta
     reason: str
     runner_up: str | None
-    idle_slots: int
+    occupancy: float
     estimate: float
 
 
--- a/waxwingwalk/core/lifecycle.py
+++ b/waxwingwalk/core/lifecycle.py
@@ -51,8 +51,7 @@
     sharing_name = state.settings.process().slot_sharing
     state.sharing = state.policies.slot_sharing(sharing_name, state)
     done = state.sharing.topology_changed(now)
-    for attempt in state.attempts.values():
-        state.sharing.take(attempt.backend_id)
+    state.occupy_running_slots()
     return [effects.Log("process.woke", {}), *done]
 
 
--- a/waxwingwalk/core/state.py
+++ b/waxwingwalk/core/state.py
@@ -165,6 +165,13 @@
         share = max(1, quota // max(1, processes))
         return self.team_running.get(team, 0) < share
 
+    def occupy_running_slots(self) -> None:
+        """Tell a new slot sharing of the tasks that run already."""
+        for attempt in self.attempts.values():
+            backend = self.registry.get(attempt.backend_id)
+            if backend is not None:
+                self.sharing.take(backend)
+
     def next_job_id(self) -> str:
         """Return an id for a new job of this process."""
         self.serial += 1
--- a/waxwingwalk/entry/backend_client.py
+++ b/waxwingwalk/entry/backend_client.py
@@ -8,18 +8,22 @@
 from collections.abc import Sequence
 import dataclasses
 import datetime
+import functools
 import socket
 from typing import Any
 
 import aiohttp
 import orjson
 import pydantic
+import yarl
 
 from waxwingwalk.core import effects
 from waxwingwalk.core import model
 from waxwingwalk.entry import traffic
 
 CONNECT_TIMEOUT = datetime.timedelta(seconds=1)
+# Parsed addresses of backend servers that are kept.
+URLS_MAX = 4096
 CONTROL_TIMEOUT = datetime.timedelta(seconds=1)
 # Sent data that stays unacknowledged for this long breaks the connection.
 UNACKNOWLEDGED_MAX = datetime.timedelta(seconds=3)
@@ -83,6 +87,11 @@
     )
 
 
+@functools.lru_cache(maxsize=URLS_MAX)
+def _tasks_url(address: str) -> yarl.URL:
+    return yarl.URL(f"http://{address}/v1/tasks")
+
+
 def _open_socket(address_info: Any) -> socket.socket:
     family, kind, protocol, _, _ = address_info
     opened = socket.socket(family=family, type=kind, proto=protocol)
@@ -161,7 +170,7 @@
         self._traffic.count("task", len(body))
         try:
             async with self._session.post(
-                f"http://{effect.address}/v1/tasks",
+                _tasks_url(effect.address),
                 data=body,
                 timeout=timeout,
                 allow_redirects=False,
--- a/waxwingwalk/entry/engine.py
+++ b/waxwingwalk/entry/engine.py
@@ -211,7 +211,7 @@
             backend_server=effect.backend_id,
             reason=effect.reason,
             runner_up=effect.runner_up,
-            idle=effect.idle_slots,
+            occupancy=round(effect.occupancy, 2),
             estimate=round(effect.estimate, 4),
             revision=self.state.settings.number,
         )
--- a/waxwingwalk/entry/server.py
+++ b/waxwingwalk/entry/server.py
@@ -5,6 +5,7 @@
 from collections.abc import Coroutine
 import contextlib
 import datetime
+import gc
 import signal
 import socket
 from typing import Any
@@ -21,7 +22,9 @@
 from waxwingwalk.platform import host_list
 from waxwingwalk.settings import store as settings_store
 
-TICK_INTERVAL = datetime.timedelta(milliseconds=20)
+TICK_INTERVAL = datetime.timedelta(milliseconds=50)
+# Objects created since the last collection of the youngest generation.
+GC_THRESHOLD = 20_000
 # How long responses get to leave after the last job ended.
 FLUSH_TIME = datetime.timedelta(milliseconds=200)
 # A first revision is asked for this often.
@@ -68,6 +71,8 @@
             await runner.setup()
             await web.SockSite(runner, opened).start()
             self._runners.append(runner)
+        gc.freeze()
+        gc.set_threshold(GC_THRESHOLD)
         for loop in (self._tick, self._read_hosts, self._read_settings):
             self._tasks.append(asyncio.create_task(loop()))
 
--- a/waxwingwalk/jobs/dispatch.py
+++ b/waxwingwalk/jobs/dispatch.py
@@ -6,7 +6,6 @@
 from waxwingwalk.core import state as core_state
 from waxwingwalk.jobs import job as jobs
 from waxwingwalk.jobs import queue as job_queue
-from waxwingwalk.routing import backends
 from waxwingwalk.routing import base
 
 # Positions in a job's list of unsent tasks.
@@ -25,34 +24,45 @@
     queue = state.queues.get(service)
     if queue is None:
         return []
+    done = _place_tasks(state, queue, service, now)
+    waiting = 0 if queue.is_blocked else queue.task_count
+    done += state.sharing.demand(service, waiting, queue.waiting_teams, now)
+    return done
+
+
+def _place_tasks(
+    state: core_state.State,
+    queue: job_queue.ServiceQueue,
+    service: str,
+    now: datetime.datetime,
+) -> list[effects.Effect]:
+    job = queue.first()
+    if job is None:
+        return []
+    idle = [
+        backend
+        for backend in state.sharing.idle(service)
+        if backend.accepts_work(now)
+    ]
+    placing = state.placement(service).round(service, idle)
     done: list[effects.Effect] = []
-    placement = state.placement(service)
-    while True:
-        job = queue.first()
-        if job is None:
-            break
-        idle = [
-            backend
-            for backend in state.sharing.idle(service)
-            if backend.accepts_work(now)
-        ]
-        if not idle:
-            break
-        placed = _place(placement, queue, job, idle)
+    while job is not None:
+        placed = _place(placing, queue, job)
         if placed is None:
             break
         position, choice = placed
-        done.append(_send(state, queue, job, position, choice, len(idle), now))
-    waiting = 0 if queue.is_blocked else queue.task_count
-    done += state.sharing.demand(service, waiting, queue.waiting_teams, now)
+        done.append(_send(state, queue, job, position, choice, now))
+        backend = choice.backend
+        is_idle = state.sharing.take(backend) and backend.accepts_work(now)
+        placing.placed(backend, is_idle=is_idle)
+        job = queue.first()
     return done
 
 
 def _place(
-    placement: base.Placement,
+    placing: base.PlacementRound,
     queue: job_queue.ServiceQueue,
     job: jobs.Job,
-    idle: list[backends.Backend],
 ) -> tuple[int, base.Choice] | None:
     """Choose a task of the job, by position, and a backend server for it.
 
@@ -67,7 +77,7 @@
             job.estimates[index],
             queue.task_count,
         )
-        choice = placement.choose(request, idle)
+        choice = placing.choose(request)
         if choice is not None:
             return position, choice
         if len(job.pending) == 1:
@@ -93,14 +103,12 @@
     job: jobs.Job,
     position: int,
     choice: base.Choice,
-    idle_count: int,
     now: datetime.datetime,
 ) -> effects.Effect:
     index = queue.take(job, position)
     spec = job.spec
     backend = choice.backend
     options = state.settings.service(spec.service)
-    state.sharing.take(backend.backend_id)
     backend.running += 1
     team = spec.team
     state.team_running[team] = state.team_running.get(team, 0) + 1
@@ -124,18 +132,9 @@
         service=spec.service,
         payload=spec.tasks[index].payload,
         lease=options.task_lease,
-        timeout=_timeout(options.task_timeout, backend, spec.deadline, now),
+        timeout=min(options.task_timeout, spec.deadline - now),
         reason=choice.reason,
         runner_up=(choice.runner_up.backend_id if choice.runner_up else None),
-        idle_slots=idle_count,
+        occupancy=backend.occupancy,
         estimate=choice.estimate,
     )
-
-
-def _timeout(
-    task_timeout: datetime.timedelta,
-    backend: backends.Backend,
-    deadline: datetime.datetime,
-    now: datetime.datetime,
-) -> datetime.timedelta:
-    return min(task_timeout, deadline - now)
--- a/waxwingwalk/routing/base.py
+++ b/waxwingwalk/routing/base.py
@@ -25,15 +25,27 @@
         ...
 
 
-class Placement(Protocol):
-    """Chooses a backend server for a task."""
+class PlacementRound(Protocol):
+    """Places several tasks in a row on the backend servers idle now."""
 
-    def choose(
-        self, request: "PlacementRequest", idle: Sequence[backends.Backend]
-    ) -> "Choice | None":
+    def choose(self, request: "PlacementRequest") -> "Choice | None":
         """Return the choice, or None to keep the task waiting."""
         ...
 
+    def placed(self, backend: backends.Backend, *, is_idle: bool) -> None:
+        """Note that a task went there, and whether more may."""
+        ...
+
+
+class Placement(Protocol):
+    """Chooses backend servers for tasks."""
+
+    def round(
+        self, service: str, idle: Sequence[backends.Backend]
+    ) -> PlacementRound:
+        """Return a round over the backend servers that are idle."""
+        ...
+
     def refresh(self, service: str) -> None:
         """Bring what is derived from estimates up to date."""
         ...
@@ -46,8 +58,8 @@
         """Return the backend servers with a slot to use right now."""
         ...
 
-    def take(self, backend_id: str) -> None:
-        """Occupy a slot, also where none is idle."""
+    def take(self, backend: backends.Backend) -> bool:
+        """Occupy a slot, also where none is idle; True if one more is."""
         ...
 
     def release(
--- a/waxwingwalk/routing/placement.py
+++ b/waxwingwalk/routing/placement.py
@@ -3,6 +3,7 @@
 import bisect
 from collections.abc import Callable
 from collections.abc import Sequence
+import heapq
 import itertools
 import random
 
@@ -21,12 +22,9 @@
 MUCH_FASTER = 1.3
 
 
-def _fitting(
-    task: model.TaskSpec, idle: Sequence[backends.Backend]
-) -> Sequence[backends.Backend]:
-    if not (task.processors or task.memory or task.accelerators):
-        return idle
-    return [backend for backend in idle if backend.spec.fits(task)]
+def _needs_much(task: model.TaskSpec) -> bool:
+    """Whether a task might not fit every backend server."""
+    return bool(task.processors or task.memory or task.accelerators)
 
 
 class LearnedPlacement:
@@ -49,27 +47,26 @@
         self._members = members
         self._tiers: dict[str, FasterTiers] = {}
 
-    def choose(
+    def round(
+        self, service: str, idle: Sequence[backends.Backend]
+    ) -> base.PlacementRound:
+        return _LearnedRound(self, service, idle)
+
+    def cost(self, service: str, backend: backends.Backend) -> float:
+        """Return the slowness to expect there, made worse by crowding."""
+        slowness = self._estimator.slowness(service, backend.spec.backend_id)
+        return slowness * (1.0 + CROWDING * backend.occupancy**2)
+
+    def choice(
         self,
         request: base.PlacementRequest,
-        idle: Sequence[backends.Backend],
+        best: backends.Backend,
+        runner_up: backends.Backend | None,
     ) -> base.Choice | None:
-        service = request.service
-        slowness_of = self._estimator.slowness
-        best = None
-        runner_up = None
-        best_cost = next_cost = float("inf")
-        for backend in _fitting(request.task, idle):
-            cost = slowness_of(service, backend.spec.backend_id)
-            cost *= 1.0 + CROWDING * backend.occupancy**2
-            if cost < best_cost:
-                runner_up, next_cost = best, best_cost
-                best, best_cost = backend, cost
-            elif cost < next_cost:
-                runner_up, next_cost = backend, cost
-        if best is None:
-            return None
-        slowness = slowness_of(service, best.spec.backend_id)
+        """Return the choice, or None if the task had better wait."""
+        slowness = self._estimator.slowness(
+            request.service, best.spec.backend_id
+        )
         if self._is_worth_waiting(request, slowness):
             return None
         estimate = request.base_estimate * slowness
@@ -107,6 +104,66 @@
         self._tiers[service] = FasterTiers(entries)
 
 
+class _LearnedRound:
+    """A heap of the idle backend servers by cost."""
+
+    def __init__(
+        self,
+        placement: LearnedPlacement,
+        service: str,
+        idle: Sequence[backends.Backend],
+    ) -> None:
+        self._placement = placement
+        self._service = service
+        self._heap = [
+            (placement.cost(service, backend), serial, backend)
+            for serial, backend in enumerate(idle)
+        ]
+        heapq.heapify(self._heap)
+
+    def choose(self, request: base.PlacementRequest) -> base.Choice | None:
+        if _needs_much(request.task):
+            return self._choose_fitting(request)
+        if not self._heap:
+            return None
+        runner_up = None
+        if len(self._heap) > 1:
+            runner_up = min(self._heap[1:3])[2]
+        return self._placement.choice(request, self._heap[0][2], runner_up)
+
+    def _choose_fitting(
+        self, request: base.PlacementRequest
+    ) -> base.Choice | None:
+        fitting = heapq.nsmallest(
+            2,
+            (each for each in self._heap if each[2].spec.fits(request.task)),
+        )
+        if not fitting:
+            return None
+        runner_up = fitting[1][2] if len(fitting) > 1 else None
+        return self._placement.choice(request, fitting[0][2], runner_up)
+
+    def placed(self, backend: backends.Backend, *, is_idle: bool) -> None:
+        if self._heap[0][2] is not backend:
+            self._rebuild(backend, is_idle=is_idle)
+            return
+        if not is_idle:
+            heapq.heappop(self._heap)
+            return
+        cost = self._placement.cost(self._service, backend)
+        entry = (cost, self._heap[0][1], backend)
+        heapq.heapreplace(self._heap, entry)
+
+    def _rebuild(self, backend: backends.Backend, *, is_idle: bool) -> None:
+        """Bring an entry up to date that is not the first."""
+        kept = [each for each in self._heap if each[2] is not backend]
+        if is_idle:
+            cost = self._placement.cost(self._service, backend)
+            kept.append((cost, len(self._heap), backend))
+        heapq.heapify(kept)
+        self._heap = kept
+
+
 class FasterTiers:
     """Backend servers by slowness, with the rate at which slots free up.
 
@@ -134,22 +191,45 @@
         return rate, self._products[index] / rate
 
 
+Chooser = Callable[[Sequence[backends.Backend]], backends.Backend]
+
+
+class _ListRound:
+    """A round of a policy that looks at no estimates."""
+
+    def __init__(
+        self, idle: Sequence[backends.Backend], chooser: Chooser, reason: str
+    ) -> None:
+        self._idle = list(idle)
+        self._chooser = chooser
+        self._reason = reason
+
+    def choose(self, request: base.PlacementRequest) -> base.Choice | None:
+        fitting: Sequence[backends.Backend] = self._idle
+        if _needs_much(request.task):
+            fitting = [
+                each for each in fitting if each.spec.fits(request.task)
+            ]
+        if not fitting:
+            return None
+        backend = self._chooser(fitting)
+        return base.Choice(backend, None, self._reason, request.base_estimate)
+
+    def placed(self, backend: backends.Backend, *, is_idle: bool) -> None:
+        if not is_idle:
+            self._idle.remove(backend)
+
+
 class RandomPlacement:
     """Places a task on any idle backend server."""
 
     def __init__(self, generator: random.Random) -> None:
         self._random = generator
 
-    def choose(
-        self,
-        request: base.PlacementRequest,
-        idle: Sequence[backends.Backend],
-    ) -> base.Choice | None:
-        fitting = _fitting(request.task, idle)
-        if not fitting:
-            return None
-        backend = self._random.choice(fitting)
-        return base.Choice(backend, None, "random", request.base_estimate)
+    def round(
+        self, service: str, idle: Sequence[backends.Backend]
+    ) -> base.PlacementRound:
+        return _ListRound(idle, self._random.choice, "random")
 
     def refresh(self, service: str) -> None:
         return
@@ -161,17 +241,14 @@
     def __init__(self) -> None:
         self._turn = 0
 
-    def choose(
-        self,
-        request: base.PlacementRequest,
-        idle: Sequence[backends.Backend],
-    ) -> base.Choice | None:
-        fitting = _fitting(request.task, idle)
-        if not fitting:
-            return None
+    def round(
+        self, service: str, idle: Sequence[backends.Backend]
+    ) -> base.PlacementRound:
+        return _ListRound(idle, self._next, "in turn")
+
+    def _next(self, idle: Sequence[backends.Backend]) -> backends.Backend:
         self._turn += 1
-        backend = fitting[self._turn % len(fitting)]
-        return base.Choice(backend, None, "in turn", request.base_estimate)
+        return idle[self._turn % len(idle)]
 
     def refresh(self, service: str) -> None:
         return
@@ -183,20 +260,15 @@
     def __init__(self, generator: random.Random) -> None:
         self._random = generator
 
-    def choose(
-        self,
-        request: base.PlacementRequest,
-        idle: Sequence[backends.Backend],
-    ) -> base.Choice | None:
-        fitting = _fitting(request.task, idle)
-        if not fitting:
-            return None
-        fewest = min(backend.running for backend in fitting)
-        backend = self._random.choice(
-            [each for each in fitting if each.running == fewest]
-        )
-        return base.Choice(
-            backend, None, "fewest outstanding", request.base_estimate
+    def round(
+        self, service: str, idle: Sequence[backends.Backend]
+    ) -> base.PlacementRound:
+        return _ListRound(idle, self._fewest, "fewest outstanding")
+
+    def _fewest(self, idle: Sequence[backends.Backend]) -> backends.Backend:
+        fewest = min(backend.running for backend in idle)
+        return self._random.choice(
+            [each for each in idle if each.running == fewest]
         )
 
     def refresh(self, service: str) -> None:
--- a/waxwingwalk/routing/slots/occupancy.py
+++ b/waxwingwalk/routing/slots/occupancy.py
@@ -125,9 +125,12 @@
         share = self._slots.get(service, 0) / processes
         return self._running.get(service, 0) < share
 
-    def take(self, backend_id: str) -> None:
-        self._view(backend_id).busy += 1
-        self._count(backend_id, 1)
+    def take(self, backend: backends.Backend) -> bool:
+        self._view(backend.backend_id).busy += 1
+        self._count(backend.backend_id, 1)
+        slots = backend.spec.slots
+        backend.occupancy += 1.0 / slots
+        return backend.occupancy * slots + 1.0 <= slots
 
     def release(
         self, backend_id: str, now: datetime.datetime
--- a/waxwingwalk/routing/slots/owner.py
+++ b/waxwingwalk/routing/slots/owner.py
@@ -78,7 +78,8 @@
             if backend.backend_id in self._holdings
         )
 
-    def take(self, backend_id: str) -> None:
+    def take(self, backend: backends.Backend) -> bool:
+        backend_id = backend.backend_id
         held = self._holding(backend_id)
         if held.idle == 0:
             held.held += 1
@@ -86,7 +87,7 @@
             if owned is not None:
                 owned.grant(self._self, 1)
         held.take()
-        self._refresh(backend_id)
+        return self._refresh(backend_id)
 
     def release(
         self, backend_id: str, now: datetime.datetime
@@ -622,11 +623,11 @@
         count = held.give_up(held.idle)
         self._pools[held.backend_id].take_back(self._self, count)
 
-    def _refresh(self, backend_id: str) -> None:
+    def _refresh(self, backend_id: str) -> bool:
         """Bring the index of idle backend servers up to date."""
         backend = self._registry.get(backend_id)
         if backend is None:
-            return
+            return False
         held = self._holding(backend_id)
         owned = self._pools.get(backend_id)
         usable = (
@@ -642,6 +643,7 @@
                     self._changed.add(service)
             else:
                 listed.pop(backend_id, None)
+        return usable
 
     def _open_remove(self, backend_id: str) -> None:
         for listed in self._open.values():
--- a/waxwingwalk/routing/slots/simple.py
+++ b/waxwingwalk/routing/slots/simple.py
@@ -39,8 +39,10 @@
             if self._busy.get(backend.backend_id, 0) < self._limit(backend)
         ]
 
-    def take(self, backend_id: str) -> None:
-        self._busy[backend_id] = self._busy.get(backend_id, 0) + 1
+    def take(self, backend: backends.Backend) -> bool:
+        busy = self._busy.get(backend.backend_id, 0) + 1
+        self._busy[backend.backend_id] = busy
+        return busy < self._limit(backend)
 
     def release(
         self, backend_id: str, now: datetime.datetime
--- a/waxwingwalk/settings/handlers.py
+++ b/waxwingwalk/settings/handlers.py
@@ -77,8 +77,7 @@
     state.sharing_name = state.settings.process().slot_sharing
     state.sharing = state.policies.slot_sharing(state.sharing_name, state)
     done = state.sharing.topology_changed(now)
-    for attempt in state.attempts.values():
-        state.sharing.take(attempt.backend_id)
+    state.occupy_running_slots()
     return done
 
 
