--- /dev/null
+++ b/tests/docs/test_reference.py
@@ -0,0 +1,52 @@
+"""The reference pages say what the code says."""
+
+import pathlib
+import re
+import unittest
+
+from waxwingwalk.core import results
+from waxwingwalk.settings import global_settings
+
+DOCS = pathlib.Path(__file__).resolve().parents[2] / "docs"
+CODE_ROW = re.compile(r"^\| (\d{4}) \| (\w+) \| (\d{3}) \| (.+?) \|$", re.M)
+
+
+class ResultCodeTests(unittest.TestCase):
+    def test_table_and_code_agree(self):
+        text = (DOCS / "ref" / "result-codes.md").read_text()
+        documented = {
+            int(number): (name, int(status), meaning)
+            for number, name, status, meaning in CODE_ROW.findall(text)
+        }
+        expected = {
+            int(code): (code.name, info.http_status, info.meaning)
+            for code, info in results.CODES.items()
+        }
+        self.assertEqual(expected, documented)
+
+    def test_every_code_is_explained(self):
+        self.assertEqual(set(results.ResultCode), set(results.CODES))
+
+    def test_not_run_needs_zero_starts(self):
+        code = results.ResultCode
+        for started in range(4):
+            chosen = results.code_for_ending(
+                started,
+                unstarted=code.CANCELLED_UNSTARTED,
+                otherwise=code.CANCELLED,
+            )
+            is_not_run = chosen.family is results.Family.NOT_RUN
+            self.assertEqual(started == 0, is_not_run)
+
+
+class SettingsReferenceTests(unittest.TestCase):
+    def test_every_setting_is_documented(self):
+        text = (DOCS / "ref" / "settings.md").read_text()
+        for model in (
+            global_settings.ServiceOptions,
+            global_settings.ProcessOptions,
+            global_settings.TeamOptions,
+        ):
+            for name in model.model_fields:
+                with self.subTest(setting=name):
+                    self.assertIn(f"| {name} |", text)
--- a/tests/entry/jobs.py
+++ b/tests/entry/jobs.py
@@ -1,6 +1,7 @@
 """Submissions for tests over loopback."""
 
 import asyncio
+import datetime
 import time
 import unittest
 
@@ -45,3 +46,8 @@
         if time.monotonic() > deadline:
             raise AssertionError("the condition did not come about")
         await asyncio.sleep(0.01)
+
+
+def seconds(value):
+    """Return a duration."""
+    return datetime.timedelta(seconds=value)
--- /dev/null
+++ b/tests/platform/fakes.py
@@ -0,0 +1,59 @@
+"""A table service in memory, held to the same contract as the client."""
+
+from returns import result
+
+from waxwingwalk.platform import base
+from waxwingwalk.testing import platform
+
+Fault = platform.PlatformFault
+FAILURES = {
+    Fault.DOWN: base.PlatformFailure.REFUSED,
+    Fault.LOSE_REQUEST: base.PlatformFailure.LOST,
+    Fault.LOSE_REPLY: base.PlatformFailure.LOST,
+}
+
+
+class FakeTable:
+    """A table service whose faults are set by the test.
+
+    ``faults`` gives the faults of the next writes, one after another;
+    ``before_write`` is called first, for races.
+    """
+
+    def __init__(self):
+        self.fault = Fault.NONE
+        self.faults = []
+        self.rows = {}
+        self.before_write = None
+
+    async def write(self, writes, *, is_atomic):
+        """Write rows."""
+        if self.before_write is not None:
+            race, self.before_write = self.before_write, None
+            await race()
+        fault = self.faults.pop(0) if self.faults else self.fault
+        if fault in (Fault.DOWN, Fault.LOSE_REQUEST):
+            return result.Failure(FAILURES[fault])
+        fits = [self.version(each) == each.if_version for each in writes]
+        outcomes = []
+        for each, does_fit in zip(writes, fits, strict=True):
+            is_written = does_fit and (all(fits) or not is_atomic)
+            if is_written:
+                row = base.Row(each.if_version + 1, each.value)
+                self.rows[each.table, each.key] = row
+            row = self.rows.get((each.table, each.key))
+            outcomes.append(base.WriteResult(is_written, row))
+        if fault is Fault.LOSE_REPLY:
+            return result.Failure(FAILURES[fault])
+        return result.Success(outcomes)
+
+    def version(self, write):
+        """Return the version of a row, 0 where there is none."""
+        row = self.rows.get((write.table, write.key))
+        return 0 if row is None else row.version
+
+    async def read(self, keys):
+        """Read rows."""
+        if self.fault in FAILURES:
+            return result.Failure(FAILURES[self.fault])
+        return result.Success([self.rows.get(key) for key in keys])
--- /dev/null
+++ b/tests/routing/test_estimates.py
@@ -0,0 +1,48 @@
+"""Learned speeds and biases."""
+
+import math
+import random
+import unittest
+
+from waxwingwalk.routing import estimates
+
+
+class EstimatorTests(unittest.TestCase):
+    def learn(self, speeds, error, bias=1.0, count=4000):
+        """Learn from tasks on servers of these speeds."""
+        generator = random.Random(3)
+        estimator = estimates.RunTimeEstimator()
+        for _ in range(count):
+            server = generator.randrange(len(speeds))
+            work = generator.uniform(0.05, 1.0)
+            declared = work * error ** generator.uniform(-1, 1) / bias
+            estimator.observe(
+                "refunds",
+                "shops",
+                f"b{server}",
+                declared=declared,
+                seen=work / speeds[server],
+            )
+        return estimator
+
+    def test_relative_speeds_are_learned_through_wrong_declarations(self):
+        speeds = (0.25, 1.0, 2.0)
+        for error, tolerance in ((1.0, 0.05), (10.0, 0.6)):
+            with self.subTest(error=error):
+                estimator = self.learn(speeds, error)
+                slow = estimator.slowness("refunds", "b0")
+                fast = estimator.slowness("refunds", "b2")
+                self.assertAlmostEqual(
+                    math.log(8), math.log(slow / fast), delta=tolerance
+                )
+
+    def test_declarations_that_are_off_alike_are_corrected(self):
+        estimator = self.learn((1.0, 1.0), error=1.1, bias=5.0)
+        expected = estimator.base("refunds", "shops", 0.2)
+        expected *= estimator.slowness("refunds", "b0")
+        self.assertAlmostEqual(1.0, expected, delta=0.1)
+
+    def test_unknown_task_takes_what_was_declared(self):
+        estimator = estimates.RunTimeEstimator()
+        self.assertEqual(0.2, estimator.base("refunds", "shops", 0.2))
+        self.assertEqual(1.0, estimator.slowness("refunds", "b0"))
--- a/waxwingwalk/jobs/dispatch.py
+++ b/waxwingwalk/jobs/dispatch.py
@@ -6,6 +6,7 @@
 from waxwingwalk.core import state as core_state
 from waxwingwalk.jobs import job as jobs
 from waxwingwalk.jobs import queue as job_queue
+from waxwingwalk.routing import backends
 from waxwingwalk.routing import base
 
 # Positions in a job's list of unsent tasks.
@@ -14,34 +15,44 @@
 
 
 def dispatch(
-    state: core_state.State, service: str, now: datetime.datetime
+    state: core_state.State,
+    service: str,
+    now: datetime.datetime,
+    only: backends.Backend | None = None,
 ) -> list[effects.Effect]:
     """Send tasks of a service while there are idle slots.
 
+    ``only`` names the one backend server whose load has changed; the others
+    are then left for the next time that all are looked at.
+
     A backend server is chosen only now that it has a slot to give. What is
     left waiting is stated to the slot sharing as demand.
     """
     queue = state.queues.get(service)
     if queue is None:
         return []
-    done = _place_tasks(state, queue, service, now)
+    done: list[effects.Effect] = []
+    while sends := _place_round(state, queue, service, now, only):
+        done += sends
     waiting = 0 if queue.is_blocked else queue.task_count
     done += state.sharing.demand(service, waiting, queue.waiting_teams, now)
     return done
 
 
-def _place_tasks(
+def _place_round(
     state: core_state.State,
     queue: job_queue.ServiceQueue,
     service: str,
     now: datetime.datetime,
+    only: backends.Backend | None,
 ) -> list[effects.Effect]:
+    """Send tasks until the idle backend servers are filled."""
     job = queue.first()
     if job is None:
         return []
     idle = [
         backend
-        for backend in state.sharing.idle(service)
+        for backend in state.sharing.idle(service, only)
         if backend.accepts_work(now)
     ]
     placing = state.placement(service).round(service, idle)
--- a/waxwingwalk/jobs/handlers.py
+++ b/waxwingwalk/jobs/handlers.py
@@ -202,8 +202,8 @@
         done += _apply_outcome(state, job, event, outcome, now)
     elif not job.running:
         _forget_if_due(state, job, now)
-    done += dispatch.dispatch(state, spec.service, now)
-    return done
+    backend = state.registry.get(event.backend_id)
+    return done + dispatch.dispatch(state, spec.service, now, backend)
 
 
 def read_status(
--- a/waxwingwalk/routing/base.py
+++ b/waxwingwalk/routing/base.py
@@ -54,8 +54,13 @@
 class SlotSharing(Protocol):
     """Decides which slots this process may use now."""
 
-    def idle(self, service: str) -> Collection[backends.Backend]:
-        """Return the backend servers with a slot to use right now."""
+    def idle(
+        self, service: str, only: backends.Backend | None = None
+    ) -> Collection[backends.Backend]:
+        """Return the backend servers with a slot to use right now.
+
+        ``only`` asks about a single one, whose load has just changed.
+        """
         ...
 
     def take(self, backend: backends.Backend) -> bool:
--- a/waxwingwalk/routing/slots/occupancy.py
+++ b/waxwingwalk/routing/slots/occupancy.py
@@ -83,8 +83,10 @@
         self._now = 0.0
         self._changed: set[str] = set()
 
-    def idle(self, service: str) -> Collection[backends.Backend]:
-        offering = self._registry.offering(service)
+    def idle(
+        self, service: str, only: backends.Backend | None = None
+    ) -> Collection[backends.Backend]:
+        offering = [only] if only else self._registry.offering(service)
         if len(offering) > SAMPLE_SIZE:
             offering = self._random.sample(offering, SAMPLE_SIZE)
         mean_others = self._mean_others.get(service, 0.0)
--- a/waxwingwalk/routing/slots/owner.py
+++ b/waxwingwalk/routing/slots/owner.py
@@ -64,12 +64,20 @@
         self._open: dict[str, dict[str, backends.Backend]] = {}
         self._own_want: dict[str, int] = {}
         self._changed: set[str] = set()
+        self._own_recalled_at = datetime.datetime.min.replace(
+            tzinfo=datetime.UTC
+        )
         self._serial = 0
 
     # What the dispatcher asks.
 
-    def idle(self, service: str) -> Collection[backends.Backend]:
-        return list(self._open.get(service, {}).values())
+    def idle(
+        self, service: str, only: backends.Backend | None = None
+    ) -> Collection[backends.Backend]:
+        listed = self._open.get(service, {})
+        if only is None:
+            return list(listed.values())
+        return [only] if only.backend_id in listed else []
 
     def held_total(self, service: str) -> int:
         return sum(
@@ -413,12 +421,24 @@
         ):
             return []
         waiting.recalled_at = now
+        return self._recall_for(waiting.holder)
+
+    def _recall_own(self, now: datetime.datetime) -> list[effects.Effect]:
+        """Ask for slots on behalf of this process's own waiting tasks."""
+        if not any(self._own_want.values()):
+            return []
+        if now - self._own_recalled_at < RECALL_INTERVAL:
+            return []
+        self._own_recalled_at = now
+        return self._recall_for(self._self)
+
+    def _recall_for(self, waiter: str) -> list[effects.Effect]:
         recalls: list[effects.Effect] = []
-        own_level = self._granted_to(waiting.holder)
+        level = self._granted_to(waiter)
         for holder in self._holders():
-            if holder in (self._self, waiting.holder):
+            if holder in (self._self, waiter):
                 continue
-            excess = self._granted_to(holder) - own_level
+            excess = self._granted_to(holder) - level
             if excess < 2:
                 continue
             slots = self._choose_recall(holder, excess // 2)
@@ -458,6 +478,7 @@
         done += self._serve_all(now)
         for key in list(self._waiting):
             done += self._recall(key, now)
+        done += self._recall_own(now)
         self._changed.update(self._registry.services())
         return done
 
--- a/waxwingwalk/routing/slots/simple.py
+++ b/waxwingwalk/routing/slots/simple.py
@@ -32,10 +32,13 @@
         processes = max(1, len(self._members()))
         return max(1, backend.spec.connections // processes)
 
-    def idle(self, service: str) -> Collection[backends.Backend]:
+    def idle(
+        self, service: str, only: backends.Backend | None = None
+    ) -> Collection[backends.Backend]:
+        asked = [only] if only else self._registry.offering(service)
         return [
             backend
-            for backend in self._registry.offering(service)
+            for backend in asked
             if self._busy.get(backend.backend_id, 0) < self._limit(backend)
         ]
 
