Cut what control costs at the two-year size

Cause: at 800 backend servers the host list is 183 kB a read, at 270 teams a settings revision 9.6 kB, sent whole to each peer; both alone pass 4 kB/s. The host list now has an ETag, a settings notice carries the change without its tree (0.2 kB), and the store is asked for the head's number only.

--- a/bench/stand_ins.py
+++ b/bench/stand_ins.py
@@ -13,6 +13,7 @@
 import uvloop
 
 from waxwingwalk.settings import adopted
+from waxwingwalk.settings import store as settings_store
 from waxwingwalk.testing import backend
 from waxwingwalk.testing import platform
 
@@ -48,7 +49,12 @@
             self.servers.append(server)
             self.platform.put_host("backend_servers", server.entry())
         revision = adopted.Revision(number=1, tree=self._plan["tree"])
-        self.platform.seed("settings", "head", json.loads(revision.document()))
+        self.platform.seed("settings", "head", {"number": 1})
+        self.platform.seed(
+            "settings",
+            settings_store.revision_key(1),
+            json.loads(revision.document()),
+        )
         return {"platforms": ports}
 
     def do(self, order: dict[str, Any]) -> dict[str, Any]:
--- a/tests/settings/test_store.py
+++ b/tests/settings/test_store.py
@@ -69,9 +69,9 @@
         for fault, code in cases:
             with self.subTest(fault=fault.value):
                 self.table.faults = [fault]
-                before = (await self.store.head()).unwrap()[0].number
+                before = (await self.store.head()).unwrap().number
                 changed = await self.change("teams.pubs.quota", 5)
-                after = (await self.store.head()).unwrap()[0].number
+                after = (await self.store.head()).unwrap().number
                 if code is None:
                     self.assertEqual(before + 1, changed.unwrap().number)
                     self.assertEqual(before + 1, after)
--- a/waxwingwalk/core/messages.py
+++ b/waxwingwalk/core/messages.py
@@ -110,7 +110,11 @@
 
 @dataclasses.dataclass(slots=True)
 class SettingsNotice:
-    """A settings revision that the store has accepted, as a document."""
+    """A settings revision that the store has accepted, without its tree.
+
+    A receiver that has the revision before it makes the tree itself; any
+    other fetches the revision whole.
+    """
 
     revision: int
     document: str
--- a/waxwingwalk/entry/server.py
+++ b/waxwingwalk/entry/server.py
@@ -126,15 +126,21 @@
         self._engine.apply(events.PeersListed(addresses))
         self._engine.apply(events.BackendsListed(hosts.backends))
 
+    async def _read_revision(self, number: int) -> None:
+        read = await self._store.revision(number)
+        revision = read.value_or(None)
+        if revision is not None:
+            document = revision.document()
+            self._engine.apply(events.SettingsRead(document))
+
     async def _read_settings(self) -> None:
         """Ask the store for a newer revision, eagerly until there is one."""
         while True:
-            read = await self._store.head()
-            if isinstance(read, result.Success):
-                revision, _ = read.unwrap()
-                document = revision.document()
-                self._engine.apply(events.SettingsRead(document))
             settings = self._engine.state.settings
+            read = await self._store.head()
+            head = read.value_or(None)
+            if head is not None and head.number > settings.number:
+                await self._read_revision(head.number)
             interval = settings.process().settings_interval
             if not settings.is_ready:
                 interval = EAGER_SETTINGS_INTERVAL
--- a/waxwingwalk/jobs/dispatch.py
+++ b/waxwingwalk/jobs/dispatch.py
@@ -34,6 +34,8 @@
     done: list[effects.Effect] = []
     while sends := _place_round(state, queue, service, now, only):
         done += sends
+        if only is not None:
+            break
     waiting = 0 if queue.is_blocked else queue.task_count
     done += state.sharing.demand(service, waiting, queue.waiting_teams, now)
     return done
--- a/waxwingwalk/membership/handlers.py
+++ b/waxwingwalk/membership/handlers.py
@@ -111,8 +111,8 @@
         case messages.BackendNotice():
             return health.receive_notice(state, message, now)
         case messages.SettingsNotice():
-            return settings_handlers.adopt_document(
-                state, message.document, now
+            return settings_handlers.receive_notice(
+                state, event.address, message, now
             )
     if not _is_from_member(state, event):
         return []
--- a/waxwingwalk/platform/base.py
+++ b/waxwingwalk/platform/base.py
@@ -71,6 +71,9 @@
 
     async def hosts(
         self,
-    ) -> result.Result[dict[str, Any], PlatformFailure]:
-        """Return ``entry_hosts`` and ``backend_servers``, unvalidated."""
+    ) -> result.Result[dict[str, Any] | None, PlatformFailure]:
+        """Return ``entry_hosts`` and ``backend_servers``, unvalidated.
+
+        None means that the list is as it was at the last call.
+        """
         ...
--- a/waxwingwalk/platform/http.py
+++ b/waxwingwalk/platform/http.py
@@ -43,6 +43,7 @@
     def __init__(self, url: str, session: aiohttp.ClientSession) -> None:
         self._url = url
         self._session = session
+        self._hosts_tag = ""
         self._timeout = aiohttp.ClientTimeout(
             total=REQUEST_TIMEOUT.total_seconds(),
             sock_connect=CONNECT_TIMEOUT.total_seconds(),
@@ -75,24 +76,36 @@
 
     async def hosts(
         self,
-    ) -> result.Result[dict[str, Any], base.PlatformFailure]:
-        reply = await self._call("GET", "/v1/hosts", None)
+    ) -> result.Result[dict[str, Any] | None, base.PlatformFailure]:
+        headers = {"If-None-Match": self._hosts_tag} if self._hosts_tag else {}
+        reply = await self._call("GET", "/v1/hosts", None, headers)
+        if reply == result.Success(b""):
+            return result.Success(None)
         return reply.bind(_parse_hosts)
 
     async def _call(
-        self, method: str, path: str, body: dict[str, Any] | None
+        self,
+        method: str,
+        path: str,
+        body: dict[str, Any] | None,
+        headers: dict[str, str] | None = None,
     ) -> result.Result[bytes, base.PlatformFailure]:
+        """Send a request; the content is empty if nothing has changed."""
         data = None if body is None else orjson.dumps(body)
         try:
             async with self._session.request(
                 method,
                 self._url + path,
                 data=data,
+                headers=headers,
                 timeout=self._timeout,
                 allow_redirects=False,
             ) as response:
                 content = await response.read()
-                if response.status == 200:
+                if response.status in (200, 304):
+                    self._hosts_tag = response.headers.get(
+                        "ETag", self._hosts_tag
+                    )
                     return result.Success(content)
                 if response.status == 503:
                     return result.Failure(base.PlatformFailure.REFUSED)
--- a/waxwingwalk/routing/estimates.py
+++ b/waxwingwalk/routing/estimates.py
@@ -10,6 +10,8 @@
 import math
 
 MIN_STEP = 0.03
+# The logarithm of the ratio between two neighbouring speed levels.
+LEVEL_STEP = 0.25
 # Seconds; a declared or observed time below this counts as this.
 MIN_RUN_TIME = 0.001
 
@@ -18,6 +20,7 @@
 class _Term:
     log: float = 0.0
     factor: float = 1.0
+    level: float = 1.0
     count: int = 0
 
     def follow(self, residual: float, share: float) -> None:
@@ -25,6 +28,7 @@
         step = max(MIN_STEP, 1.0 / (self.count + 1))
         self.log += step * share * residual
         self.factor = math.exp(self.log)
+        self.level = math.exp(round(self.log / LEVEL_STEP) * LEVEL_STEP)
 
 
 class RunTimeEstimator:
@@ -55,6 +59,15 @@
         term = self._slownesses.get((service, backend_id))
         return 1.0 if term is None else term.factor
 
+    def speed_level(self, service: str, backend_id: str) -> float:
+        """Return the slowness, rounded to steps that noise does not cross.
+
+        Without rounding the server that happens to look fastest draws the
+        tasks of every process.
+        """
+        term = self._slownesses.get((service, backend_id))
+        return 1.0 if term is None else term.level
+
     def observations(self, service: str, backend_id: str) -> int:
         """Return how many run times the slowness rests on."""
         term = self._slownesses.get((service, backend_id))
--- a/waxwingwalk/routing/placement.py
+++ b/waxwingwalk/routing/placement.py
@@ -54,7 +54,9 @@
 
     def cost(self, service: str, backend: backends.Backend) -> float:
         """Return the slowness to expect there, made worse by crowding."""
-        slowness = self._estimator.slowness(service, backend.spec.backend_id)
+        slowness = self._estimator.speed_level(
+            service, backend.spec.backend_id
+        )
         return slowness * (1.0 + CROWDING * backend.occupancy**2)
 
     def choice(
--- a/waxwingwalk/routing/slots/occupancy.py
+++ b/waxwingwalk/routing/slots/occupancy.py
@@ -26,7 +26,7 @@
 SAMPLE_SIZE = 24
 # How much a fresh report counts against the mean load. All processes see the
 # same report: trusted in full, it sends them all to the same server.
-REPORT_TRUST = 0.5
+REPORT_TRUST = 0.3
 # The share of a new observation in the moving mean of running tasks.
 MEAN_STEP = 0.05
 # A peer's stated load is dropped after this long without news.
--- a/waxwingwalk/settings/adopted.py
+++ b/waxwingwalk/settings/adopted.py
@@ -27,11 +27,10 @@
     changes: dict[str, Any] = {}
     tree: dict[str, Any] = {}
 
-    def document(self) -> str:
+    def document(self, *, has_tree: bool = True) -> str:
         """Return the revision as JSON text."""
-        return orjson.dumps(
-            self.model_dump(), option=orjson.OPT_SORT_KEYS
-        ).decode()
+        content = self.model_dump(exclude=None if has_tree else {"tree"})
+        return orjson.dumps(content, option=orjson.OPT_SORT_KEYS).decode()
 
 
 EMPTY = Revision(number=0, author="waxwingwalk", reason="built in defaults")
--- a/waxwingwalk/settings/global_settings.py
+++ b/waxwingwalk/settings/global_settings.py
@@ -143,7 +143,7 @@
     overdue_factor: float = pydantic.Field(6.0, ge=1.5, le=100)
     # An idle connection older than this is not used for another task.
     connection_freshness: Duration = pydantic.Field(
-        seconds(2), ge=seconds(0.1), le=seconds(60)
+        seconds(1), ge=seconds(0.1), le=seconds(60)
     )
     # How often the platform's host list is read.
     host_list_interval: Duration = pydantic.Field(
--- a/waxwingwalk/settings/handlers.py
+++ b/waxwingwalk/settings/handlers.py
@@ -3,6 +3,7 @@
 import datetime
 
 import pydantic
+from returns import result
 
 from waxwingwalk.core import effects
 from waxwingwalk.core import events
@@ -52,6 +53,29 @@
     return [log, *_apply(state, now)]
 
 
+def receive_notice(
+    state: core_state.State,
+    address: str,
+    notice: messages.SettingsNotice,
+    now: datetime.datetime,
+) -> Effects:
+    """Take in the news of a revision from the peer that had it accepted."""
+    known = state.settings.revision
+    if notice.revision <= state.settings.number:
+        return []
+    if known is None or notice.revision != known.number + 1:
+        return [effects.FetchSettings(address)]
+    try:
+        revision = adopted.Revision.model_validate_json(notice.document)
+    except pydantic.ValidationError as error:
+        return [_rejected(str(error))]
+    built = tree.changed(known.tree, revision.changes)
+    if not isinstance(built, result.Success):
+        return [effects.FetchSettings(address)]
+    whole = revision.model_copy(update={"tree": built.unwrap()})
+    return adopt_document(state, whole.document(), now)
+
+
 def _rejected(message: str) -> effects.Effect:
     return effects.Log("settings.rejected", {"error": message})
 
@@ -93,7 +117,9 @@
     """Send the adopted revision to every peer."""
     revision = state.settings.revision
     assert revision is not None
-    notice = messages.SettingsNotice(revision.number, revision.document())
+    notice = messages.SettingsNotice(
+        revision.number, revision.document(has_tree=False)
+    )
     return [
         effects.SendToPeer(member.record.address, notice)
         for member in state.membership.peers()
--- a/waxwingwalk/settings/store.py
+++ b/waxwingwalk/settings/store.py
@@ -1,11 +1,13 @@
 """Settings revisions in the table service: one total order.
 
-The head row holds the newest revision; each revision also has a row of its
-own. Both are written in one atomic write that is conditional on the head's
-version, so of two racing changes one must start again from the other.
+The head row holds the newest revision's number alone, so that asking for news
+costs little; each revision has a row of its own. Both are written in one
+atomic write that is conditional on the head's version, so of two racing
+changes one must start again from the other.
 """
 
 from collections.abc import Callable
+import dataclasses
 import datetime
 from typing import Any
 
@@ -25,6 +27,14 @@
 ChangeResult = result.Result[adopted.Revision, "ChangeRefusal"]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Head:
+    """The newest revision's number, and its row's version."""
+
+    number: int
+    version: int
+
+
 class ChangeRefusal:
     """Why a change was not accepted, with every fault or conflict."""
 
@@ -58,13 +68,27 @@
         self._now = now
         self._new_change_id = new_change_id
 
-    async def head(
-        self,
-    ) -> result.Result[tuple[adopted.Revision, int], base.PlatformFailure]:
-        """Return the newest revision and its row's version."""
+    async def head(self) -> result.Result[Head, base.PlatformFailure]:
+        """Return the newest revision's number."""
         read = await self._table.read([(TABLE, HEAD)])
         return read.map(lambda rows: _parse_head(rows[0]))
 
+    async def newest(
+        self,
+    ) -> result.Result[tuple[adopted.Revision, int], base.PlatformFailure]:
+        """Return the newest revision and its head row's version."""
+        read = await self.head()
+        if not isinstance(read, result.Success):
+            return result.Failure(read.failure())
+        head = read.unwrap()
+        found = await self.revision(head.number)
+        if not isinstance(found, result.Success):
+            return result.Failure(found.failure())
+        revision = found.unwrap()
+        if revision is None:
+            return result.Failure(base.PlatformFailure.LOST)
+        return result.Success((revision, head.version))
+
     async def revision(
         self, number: int
     ) -> result.Result[adopted.Revision | None, base.PlatformFailure]:
@@ -89,7 +113,7 @@
         """
         change_id = self._new_change_id()
         for _ in range(RACES_MAX):
-            read = await self.head()
+            read = await self.newest()
             if not isinstance(read, result.Success):
                 return _refused(results.ResultCode.SETTINGS_STORE_UNAVAILABLE)
             head, version = read.unwrap()
@@ -124,7 +148,7 @@
         value = revision.model_dump()
         key = revision_key(revision.number)
         writes = [
-            base.Write(TABLE, HEAD, value, version),
+            base.Write(TABLE, HEAD, {"number": revision.number}, version),
             base.Write(TABLE, key, value, 0),
         ]
         written = await self._table.write(writes, is_atomic=True)
@@ -182,7 +206,7 @@
         self, number: int, *, author: str, reason: str
     ) -> ChangeResult:
         """Make a new revision whose tree is that of an earlier one."""
-        read = await self.head()
+        read = await self.newest()
         earlier = await self.revision(number)
         if not isinstance(read, result.Success) or not isinstance(
             earlier, result.Success
@@ -208,7 +232,7 @@
         read = await self.head()
         if not isinstance(read, result.Success):
             return result.Failure(read.failure())
-        newest = read.unwrap()[0].number
+        newest = read.unwrap().number
         numbers = range(newest, max(0, newest - count), -1)
         keys = [(TABLE, revision_key(number)) for number in numbers]
         if not keys:
@@ -225,10 +249,10 @@
     return None if row is None else adopted.Revision(**row.value)
 
 
-def _parse_head(row: base.Row | None) -> tuple[adopted.Revision, int]:
+def _parse_head(row: base.Row | None) -> Head:
     if row is None:
-        return adopted.EMPTY, 0
-    return adopted.Revision(**row.value), row.version
+        return Head(0, 0)
+    return Head(int(row.value["number"]), row.version)
 
 
 def _refused(
--- a/waxwingwalk/testing/platform.py
+++ b/waxwingwalk/testing/platform.py
@@ -12,6 +12,7 @@
 
 from aiohttp import web
 import orjson
+import xxhash
 
 LIST_KINDS = ("entry_hosts", "backend_servers")
 
@@ -172,7 +173,12 @@
             kind: list(entries.values())
             for kind, entries in self._hosts.items()
         }
-        return await self._answer(listed)
+        tag = f'"{xxhash.xxh3_64_hexdigest(orjson.dumps(listed))}"'
+        if request.headers.get("If-None-Match") == tag:
+            return web.Response(status=304, headers={"ETag": tag})
+        response = await self._answer(listed)
+        response.headers["ETag"] = tag
+        return response
 
     async def _put_host(self, request: web.Request) -> web.Response:
         self.put_host(
