--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -5,6 +5,7 @@
 
 from bench import runner
 from bench import scenarios
+from bench import spread
 
 SEED = 20261203
 
@@ -27,6 +28,8 @@
     if arguments.quick and not policies:
         policies = list(scenarios.OURS_AND_SHARE)
     asyncio.run(runner.run_all(chosen, arguments.seed, policies))
+    if spread.TITLE.startswith(arguments.only or "") and not arguments.quick:
+        print(asyncio.run(spread.run(arguments.seed)))
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/bench/drill.py
@@ -0,0 +1,216 @@
+"""``python -m bench.drill``: daemons by hand, and what kills them.
+
+Starts the platform, six backend servers and three entry daemons from the
+command line, each a process of its own. Under load it kills one entry daemon
+and one backend server with SIGKILL and stops the platform. The backend
+servers count the starts; every caller must have been told the truth.
+"""
+
+import asyncio
+import contextlib
+import json
+import pathlib
+import signal
+import sys
+import tempfile
+import time
+from typing import Any
+
+import aiohttp
+import orjson
+import yaml
+
+from bench import fleet as bench_fleet
+
+SECONDS = 14.0
+JOBS_A_SECOND = 12
+TASKS = 12
+SERVERS = 6
+ENTRIES = 3
+KILL_ENTRY_AT = 4.0
+KILL_BACKEND_AT = 7.0
+STOP_PLATFORM_AT = 2.0
+READY_TIMEOUT = 30.0
+# What the commands print before the address that they listen on.
+LISTENS_AT = " at "
+
+
+class Drill:
+    """The daemons, the load and the books."""
+
+    def __init__(self, folder: pathlib.Path) -> None:
+        self._folder = folder
+        self._processes: list[asyncio.subprocess.Process] = []
+        self._entries: list[tuple[asyncio.subprocess.Process, str]] = []
+        self._servers: list[tuple[asyncio.subprocess.Process, str]] = []
+        self._platform: asyncio.subprocess.Process
+        self.replies: list[tuple[str, dict[str, Any] | None]] = []
+        self._session: aiohttp.ClientSession
+
+    async def _start(self, *arguments: str) -> asyncio.subprocess.Process:
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-u",
+            "-m",
+            "waxwingwalk",
+            *arguments,
+            stdout=asyncio.subprocess.PIPE,
+        )
+        self._processes.append(process)
+        return process
+
+    async def _address(self, process: asyncio.subprocess.Process) -> str:
+        assert process.stdout is not None
+        line = (await process.stdout.readline()).decode()
+        return line.strip().rpartition(LISTENS_AT)[2]
+
+    async def start(self) -> None:
+        """Start every daemon and wait until they serve."""
+        self._session = aiohttp.ClientSession()
+        port = str(bench_fleet.free_ports(1)[0])
+        self._platform = await self._start("platform", "--port", port)
+        url = await self._address(self._platform)
+        for number in range(SERVERS):
+            process = await self._start(
+                "backend",
+                f"--id=backend-{number}",
+                f"--zone=zone-{number % 2}",
+                f"--platform={url}",
+            )
+            self._servers.append((process, await self._address(process)))
+        await self._start_entries(url)
+        await self._wait_ready()
+
+    async def _start_entries(self, url: str) -> None:
+        (self._folder / "peers.secret").write_text("a-secret-for-the-drill")
+        ports = bench_fleet.free_ports(3 * ENTRIES)
+        peers = [f"127.0.0.1:{port}" for port in ports[:ENTRIES]]
+        for number in range(ENTRIES):
+            callers, operators = ports[ENTRIES + 2 * number :][:2]
+            settings = {
+                "place": {
+                    "region": "region",
+                    "availability_zone": f"zone-{number % 2}",
+                },
+                "callers": {"port": callers},
+                "operators": {"port": operators},
+                "peers": {"port": ports[number]},
+                "platform": {"url": url},
+                "access": {"peers_secret_file": "peers.secret"},
+                "seeds": peers,
+                "log_level": "error",
+            }
+            path = self._folder / f"entry-{number}.yaml"
+            path.write_text(yaml.safe_dump(settings))
+            process = await self._start("entry", f"--settings={path}")
+            self._entries.append((process, f"127.0.0.1:{callers}"))
+
+    async def _wait_ready(self) -> None:
+        deadline = time.monotonic() + READY_TIMEOUT
+        probe = {"service": "refunds", "team": "drill", "tasks": [{}]}
+        for _, address in self._entries:
+            while True:
+                reply = await self._post(address, probe)
+                if reply is not None and reply["code"] == 1000:
+                    break
+                if time.monotonic() > deadline:
+                    raise TimeoutError("the daemons did not become ready")
+                await asyncio.sleep(0.1)
+
+    async def _post(
+        self, address: str, job: dict[str, Any]
+    ) -> dict[str, Any] | None:
+        try:
+            async with self._session.post(
+                f"http://{address}/v1/jobs", json=job
+            ) as response:
+                reply: dict[str, Any] = orjson.loads(await response.read())
+                return reply
+        except (aiohttp.ClientError, OSError):
+            return None
+
+    async def run(self) -> None:
+        """Drive load while things die."""
+        loop = asyncio.get_running_loop()
+        loop.call_later(STOP_PLATFORM_AT, self._kill, self._platform)
+        loop.call_later(KILL_ENTRY_AT, self._kill, self._entries[0][0])
+        loop.call_later(KILL_BACKEND_AT, self._kill, self._servers[0][0])
+        running = []
+        for number in range(int(SECONDS * JOBS_A_SECOND)):
+            running.append(asyncio.create_task(self._submit(number)))
+            await asyncio.sleep(1 / JOBS_A_SECOND)
+        await asyncio.gather(*running)
+
+    def _kill(self, process: asyncio.subprocess.Process) -> None:
+        process.send_signal(signal.SIGKILL)
+
+    async def _submit(self, number: int) -> None:
+        _, address = self._entries[number % ENTRIES]
+        tasks = [
+            {
+                "payload": {"run_seconds": 0.3, "value": f"{number}/{index}"},
+                "run_time_seconds": 0.3,
+            }
+            for index in range(TASKS)
+        ]
+        job = {"service": "refunds", "team": "drill", "tasks": tasks}
+        reply = await self._post(address, job)
+        self.replies.append((str(number), reply))
+
+    async def starts(self) -> dict[str, int]:
+        """Return the starts of each task on the living backend servers."""
+        total: dict[str, int] = {}
+        for process, address in self._servers:
+            if process.returncode is not None:
+                continue
+            url = f"http://{address}/v1/starts"
+            async with self._session.get(url) as response:
+                for name, count in (await response.json()).items():
+                    total[name] = total.get(name, 0) + count
+        return total
+
+    async def close(self) -> None:
+        """End the processes that this drill started."""
+        await self._session.close()
+        for process in self._processes:
+            with contextlib.suppress(ProcessLookupError):
+                process.kill()
+            await process.wait()
+
+
+def _judge(
+    replies: list[tuple[str, dict[str, Any] | None]], starts: dict[str, int]
+) -> dict[str, int]:
+    """Count endings, tasks that started twice and answers that are untrue."""
+    counts = {"twice": sum(count > 1 for count in starts.values())}
+    started_jobs = {name.rpartition("/")[0] for name in starts}
+    counts["untrue"] = 0
+    for number, reply in replies:
+        name = "no reply" if reply is None else str(reply["code"])
+        counts[name] = counts.get(name, 0) + 1
+        if reply is None:
+            continue
+        if reply["code"] == 1000:
+            expected = [f"{number}/{index}" for index in range(TASKS)]
+            counts["untrue"] += reply["results"] != expected
+        elif reply["code"] // 1000 == 2:
+            counts["untrue"] += reply.get("job") in started_jobs
+    return counts
+
+
+async def main() -> int:
+    """Run the drill; return 1 if a promise was broken."""
+    with tempfile.TemporaryDirectory(prefix="waxwingwalk-") as folder:
+        drill = Drill(pathlib.Path(folder))
+        try:
+            await drill.start()
+            await drill.run()
+            counts = _judge(drill.replies, await drill.starts())
+        finally:
+            await drill.close()
+    print(json.dumps(counts, indent=1, sort_keys=True))
+    return 1 if counts["twice"] or counts["untrue"] else 0
+
+
+if __name__ == "__main__":
+    sys.exit(asyncio.run(main()))
--- a/waxwingwalk/testing/backend.py
+++ b/waxwingwalk/testing/backend.py
@@ -84,6 +84,7 @@
         app.router.add_post("/v1/tasks/checkpoint", self._acknowledge)
         app.router.add_post("/v1/leases", self._acknowledge)
         app.router.add_get("/v1/usage", self._read_usage)
+        app.router.add_get("/v1/starts", self._read_starts)
         self._runner = web.AppRunner(
             app, access_log=None, shutdown_timeout=0.01
         )
@@ -265,5 +266,9 @@
         await request.read()
         return web.json_response({})
 
+    async def _read_starts(self, request: web.Request) -> web.Response:
+        """Return how often each task was started; stand-in only."""
+        return web.json_response(dict(self.starts))
+
     async def _read_usage(self, request: web.Request) -> web.Response:
         return web.json_response({"running": self._sharing.running})
