--- /dev/null
+++ b/tests/management/test_daemon.py
@@ -0,0 +1,125 @@
+"""The entry daemon as a process of its own, and the signals that it gets."""
+
+import asyncio
+import contextlib
+import pathlib
+import signal
+import sys
+import tempfile
+
+import yaml
+
+from tests.entry import jobs
+from waxwingwalk.core import results
+from waxwingwalk.testing import fleet
+
+Code = results.ResultCode
+
+
+class DaemonTests(jobs.FleetTestCase):
+    """A fleet with one entry process beside it as a daemon."""
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        settings = {
+            "defaults.probe_interval": "100 ms",
+            "defaults.peer_timeout": "600 ms",
+        }
+        self.folder = tempfile.TemporaryDirectory(prefix="waxwingwalk-")
+        self.fleet = await fleet.Fleet(settings=settings).__aenter__()
+        await jobs.add_backends(self.fleet, 1)
+        await self.start_daemon()
+
+    async def start_daemon(self):
+        """Start the daemon and wait until it serves."""
+        folder = pathlib.Path(self.folder.name)
+        (folder / "peers.secret").write_text(fleet.SECRET)
+        path = folder / "entry.yaml"
+        settings = {
+            "place": {"region": "region", "availability_zone": "zone-1"},
+            "callers": {"port": 0},
+            "operators": {"port": 0},
+            "peers": {"port": 0},
+            "platform": {"url": self.fleet.platform.url},
+            "access": {"peers_secret_file": "peers.secret"},
+            "seeds": [self.fleet.entries[0].peers_address],
+        }
+        path.write_text(yaml.safe_dump(settings))
+        self.daemon = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "waxwingwalk",
+            "entry",
+            "--settings",
+            str(path),
+            stdout=asyncio.subprocess.PIPE,
+            stderr=asyncio.subprocess.DEVNULL,
+        )
+        started = yaml.safe_load(await self.daemon.stdout.readline())
+        self.callers = started["callers"]
+        self.reader = asyncio.create_task(self.daemon.stdout.read())
+        state = self.fleet.entries[0].engine.state
+        await jobs.until(lambda: len(state.membership.live_addresses()) == 2)
+
+    async def asyncTearDown(self):
+        with contextlib.suppress(ProcessLookupError):
+            self.daemon.kill()
+        await self.daemon.wait()
+        await self.reader
+        await self.fleet.__aexit__(None, None, None)
+        self.folder.cleanup()
+
+    async def submit(self, job):
+        """Submit a job to the daemon."""
+        async with self.fleet.session.post(
+            f"http://{self.callers}/v1/jobs", json=job
+        ) as response:
+            return await response.json()
+
+    async def begin(self, count):
+        """Submit a job and wait until its first tasks run."""
+        running = asyncio.create_task(
+            self.submit(jobs.job(count=count, seconds=0.6))
+        )
+        await jobs.until(lambda: len(self.fleet.starts()) >= 4)
+        return running
+
+    async def test_terminated_daemon_answers_first(self):
+        running = await self.begin(12)
+        self.daemon.send_signal(signal.SIGTERM)
+        reply = await running
+        self.assertEqual(Code.COMPLETE, reply["code"], reply)
+        self.assertEqual(0, await self.daemon.wait())
+
+    async def test_second_signal_ends_the_daemon_with_marked_answers(self):
+        running = await self.begin(60)
+        self.daemon.send_signal(signal.SIGTERM)
+        state = self.fleet.entries[0].engine.state
+        await jobs.until(lambda: len(state.membership.live_addresses()) == 1)
+        self.daemon.send_signal(signal.SIGTERM)
+        reply = await running
+        self.assertEqual(Code.DRAIN_ENDED, reply["code"], reply)
+        self.assertEqual(0, await self.daemon.wait())
+
+    async def test_paused_daemon_is_counted_out_and_comes_back(self):
+        """Paused beyond every lease and timeout, with tasks under way."""
+        running = await self.begin(12)
+        self.daemon.send_signal(signal.SIGSTOP)
+        state = self.fleet.entries[0].engine.state
+        await jobs.until(lambda: len(state.membership.live_addresses()) == 1)
+        other = await self.fleet.submit(0, jobs.job(count=8))
+        self.assertEqual(Code.COMPLETE, other["code"], other)
+        self.daemon.send_signal(signal.SIGCONT)
+        await jobs.until(lambda: len(state.membership.live_addresses()) == 2)
+        reply = await running
+        self.assertEqual(Code.COMPLETE, reply["code"], reply)
+        self.assertEqual({1}, set(self.fleet.starts().values()))
+
+    async def test_killed_daemon_is_known_to_be_gone_at_once(self):
+        running = await self.begin(8)
+        running.add_done_callback(lambda task: task.exception())
+        self.daemon.kill()
+        state = self.fleet.entries[0].engine.state
+        await jobs.until(lambda: len(state.membership.live_addresses()) == 1)
+        reply = await self.fleet.submit(0, jobs.job(count=8))
+        self.assertEqual(Code.COMPLETE, reply["code"], reply)
--- a/waxwingwalk/management/commands/entry.py
+++ b/waxwingwalk/management/commands/entry.py
@@ -10,6 +10,7 @@
 
 from waxwingwalk.entry import config
 from waxwingwalk.entry import logs
+from waxwingwalk.entry import server
 from waxwingwalk.management import base
 import waxwingwalk.wiring as wiring
 
@@ -40,31 +41,46 @@
         if not isinstance(secrets, result.Success):
             return self.fail("; ".join(secrets.failure()))
         logger = logs.configure(settings.log_level)
+        daemon = EntryDaemon(settings, secrets.unwrap(), logger)
         with aiomisc.entrypoint(
+            daemon,
             loop_factory=uvloop.new_event_loop,
             log_config=False,
             shutdown_timeout=SHUTDOWN_TIMEOUT_SECONDS,
         ) as loop:
-            entrypoint = aiomisc.entrypoint.get_current()
-            loop.run_until_complete(
-                _serve(entrypoint, settings, secrets.unwrap(), logger)
-            )
+            loop.run_forever()
         return base.EXIT_OK
 
 
-async def _serve(
-    entrypoint: aiomisc.entrypoint,
-    settings: config.EntryConfig,
-    secrets: config.Secrets,
-    logger: structlog.typing.FilteringBoundLogger,
-) -> None:
-    entry = wiring.build_entry(settings, secrets, logger)
-    logger.info(
-        "process.started",
-        process=str(entry.engine.state.process),
-        callers=entry.callers_address,
-        operators=entry.operators_address,
-        peers=entry.peers_address,
-    )
-    await entrypoint.start_services(entry.service)
-    await entrypoint.closing()
+class EntryDaemon(aiomisc.Service):
+    """Builds the entry process once the event loop runs."""
+
+    def __init__(
+        self,
+        settings: config.EntryConfig,
+        secrets: config.Secrets,
+        logger: structlog.typing.FilteringBoundLogger,
+    ) -> None:
+        super().__init__()
+        self._settings = settings
+        self._secrets = secrets
+        self._logger = logger
+        self._service: server.EntryService | None = None
+
+    async def start(self) -> None:
+        """Start to serve."""
+        entry = wiring.build_entry(self._settings, self._secrets, self._logger)
+        self._service = entry.service
+        self._logger.info(
+            "process.started",
+            process=str(entry.engine.state.process),
+            callers=entry.callers_address,
+            operators=entry.operators_address,
+            peers=entry.peers_address,
+        )
+        await entry.service.start()
+
+    async def stop(self, exception: Exception | None = None) -> None:
+        """Drain."""
+        if self._service is not None:
+            await self._service.stop(exception)
