--- a/bench/report.py
+++ b/bench/report.py
@@ -53,6 +53,14 @@
         outcomes,
         [workload.alone_span(job, servers, round_trip) for job in jobs],
     )
+    others = ratios(
+        [each for each in outcomes if each.job.team != "greedy"],
+        [
+            workload.alone_span(job, servers, round_trip)
+            for job in jobs
+            if job.team != "greedy"
+        ],
+    )
     possible = [each for each in outcomes if not each.job.is_impossible]
     refused = sum(each.code // 1000 == NOT_RUN_FAMILY for each in possible)
     complete = sum(each.code == COMPLETE for each in possible)
@@ -61,6 +69,13 @@
         "p99": f"{percentile(recorded, 99):.2f}",
         "p99.9": f"{percentile(recorded, 99.9):.2f}",
         "alone p50": f"{percentile(alone, 50):.2f}",
+        "others p99": f"{percentile(others, 99):.2f}",
+        "others lost": str(
+            sum(
+                each.code != COMPLETE and each.job.team.startswith("team-")
+                for each in outcomes
+            )
+        ),
         "jobs": str(len(possible)),
         "refused": str(refused),
         "failed": str(len(possible) - refused - complete),
--- a/bench/workload.py
+++ b/bench/workload.py
@@ -47,6 +47,7 @@
     impossible_share: float = 0.0
     burst: tuple[float, float, float] | None = None
     greedy_factor: float = 0.0
+    is_greedy_left_out: bool = False
     single_job_tasks: int = 0
 
 
@@ -95,7 +96,9 @@
         at += generator.expovariate(rate * _burst_factor(work, at))
         if at >= work.seconds:
             return jobs
-        jobs.append(_draw_job(work, at, entries, generator))
+        job = _draw_job(work, at, entries, generator)
+        if job.team != "greedy" or not work.is_greedy_left_out:
+            jobs.append(job)
 
 
 def _burst_factor(work: Work, at: float) -> float:
--- a/waxwingwalk/core/messages.py
+++ b/waxwingwalk/core/messages.py
@@ -95,7 +95,7 @@
 
 @dataclasses.dataclass(slots=True)
 class BackendNotice:
-    """News of a backend server: leaving, gone or set aside.
+    """News of a backend server: leaving, suspect or set aside.
 
     ``seconds`` is for how long the news holds, where it does not hold for
     good.
--- a/waxwingwalk/routing/backends.py
+++ b/waxwingwalk/routing/backends.py
@@ -13,6 +13,8 @@
     ``set_aside_until`` holds work back after failures; ``is_on_probation``
     admits one task at a time after such a pause. ``occupancy`` is the share
     of its slots that is thought to be in use, where it is estimated.
+    ``suspect_until`` marks one whose tasks are overdue: it gets work only
+    when no other will do.
     """
 
     spec: model.BackendSpec
@@ -23,6 +25,7 @@
     connect_failures: int = 0
     last_reply_at: datetime.datetime | None = None
     occupancy: float = 0.0
+    suspect_until: datetime.datetime | None = None
 
     @property
     def backend_id(self) -> str:
@@ -48,6 +51,7 @@
     def readmit(self) -> None:
         """Take the backend server back into full service."""
         self.set_aside_until = None
+        self.suspect_until = None
         self.set_aside_pause = None
         self.is_on_probation = False
         self.connect_failures = 0
--- a/waxwingwalk/routing/health.py
+++ b/waxwingwalk/routing/health.py
@@ -17,9 +17,16 @@
 CONNECT_PAUSE_MAX = datetime.timedelta(seconds=30)
 SET_ASIDE_MAX = datetime.timedelta(minutes=10)
 # A task is not overdue before this, however short its estimate.
-OVERDUE_MIN = datetime.timedelta(seconds=1)
+OVERDUE_MIN = datetime.timedelta(seconds=0.5)
 # A task is given up after this many look-ups in a row without a reply.
 SILENT_LOOK_UPS_MAX = 2
+# Overdue tasks of a backend server that answers are asked about this much
+# later.
+ANSWERING_PATIENCE = 4
+# How long a backend server stays suspect after a task was found overdue.
+SUSPECT_TIME = datetime.timedelta(seconds=3)
+SUSPECT_STATE = "suspect"
+SET_ASIDE_STATE = "set_aside"
 
 
 def note_reply(
@@ -67,6 +74,7 @@
     now: datetime.datetime,
 ) -> None:
     backend.last_reply_at = now
+    backend.suspect_until = None
     if backend.is_on_probation or backend.connect_failures:
         backend.readmit()
     state.detector.task_done(backend.backend_id, _task_class(job))
@@ -111,7 +119,7 @@
     notice = messages.BackendNotice(
         backend.backend_id,
         backend.spec.incarnation,
-        "set_aside",
+        SET_ASIDE_STATE,
         pause.total_seconds(),
     )
     log = effects.Log(
@@ -169,7 +177,11 @@
         state.registry.mark_leaving(notice.backend_id, notice.incarnation)
     elif notice.incarnation == backend.spec.incarnation:
         pause = datetime.timedelta(seconds=notice.seconds)
-        if backend.accepts_work(now) and not _did_well(backend, now):
+        if _did_well(backend, now) or not backend.accepts_work(now):
+            return []
+        if notice.state == SUSPECT_STATE:
+            backend.suspect_until = now + pause
+        else:
             backend.set_aside(now, pause)
     return []
 
@@ -188,11 +200,13 @@
     done: Effects = []
     renewals: dict[str, list[tuple[str, int]]] = {}
     factor = state.settings.process().overdue_factor
+    _clear_suspects(state, now)
     for (job_id, index), attempt in state.attempts.items():
         backend = state.registry.get(attempt.backend_id)
         if backend is None or state.jobs[job_id].is_ended:
             continue
-        if _is_look_up_due(attempt, factor, now):
+        if _is_look_up_due(backend, attempt, factor, now):
+            done += _suspect(state, backend, attempt, now)
             done.append(
                 effects.ReadTaskStatus(
                     job_id, index, attempt.number, backend.spec.address
@@ -202,18 +216,63 @@
     return done + _renewal_effects(state, renewals, now)
 
 
+def _clear_suspects(state: core_state.State, now: datetime.datetime) -> None:
+    for backend in state.registry.all():
+        if backend.suspect_until is not None and now > backend.suspect_until:
+            backend.suspect_until = None
+
+
+def _suspect(
+    state: core_state.State,
+    backend: backends.Backend,
+    attempt: jobs.Attempt,
+    now: datetime.datetime,
+) -> Effects:
+    """Avoid a backend server that ran nothing well since a task was sent.
+
+    One long task among others that end well is no reason.
+    """
+    if _answered_since(backend, attempt):
+        return []
+    is_news = backend.suspect_until is None
+    backend.suspect_until = now + SUSPECT_TIME
+    if not is_news:
+        return []
+    notice = messages.BackendNotice(
+        backend.backend_id,
+        backend.spec.incarnation,
+        SUSPECT_STATE,
+        SUSPECT_TIME.total_seconds(),
+    )
+    return tell_peers(state, notice)
+
+
 def _is_look_up_due(
-    attempt: jobs.Attempt, factor: float, now: datetime.datetime
+    backend: backends.Backend,
+    attempt: jobs.Attempt,
+    factor: float,
+    now: datetime.datetime,
 ) -> bool:
+    """Whether to ask about a task now.
+
+    While a backend server answers other tasks, a late one is most likely just
+    long, and is asked about later.
+    """
     estimate = datetime.timedelta(seconds=attempt.estimate)
     patience = max(OVERDUE_MIN, factor * estimate)
-    due_at = attempt.look_up_at or attempt.sent_at + patience
-    if now < due_at:
+    if _answered_since(backend, attempt):
+        patience *= ANSWERING_PATIENCE
+    if now < (attempt.look_up_at or attempt.sent_at) + patience:
         return False
-    attempt.look_up_at = now + patience
+    attempt.look_up_at = now
     return True
 
 
+def _answered_since(backend: backends.Backend, attempt: jobs.Attempt) -> bool:
+    last = backend.last_reply_at
+    return last is not None and last > attempt.sent_at
+
+
 def _collect_renewal(
     state: core_state.State,
     job_id: str,
--- a/waxwingwalk/routing/placement.py
+++ b/waxwingwalk/routing/placement.py
@@ -18,6 +18,8 @@
 # A backend server whose slots are all in use is thought to be slower by this
 # share, since the estimate of its occupancy may be too low.
 CROWDING = 1.0
+# A backend server with overdue tasks is thought to be slower by this factor.
+SUSPECT_PENALTY = 8.0
 # Only servers that are faster by this factor are worth waiting for.
 MUCH_FASTER = 1.3
 
@@ -57,6 +59,8 @@
         slowness = self._estimator.speed_level(
             service, backend.spec.backend_id
         )
+        if backend.suspect_until is not None:
+            slowness *= SUSPECT_PENALTY
         return slowness * (1.0 + CROWDING * backend.occupancy**2)
 
     def choice(
--- a/waxwingwalk/settings/global_settings.py
+++ b/waxwingwalk/settings/global_settings.py
@@ -106,7 +106,7 @@
         seconds(60), ge=seconds(0), le=seconds(3600)
     )
     # Which of a team's jobs goes first.
-    job_order: JobOrderName = JobOrderName.SHORTEST_REMAINING
+    job_order: JobOrderName = JobOrderName.DEADLINE
     # Which backend server takes a task.
     placement: PlacementName = PlacementName.LEARNED
     # Which jobs are refused at submission.
@@ -140,7 +140,7 @@
         seconds(30), ge=seconds(0.1), le=seconds(3600)
     )
     # A task without a reply is looked up after this many times its estimate.
-    overdue_factor: float = pydantic.Field(6.0, ge=1.5, le=100)
+    overdue_factor: float = pydantic.Field(4.0, ge=1.5, le=100)
     # An idle connection older than this is not used for another task.
     connection_freshness: Duration = pydantic.Field(
         seconds(1), ge=seconds(0.1), le=seconds(60)
