Explained jobs by their placements, and avoided failing racks

job explain now gives a line for each placement: where, why, the runner-up, the estimate. Two unreachable servers of a rack make the rest of it suspect, so that a rack's failure is met as one event. A peer names its incarnation in the first frame of a link.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -2,6 +2,7 @@
 
 import argparse
 import asyncio
+import signal
 
 from bench import runner
 from bench import scenarios
@@ -18,6 +19,9 @@
     parser.add_argument("--policy", action="append")
     parser.add_argument("--seed", type=int, default=SEED)
     arguments = parser.parse_args()
+    # Ended by a signal, the processes that were started are ended too.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
+    signal.signal(signal.SIGINT, signal.default_int_handler)
     chosen = [
         scenario
         for scenario in scenarios.SCENARIOS
--- a/docs/generate_reference.py
+++ b/docs/generate_reference.py
@@ -3,12 +3,17 @@
 python docs/generate_reference.py
 """
 
+import json
 import pathlib
 import re
+from typing import Any
 
 import pydantic
 
+import waxwingwalk
+from waxwingwalk.client import model as client_model
 from waxwingwalk.core import results
+from waxwingwalk.entry import requests
 from waxwingwalk.settings import global_settings
 
 REFERENCE = pathlib.Path(__file__).parent / "ref"
@@ -87,10 +92,103 @@
     return "\n".join([*lines, ""])
 
 
+def _operation(
+    summary: str, body: str | None = None, *, takes_job: bool = False
+) -> dict[str, Any]:
+    """Return an operation; each answers with a reply of one shape."""
+    schema = {"$ref": "#/components/schemas/Reply"}
+    content = {"application/json": {"schema": schema}}
+    operation: dict[str, Any] = {
+        "summary": summary,
+        "responses": {
+            "default": {
+                "description": "A reply with a result code.",
+                "content": content,
+            }
+        },
+    }
+    if body is not None:
+        reference = {"$ref": f"#/components/schemas/{body}"}
+        operation["requestBody"] = {
+            "required": True,
+            "content": {"application/json": {"schema": reference}},
+        }
+    if takes_job:
+        operation["parameters"] = [
+            {
+                "name": "job",
+                "in": "path",
+                "required": True,
+                "schema": {"type": "string"},
+            }
+        ]
+    return operation
+
+
+def openapi() -> str:
+    """Return the OpenAPI document of the callers' interface."""
+    models: list[type[pydantic.BaseModel]] = [
+        requests.JobRequest,
+        requests.KeysRequest,
+        client_model.ReplyModel,
+    ]
+    schemas: dict[str, Any] = {}
+    for each in models:
+        schema = each.model_json_schema(
+            ref_template="#/components/schemas/{model}"
+        )
+        schemas.update(schema.pop("$defs", {}))
+        name = "Reply" if each is client_model.ReplyModel else each.__name__
+        schemas[name] = schema
+    submit = _operation("Submit a job and wait for it.", "JobRequest")
+    status = _operation("Read a job's state or answer.", takes_job=True)
+    status["parameters"].append(
+        {
+            "name": "wait",
+            "in": "query",
+            "description": "Wait for the answer.",
+            "schema": {"type": "boolean", "default": False},
+        }
+    )
+    cancel = _operation("Cancel a job.", takes_job=True)
+    explain = _operation("Read a job's story.", takes_job=True)
+    document = {
+        "openapi": "3.1.0",
+        "info": {
+            "title": "waxwingwalk, callers' interface",
+            "version": waxwingwalk.VERSION,
+        },
+        "security": [{"bearer": []}],
+        "paths": {
+            "/v1/jobs": {"post": submit},
+            "/v1/jobs/{job}": {"get": status, "delete": cancel},
+            "/v1/jobs/{job}/explain": {"get": explain},
+            "/v1/keys": {"post": _operation("Issue keys.", "KeysRequest")},
+            "/health": {"get": _operation("Is the process alive?")},
+            "/ready": {"get": _operation("Does the process take jobs?")},
+            "/version": {"get": _operation("Version and revision.")},
+        },
+        "components": {
+            "schemas": schemas,
+            "securitySchemes": {
+                "bearer": {"type": "http", "scheme": "bearer"}
+            },
+        },
+    }
+    return json.dumps(document, indent=2, sort_keys=True) + "\n"
+
+
+PAGES = {
+    "result-codes.md": result_codes,
+    "settings.md": settings,
+    "callers.openapi.json": openapi,
+}
+
+
 def main() -> None:
     """Write the pages."""
-    (REFERENCE / "result-codes.md").write_text(result_codes())
-    (REFERENCE / "settings.md").write_text(settings())
+    for name, page in PAGES.items():
+        (REFERENCE / name).write_text(page())
 
 
 if __name__ == "__main__":
--- a/tests/docs/test_reference.py
+++ b/tests/docs/test_reference.py
@@ -2,10 +2,10 @@
 
 import pathlib
 import re
+import runpy
 import unittest
 
 from waxwingwalk.core import results
-from waxwingwalk.settings import global_settings
 
 DOCS = pathlib.Path(__file__).resolve().parents[2] / "docs"
 CODE_ROW = re.compile(r"^\| (\d{4}) \| (\w+) \| (\d{3}) \| (.+?) \|$", re.M)
@@ -39,14 +39,9 @@
             self.assertEqual(started == 0, is_not_run)
 
 
-class SettingsReferenceTests(unittest.TestCase):
-    def test_every_setting_is_documented(self):
-        text = (DOCS / "ref" / "settings.md").read_text()
-        for model in (
-            global_settings.ServiceOptions,
-            global_settings.ProcessOptions,
-            global_settings.TeamOptions,
-        ):
-            for name in model.model_fields:
-                with self.subTest(setting=name):
-                    self.assertIn(f"| {name} |", text)
+class GeneratedPagesTests(unittest.TestCase):
+    def test_committed_pages_are_what_the_code_gives(self):
+        pages = runpy.run_path(str(DOCS / "generate_reference.py"))["PAGES"]
+        for name, page in pages.items():
+            with self.subTest(page=name):
+                self.assertEqual((DOCS / "ref" / name).read_text(), page())
--- a/tests/entry/test_entry_faults.py
+++ b/tests/entry/test_entry_faults.py
@@ -182,7 +182,7 @@
             reply = await running
             self.assertEqual(Code.COMPLETE, reply["code"], reply)
             await stopping
-            started._closed.add(str(started.entries[0].engine.state.process))
+            started.forget_entry(started.entries[0])
             self.assertEqual({1}, set(started.starts().values()))
 
     async def test_second_signal_ends_a_drain_with_a_marked_answer(self):
@@ -198,7 +198,7 @@
             reply = await running
             self.assertEqual(Code.DRAIN_ENDED, reply["code"])
             await stopping
-            started._closed.add(str(started.entries[0].engine.state.process))
+            started.forget_entry(started.entries[0])
 
 
 class CallerTests(jobs.FleetTestCase):
--- a/tests/routing/test_slots.py
+++ b/tests/routing/test_slots.py
@@ -1,5 +1,6 @@
 """Slot sharing: estimated occupancy, and leases between two processes."""
 
+import dataclasses
 import unittest
 
 from tests.core import reducers
@@ -184,3 +185,29 @@
             pauses.append((harness.clock.now() - before).total_seconds())
         self.assertEqual(sorted(pauses), pauses)
         self.assertGreater(pauses[-1], 4 * pauses[0] - 0.5)
+
+    def test_unreachable_servers_make_their_rack_suspect(self):
+        """The rest of the rack is used only when no other will do."""
+        harness = reducers.ReducerHarness()
+        specs = [
+            dataclasses.replace(
+                reducers.backend(f"b{index}", slots=1),
+                rack="bad" if index < 4 else "good",
+            )
+            for index in range(8)
+        ]
+        harness.list_backends(*specs)
+        _, done = harness.submit(8)
+        bad = [
+            sent
+            for sent in reducers.sent(done)
+            if sent.backend_id in ("b0", "b1")
+        ]
+        for sent in bad:
+            done = harness.reply(sent, model.TaskOutcome.NOT_SENT)
+        suspects = {
+            backend.backend_id
+            for backend in harness.state.registry.all()
+            if backend.suspect_until is not None
+        }
+        self.assertEqual({"b2", "b3"}, suspects)
--- a/waxwingwalk/core/lifecycle.py
+++ b/waxwingwalk/core/lifecycle.py
@@ -13,8 +13,9 @@
 from waxwingwalk.routing import health
 
 Effects = list[effects.Effect]
-# How often slow checks run: overdue tasks, leases, expired keys.
+# How often slow checks run: overdue tasks and leases.
 CHECK_INTERVAL = datetime.timedelta(milliseconds=250)
+KEY_SWEEP_INTERVAL = datetime.timedelta(seconds=10)
 
 
 def tick(
@@ -37,6 +38,8 @@
         for service in state.queues:
             state.placement(service).refresh(service)
         done += health.look_up_overdue(state, now)
+    if now - state.keys_swept_at >= KEY_SWEEP_INTERVAL:
+        state.keys_swept_at = now
         keys.forget_expired(state, now)
     return done + _drain_step(state, now)
 
--- a/waxwingwalk/core/state.py
+++ b/waxwingwalk/core/state.py
@@ -116,6 +116,7 @@
         self.drain: Drain | None = None
         self.last_tick = now
         self.checked_at = now
+        self.keys_swept_at = now
         self.probed_at = now - datetime.timedelta(days=1)
         self.membership_seen = 0
         self.serial = 0
--- a/waxwingwalk/entry/links.py
+++ b/waxwingwalk/entry/links.py
@@ -124,7 +124,11 @@
             except (aiohttp.ClientError, TimeoutError, OSError):
                 self._close(link, incarnation, False)
                 return
-            incarnation = socket._response.headers.get(INCARNATION_HEADER, "")
+            incarnation = await _read_incarnation(socket)
+            if incarnation is None:
+                await socket.close()
+                self._close(link, None, False)
+                return
             self._notify(events.PeerLinkOpened(link.address, incarnation))
             with contextlib.suppress(aiohttp.ClientError, OSError):
                 await self._pump(link, socket)
@@ -179,8 +183,8 @@
         address = request.headers.get(ADDRESS_HEADER, "")
         incarnation = request.headers.get(INCARNATION_HEADER, "")
         socket = web.WebSocketResponse(max_msg_size=FRAME_MAX, compress=False)
-        socket.headers[INCARNATION_HEADER] = self._process.incarnation
         await socket.prepare(request)
+        await socket.send_str(self._process.incarnation)
         self._incoming.add(socket)
         self._notify(events.PeerLinkOpened(address, incarnation))
         try:
@@ -207,6 +211,18 @@
     return isinstance(error.os_error, ConnectionRefusedError)
 
 
+async def _read_incarnation(
+    socket: aiohttp.ClientWebSocketResponse,
+) -> str | None:
+    """Return the incarnation that a peer names first, None if it does not."""
+    try:
+        return await socket.receive_str(
+            timeout=CONNECT_TIMEOUT.total_seconds()
+        )
+    except (aiohttp.ClientError, TimeoutError, TypeError):
+        return None
+
+
 async def _wait_closed(socket: aiohttp.ClientWebSocketResponse) -> None:
     """Return when the peer closes a link; it sends nothing over it."""
     async for _ in socket:
--- a/waxwingwalk/entry/submission.py
+++ b/waxwingwalk/entry/submission.py
@@ -19,6 +19,7 @@
 from waxwingwalk.entry import issued_keys
 from waxwingwalk.entry import replies
 from waxwingwalk.entry import requests
+from waxwingwalk.entry import views
 from waxwingwalk.jobs import keys
 
 Code = results.ResultCode
@@ -246,7 +247,7 @@
         if action == "wait":
             return replies.of_answer(await self._engine.wait_for(str(job_id)))
         if action == "explain":
-            return replies.Reply(Code.OK, {"story": list(job.story)})
+            return replies.Reply(Code.OK, {"story": views.story(job)})
         if job.answer is not None:
             return replies.of_answer(job.answer)
         return replies.Reply(
--- a/waxwingwalk/entry/views.py
+++ b/waxwingwalk/entry/views.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 from waxwingwalk.core import state as core_state
+from waxwingwalk.jobs import job as jobs
 from waxwingwalk.settings import tree as settings_tree
 
 
@@ -57,3 +58,26 @@
             }
         )
     return shown
+
+
+def story(job: jobs.Job) -> list[str]:
+    """Return what became of a job, a line for each step."""
+    begun = job.spec.submitted_at
+
+    def after(at: datetime.datetime) -> str:
+        return f"+{(at - begun).total_seconds():.3f} s"
+
+    lines = [
+        f"{begun.isoformat()} submitted by {job.spec.team} for "
+        f"{job.spec.service}, {len(job.spec.tasks)} tasks"
+    ]
+    for placed in job.placements:
+        lines.append(
+            f"{after(placed.at)} task {placed.index} to {placed.backend_id}: "
+            f"{placed.reason}, estimate {placed.estimate:.3f} s, "
+            f"runner-up {placed.runner_up or 'none'}"
+        )
+    if job.answer is not None and job.ended_at is not None:
+        code = job.answer.code
+        lines.append(f"{after(job.ended_at)} {int(code)} {code.name}")
+    return lines
--- a/waxwingwalk/jobs/dispatch.py
+++ b/waxwingwalk/jobs/dispatch.py
@@ -136,6 +136,17 @@
         lease_until=now + options.task_lease,
     )
     state.counters.tasks_sent += 1
+    runner_up = choice.runner_up.backend_id if choice.runner_up else None
+    job.placements.append(
+        jobs.PlacementRecord(
+            index,
+            backend.backend_id,
+            runner_up,
+            choice.reason,
+            choice.estimate,
+            now,
+        )
+    )
     return effects.SendTask(
         job_id=spec.job_id,
         index=index,
@@ -147,7 +158,7 @@
         lease=options.task_lease,
         timeout=min(options.task_timeout, spec.deadline - now),
         reason=choice.reason,
-        runner_up=(choice.runner_up.backend_id if choice.runner_up else None),
+        runner_up=runner_up,
         occupancy=backend.occupancy,
         estimate=choice.estimate,
     )
--- a/waxwingwalk/jobs/handlers.py
+++ b/waxwingwalk/jobs/handlers.py
@@ -139,7 +139,6 @@
     state: core_state.State, job: jobs.Job, now: datetime.datetime
 ) -> Effects:
     job.phase = jobs.JobPhase.ACTIVE
-    job.story.append(f"{now.isoformat()} queued")
     state.queue(job.spec.service).add(job)
     return dispatch.dispatch(state, job.spec.service, now)
 
@@ -322,7 +321,6 @@
     )
     job.results = []
     job.estimates = []
-    job.story.append(f"{now.isoformat()} ended with {int(code)} {code.name}")
     state.ended.append(job.spec.job_id)
     if is_complete:
         state.counters.jobs_complete += 1
--- a/waxwingwalk/jobs/job.py
+++ b/waxwingwalk/jobs/job.py
@@ -30,6 +30,18 @@
     silent_look_ups: int = 0
 
 
+@dataclasses.dataclass(slots=True)
+class PlacementRecord:
+    """Where a task was sent, and why; ``estimate`` is in seconds."""
+
+    index: int
+    backend_id: str
+    runner_up: str | None
+    reason: str
+    estimate: float
+    at: datetime.datetime
+
+
 @dataclasses.dataclass(slots=True)
 class Job:
     """A job, its unsent tasks, and what came back so far.
@@ -54,7 +66,7 @@
     ended_at: datetime.datetime | None = None
     answer: model.Answer | None = None
     key_holder: identity.ProcessId | None = None
-    story: list[str] = dataclasses.field(default_factory=list)
+    placements: list[PlacementRecord] = dataclasses.field(default_factory=list)
 
     @property
     def is_ended(self) -> bool:
--- a/waxwingwalk/routing/health.py
+++ b/waxwingwalk/routing/health.py
@@ -55,6 +55,7 @@
             done += _note_failed(state, backend, job, now)
         case model.TaskOutcome.NOT_SENT:
             _note_unreachable(backend, now)
+            done += _suspect_rack(state, backend, now)
         case model.TaskOutcome.NOT_RUN:
             backend.last_reply_at = now
             backend.set_aside(now, CONNECT_PAUSE)
@@ -140,6 +141,38 @@
     backend.set_aside(now, min(doubled, CONNECT_PAUSE_MAX))
 
 
+def _suspect_rack(
+    state: core_state.State,
+    failed: backends.Backend,
+    now: datetime.datetime,
+) -> Effects:
+    """Avoid a whole rack once several of its servers are unreachable.
+
+    Racks fail as one: the servers that have not been tried yet are probably
+    gone too, and a task sent to one that dies meanwhile is lost.
+    """
+    rack = failed.spec.rack
+    if not rack:
+        return []
+    others = [
+        backend
+        for backend in state.registry.all()
+        if backend.spec.rack == rack and backend is not failed
+    ]
+    if not any(backend.connect_failures for backend in others):
+        return []
+    suspects = [
+        backend
+        for backend in others
+        if not backend.connect_failures and backend.suspect_until is None
+    ]
+    for backend in suspects:
+        backend.suspect_until = now + SUSPECT_TIME
+    if not suspects:
+        return []
+    return [effects.Log("rack.suspect", {"rack": rack})]
+
+
 def note_leaving(
     state: core_state.State,
     backend: backends.Backend,
--- a/waxwingwalk/testing/fleet.py
+++ b/waxwingwalk/testing/fleet.py
@@ -116,10 +116,14 @@
         self.entries.append(entry)
         return entry
 
+    def forget_entry(self, entry: wiring.EntryProcess) -> None:
+        """Note that an entry process has ended by itself."""
+        self._closed.add(str(entry.engine.state.process))
+
     async def kill_entry(self, entry: wiring.EntryProcess) -> None:
         """End an entry process without any goodbye."""
         if str(entry.engine.state.process) not in self._closed:
-            self._closed.add(str(entry.engine.state.process))
+            self.forget_entry(entry)
             await entry.service.abort()
 
     def cut(
