--- a/waxwingwalk/entry/views.py
+++ b/waxwingwalk/entry/views.py
@@ -73,8 +73,9 @@
     ]
     for placed in job.placements:
         lines.append(
-            f"{after(placed.at)} task {placed.index} to {placed.backend_id}: "
-            f"{placed.reason}, estimate {placed.estimate:.3f} s, "
+            f"{after(placed.sent_at)} task {placed.index} "
+            f"to {placed.backend_id}: {placed.reason}, "
+            f"estimate {placed.estimate:.3f} s, "
             f"runner-up {placed.runner_up or 'none'}"
         )
     if job.answer is not None and job.ended_at is not None:
--- a/waxwingwalk/jobs/dispatch.py
+++ b/waxwingwalk/jobs/dispatch.py
@@ -128,25 +128,20 @@
     job.attempts += 1
     job.started += 1
     job.running.add(index)
-    state.attempts[spec.job_id, index] = jobs.Attempt(
+    runner_up = choice.runner_up.backend_id if choice.runner_up else None
+    attempt = jobs.Attempt(
         number=job.attempts,
+        index=index,
         backend_id=backend.backend_id,
         sent_at=now,
         estimate=choice.estimate,
+        reason=choice.reason,
+        runner_up=runner_up,
         lease_until=now + options.task_lease,
     )
+    state.attempts[spec.job_id, index] = attempt
+    job.placements.append(attempt)
     state.counters.tasks_sent += 1
-    runner_up = choice.runner_up.backend_id if choice.runner_up else None
-    job.placements.append(
-        jobs.PlacementRecord(
-            index,
-            backend.backend_id,
-            runner_up,
-            choice.reason,
-            choice.estimate,
-            now,
-        )
-    )
     return effects.SendTask(
         job_id=spec.job_id,
         index=index,
--- a/waxwingwalk/jobs/job.py
+++ b/waxwingwalk/jobs/job.py
@@ -19,29 +19,23 @@
 
 @dataclasses.dataclass(slots=True)
 class Attempt:
-    """A task that was sent and has not been heard of."""
+    """One sending of a task: where it went, when, and why.
+
+    ``estimate`` is in seconds.
+    """
 
     number: int
+    index: int
     backend_id: str
     sent_at: datetime.datetime
     estimate: float
+    reason: str
+    runner_up: str | None
     lease_until: datetime.datetime
     look_up_at: datetime.datetime | None = None
     silent_look_ups: int = 0
 
 
-@dataclasses.dataclass(slots=True)
-class PlacementRecord:
-    """Where a task was sent, and why; ``estimate`` is in seconds."""
-
-    index: int
-    backend_id: str
-    runner_up: str | None
-    reason: str
-    estimate: float
-    at: datetime.datetime
-
-
 @dataclasses.dataclass(slots=True)
 class Job:
     """A job, its unsent tasks, and what came back so far.
@@ -66,7 +60,7 @@
     ended_at: datetime.datetime | None = None
     answer: model.Answer | None = None
     key_holder: identity.ProcessId | None = None
-    placements: list[PlacementRecord] = dataclasses.field(default_factory=list)
+    placements: list[Attempt] = dataclasses.field(default_factory=list)
 
     @property
     def is_ended(self) -> bool:
--- a/waxwingwalk/routing/estimates.py
+++ b/waxwingwalk/routing/estimates.py
@@ -7,6 +7,7 @@
 """
 
 import dataclasses
+import functools
 import math
 
 MIN_STEP = 0.03
@@ -16,11 +17,15 @@
 MIN_RUN_TIME = 0.001
 
 
+@functools.cache
+def _level(steps: int) -> float:
+    return math.exp(steps * LEVEL_STEP)
+
+
 @dataclasses.dataclass(slots=True)
 class _Term:
     log: float = 0.0
     factor: float = 1.0
-    level: float = 1.0
     count: int = 0
 
     def follow(self, residual: float, share: float) -> None:
@@ -28,7 +33,6 @@
         step = max(MIN_STEP, 1.0 / (self.count + 1))
         self.log += step * share * residual
         self.factor = math.exp(self.log)
-        self.level = math.exp(round(self.log / LEVEL_STEP) * LEVEL_STEP)
 
 
 class RunTimeEstimator:
@@ -66,7 +70,7 @@
         tasks of every process.
         """
         term = self._slownesses.get((service, backend_id))
-        return 1.0 if term is None else term.level
+        return 1.0 if term is None else _level(round(term.log / LEVEL_STEP))
 
     def observations(self, service: str, backend_id: str) -> int:
         """Return how many run times the slowness rests on."""
