Split the slot leases into lender, borrower and facade

One file of 671 lines held both sides of the leases and the index of idle servers. Behaviour is as it was; the tests of leases and properties pass.

--- a/tests/core/test_reducer_properties.py
+++ b/tests/core/test_reducer_properties.py
@@ -330,11 +330,11 @@
         running = collections.Counter(
             attempt.backend_id for attempt in state.attempts.values()
         )
-        for name, held in state.sharing._holdings.items():
+        for name, held in state.sharing.holdings.items():
             assert held.busy == running[name]
             assert held.held >= held.busy >= 0
             assert held.recalled >= 0
-        for owned in state.sharing._pools.values():
+        for owned in state.sharing.pools.values():
             assert owned.granted_total == sum(owned.granted.values())
             assert all(count > 0 for count in owned.granted.values())
             assert owned.free() >= 0
--- a/tests/entry/test_entry_faults.py
+++ b/tests/entry/test_entry_faults.py
@@ -31,7 +31,7 @@
             pools = [
                 pool
                 for entry in started.alive()
-                for pool in entry.engine.state.sharing._pools.values()
+                for pool in entry.engine.state.sharing.pools.values()
             ]
             await jobs.until(lambda: all(p.free() == 8 for p in pools))
             self.assertEqual({1}, set(started.starts().values()))
--- a/tests/routing/test_slots.py
+++ b/tests/routing/test_slots.py
@@ -129,7 +129,7 @@
         return sum(
             owned.granted_total
             for harness in self.both.values()
-            for owned in harness.state.sharing._pools.values()
+            for owned in harness.state.sharing.pools.values()
         )
 
     def test_slots_of_both_zones_serve_one_job_and_come_back(self):
--- a/waxwingwalk/wiring.py
+++ b/waxwingwalk/wiring.py
@@ -34,8 +34,8 @@
 from waxwingwalk.routing import job_order
 from waxwingwalk.routing import outliers
 from waxwingwalk.routing import placement
+from waxwingwalk.routing.slots import leases
 from waxwingwalk.routing.slots import occupancy
-from waxwingwalk.routing.slots import owner
 from waxwingwalk.routing.slots import simple
 from waxwingwalk.settings import adopted
 from waxwingwalk.settings import global_settings
@@ -101,7 +101,7 @@
                     generator=state.random,
                 )
             case _:
-                return owner.OwnerLeases(
+                return leases.OwnerLeases(
                     state.registry,
                     address,
                     owner_of=lambda backend: ownership.owner_of(
