--- a/tests/entry/test_platform_faults.py
+++ b/tests/entry/test_platform_faults.py
@@ -64,6 +64,20 @@
             self.assertEqual(6, len(started.starts()))
             self.assertEqual({1}, set(started.starts().values()))
 
+    async def test_slow_store_delays_claims_and_loses_none(self):
+        async with fleet.Fleet() as started:
+            await jobs.add_backends(started, 1)
+            started.platform.latency = 1.0
+            replies = await asyncio.gather(
+                *(
+                    started.submit(0, jobs.job(count=2, key=f"crate-{i % 3}"))
+                    for i in range(6)
+                )
+            )
+            self.assertEqual({Code.COMPLETE}, {r["code"] for r in replies})
+            self.assertEqual(6, len(started.starts()))
+            self.assertEqual({1}, set(started.starts().values()))
+
     async def test_issued_keys_go_on_through_an_outage(self):
         async with fleet.Fleet(entries=2) as started:
             await jobs.add_backends(started, 1)
--- a/waxwingwalk/core/lifecycle.py
+++ b/waxwingwalk/core/lifecycle.py
@@ -7,10 +7,10 @@
 from waxwingwalk.core import results
 from waxwingwalk.core import state as core_state
 from waxwingwalk.jobs import dispatch
-from waxwingwalk.jobs import handlers as job_handlers
+from waxwingwalk.jobs import ending
 from waxwingwalk.jobs import keys
 from waxwingwalk.membership import handlers as membership_handlers
-from waxwingwalk.routing import health
+from waxwingwalk.routing import overdue
 
 Effects = list[effects.Effect]
 # How often slow checks run: overdue tasks and leases.
@@ -29,7 +29,7 @@
     state.last_tick = now
     if pause > state.settings.process().peer_timeout:
         done += _wake(state, now)
-    done += job_handlers.expire(state, now)
+    done += ending.expire(state, now)
     done += membership_handlers.tick(state, now)
     done += state.sharing.tick(now)
     done += dispatch.dispatch_changed(state, now)
@@ -37,7 +37,7 @@
         state.checked_at = now
         for service in state.queues:
             state.placement(service).refresh(service)
-        done += health.look_up_overdue(state, now)
+        done += overdue.look_up_overdue(state, now)
     if now - state.keys_swept_at >= KEY_SWEEP_INTERVAL:
         state.keys_swept_at = now
         keys.forget_expired(state, now)
@@ -107,5 +107,5 @@
             unstarted=results.ResultCode.DRAIN_UNSTARTED,
             otherwise=results.ResultCode.DRAIN_ENDED,
         )
-        done += job_handlers.end(state, job, code, "", now)
+        done += ending.end(state, job, code, "", now)
     return done
--- a/waxwingwalk/core/reducer.py
+++ b/waxwingwalk/core/reducer.py
@@ -17,7 +17,9 @@
 from waxwingwalk.core import events
 from waxwingwalk.core import lifecycle
 from waxwingwalk.core import state as core_state
+from waxwingwalk.jobs import ending
 from waxwingwalk.jobs import handlers as job_handlers
+from waxwingwalk.jobs import intake
 from waxwingwalk.membership import handlers as membership_handlers
 from waxwingwalk.settings import handlers as settings_handlers
 
@@ -25,9 +27,9 @@
 Handler = Callable[[core_state.State, Any, datetime.datetime], Effects]
 
 HANDLERS: dict[type, Handler] = {
-    events.JobSubmitted: job_handlers.submit,
-    events.ClaimSettled: job_handlers.settle_claim,
-    events.JobCancelled: job_handlers.cancel,
+    events.JobSubmitted: intake.submit,
+    events.ClaimSettled: intake.settle_claim,
+    events.JobCancelled: ending.cancel,
     events.TaskReplied: job_handlers.reply,
     events.TaskStatusRead: job_handlers.read_status,
     events.BackendsListed: membership_handlers.list_backends,
--- a/waxwingwalk/routing/admission.py
+++ b/waxwingwalk/routing/admission.py
@@ -18,16 +18,16 @@
     """Refuses a job that could not end in time with every slot there is.
 
     The bound is optimistic on purpose: a job is refused only if no sharing of
-    slots could finish it.
+    slots could finish it. A single long task is no reason, since declared
+    run times are often far off.
     """
 
     def refusal(
         self, request: base.AdmissionRequest
     ) -> datetime.timedelta | None:
         slots = max(request.slots, 1)
-        queue_time = request.queued_work / slots
-        job_time = max(request.longest, request.work / slots)
-        if queue_time + job_time <= request.budget:
+        needed = (request.queued_work + request.work) / slots
+        if needed <= request.budget:
             return None
-        excess = queue_time + job_time - request.budget
+        excess = needed - request.budget
         return datetime.timedelta(seconds=max(excess, 0.1))
--- a/waxwingwalk/routing/base.py
+++ b/waxwingwalk/routing/base.py
@@ -201,18 +201,16 @@
 class AdmissionRequest:
     """A job at the door, in seconds of work on an ordinary slot."""
 
-    __slots__ = ("work", "longest", "queued_work", "slots", "budget")
+    __slots__ = ("work", "queued_work", "slots", "budget")
 
     def __init__(
         self,
         work: float,
-        longest: float,
         queued_work: float,
         slots: int,
         budget: float,
     ) -> None:
         self.work = work
-        self.longest = longest
         self.queued_work = queued_work
         # Slots of live backend servers that offer the service.
         self.slots = slots
