--- a/bench/runner.py
+++ b/bench/runner.py
@@ -55,6 +55,7 @@
     round_trip = 2 * layout.caller_delay
     cells = report.response_cells(outcomes, jobs, servers, round_trip)
     cells.update(report.cost_cells(before, after))
+    cells["conns"] = str(max(each["connections"] for each in starts))
     cells["twice"] = str(sum(each["twice"] for each in starts))
     if scenario.bad_backends:
         bad = [starts[index]["total"] for index in scenario.bad_backends]
--- a/bench/stand_ins.py
+++ b/bench/stand_ins.py
@@ -114,6 +114,7 @@
             {
                 "total": server.starts.total(),
                 "twice": sum(1 for n in server.starts.values() if n > 1),
+                "connections": server.most_connections,
             }
             for server in self.servers
         ]
--- a/tests/entry/test_access.py
+++ b/tests/entry/test_access.py
@@ -1,6 +1,7 @@
 """Access: tokens, the peers' secret, and what is written to logs."""
 
 import aiohttp
+import structlog
 
 from tests.entry import jobs
 from waxwingwalk.core import clock
@@ -23,6 +24,31 @@
                     async with session.get(url) as response:
                         self.assertEqual(status, response.status)
 
+    async def test_log_explains_placements_and_holds_no_secret(self):
+        captured = structlog.testing.LogCapture()
+        logger = structlog.wrap_logger(
+            structlog.ReturnLogger(),
+            processors=[captured],
+            wrapper_class=structlog.make_filtering_bound_logger(0),
+        )
+        async with fleet.Fleet(entries=2, logger=logger) as started:
+            await jobs.add_backends(started, 2)
+            issued = await started.request(
+                0, "POST", "/v1/keys", {"team": "shops", "count": 1}
+            )
+            (key,) = issued["keys"]
+            await started.submit(0, jobs.job(count=3, key=key))
+            await started.submit(1, jobs.job(count=1, service="none"))
+        placed = [e for e in captured.entries if e["event"] == "task.placed"]
+        refused = [e for e in captured.entries if e["event"] == "job.refused"]
+        self.assertEqual(3, len(placed))
+        self.assertEqual(1, len(refused))
+        members = {"backend_server", "reason", "runner_up", "estimate"}
+        self.assertLessEqual(members, placed[0].keys())
+        text = repr(captured.entries)
+        self.assertNotIn(fleet.SECRET, text)
+        self.assertNotIn(key, text)
+
     def test_secrets_are_not_shown(self):
         secrets = config.Secrets(peers="long-secret", callers={"a": "token"})
         self.assertNotIn("secret", repr(secrets).replace("Secrets", ""))
--- a/waxwingwalk/testing/backend.py
+++ b/waxwingwalk/testing/backend.py
@@ -63,6 +63,8 @@
         self.is_leaving = False
         self.starts: collections.Counter[str] = collections.Counter()
         self.started_at: list[float] = []
+        # The most connections that were open at once.
+        self.most_connections = 0
         self.incarnation = f"{options.backend_id}-1"
         self.address = ""
         self._sharing = workload.ProcessorSharing(options.slots, options.speed)
@@ -133,6 +135,7 @@
     async def _run(self, request: web.Request) -> web.StreamResponse:
         transport = request.transport
         self._transports.add(transport)
+        self._count_connections()
         content = orjson.loads(await request.read())
         if transport in self._silenced:
             await asyncio.Event().wait()
@@ -177,6 +180,12 @@
                 self._answer_early(request, reply)
         return reply
 
+    def _count_connections(self) -> None:
+        assert self._runner is not None
+        assert self._runner.server is not None
+        now_open = len(self._runner.server.connections)
+        self.most_connections = max(self.most_connections, now_open)
+
     async def _abort(self, request: web.Request) -> None:
         """Break the connection; the handler never gets to answer."""
         assert request.transport is not None
