Divided quotas exactly among the live processes

Cause: each process took at least one task of a quota, so a quota of 2 on four processes ran 4. The rest of the division now goes to the processes that rank highest for the team, and one without a part forwards the team's jobs. The test counts what runs at once on the backend server: 2.

--- a/tests/entry/test_entry_faults.py
+++ b/tests/entry/test_entry_faults.py
@@ -167,6 +167,32 @@
             self.assertEqual({1}, set(started.starts().values()))
 
 
+class QuotaTests(jobs.FleetTestCase):
+    async def test_small_quota_holds_over_all_processes(self):
+        """A quota of 2 on 4 processes, with jobs through each of them."""
+        changes = {"teams.shops.quota": 2}
+        async with fleet.Fleet(entries=4, settings=changes) as started:
+            (server,) = await jobs.add_backends(started, 1)
+            states = [entry.engine.state for entry in started.entries]
+            await jobs.until(
+                lambda: all(state.settings.number == 1 for state in states)
+            )
+            running = asyncio.gather(
+                *(
+                    started.submit(i % 4, jobs.job(count=4, seconds=0.1))
+                    for i in range(8)
+                )
+            )
+            most = 0
+            while not running.done():
+                most = max(most, server.running)
+                await asyncio.sleep(0.01)
+            self.assertEqual(
+                {Code.COMPLETE}, {reply["code"] for reply in await running}
+            )
+            self.assertEqual(2, most)
+
+
 class DrainTests(jobs.FleetTestCase):
     async def test_drain_finishes_what_is_in_progress(self):
         async with fleet.Fleet(entries=2) as started:
--- a/waxwingwalk/core/state.py
+++ b/waxwingwalk/core/state.py
@@ -14,10 +14,13 @@
 from waxwingwalk.routing import backends
 from waxwingwalk.routing import base
 from waxwingwalk.routing import estimates
+from waxwingwalk.routing import quotas
 from waxwingwalk.settings import adopted
 from waxwingwalk.settings import global_settings
 
 TaskRef = tuple[str, int]
+# Remembered parts of quotas; all are dropped beyond that many.
+QUOTA_SHARES_MAX = 2000
 
 
 @dataclasses.dataclass(slots=True)
@@ -120,6 +123,7 @@
         self.probed_at = now - datetime.timedelta(days=1)
         self.membership_seen = 0
         self.serial = 0
+        self._quota_shares: dict[tuple[int, int, str], quotas.QuotaShare] = {}
         self._placements: dict[
             global_settings.PlacementName, base.Placement
         ] = {}
@@ -157,14 +161,38 @@
     def is_below_quota(self, team: str) -> bool:
         """Tell whether a team may start another task here.
 
-        A quota is divided evenly among the live entry processes.
+        Jobs that this process holds may always run one task at a time, also
+        when a change of members has left it no part of the quota.
         """
-        quota = self.settings.team(team).quota
-        if quota == 0:
+        share = self.quota_share(team)
+        if share is None:
             return True
-        processes = len(self.membership.live_addresses())
-        share = max(1, quota // max(1, processes))
-        return self.team_running.get(team, 0) < share
+        return self.team_running.get(team, 0) < max(1, share.tasks)
+
+    def quota_share(self, team: str) -> quotas.QuotaShare | None:
+        """Return this process's part of a team's quota, None if unbounded."""
+        quota = self.settings.team(team).quota
+        members = self.membership.live_addresses()
+        if quota == 0 or not members:
+            return None
+        key = (self.membership.version, quota, team)
+        share = self._quota_shares.get(key)
+        if share is None:
+            if len(self._quota_shares) > QUOTA_SHARES_MAX:
+                self._quota_shares.clear()
+            share = quotas.divide(team, quota, members, self.process.address)
+            self._quota_shares[key] = share
+        return share
+
+    def quota_home(self, team: str) -> identity.ProcessId | None:
+        """Return where a team's jobs go, None if they may run here."""
+        share = self.quota_share(team)
+        if share is None or share.tasks > 0:
+            return None
+        member = self.membership.get(share.home)
+        if member is None or share.home == self.process.address:
+            return None
+        return identity.ProcessId(share.home, member.record.incarnation)
 
     def occupy_running_slots(self) -> None:
         """Tell a new slot sharing of the tasks that run already."""
--- a/waxwingwalk/entry/submission.py
+++ b/waxwingwalk/entry/submission.py
@@ -97,6 +97,9 @@
     ) -> replies.Reply:
         """Run the job here, or where its issued key belongs."""
         if request.key is None or not issued_keys.is_issued(request.key):
+            home = self._engine.state.quota_home(request.team)
+            if home is not None and not is_forwarded:
+                return await self._run_at_home(home, request, body)
             return await self._run(request, body, None, is_forwarded)
         verified = self._issuer.verify(request.team, request.key)
         if not isinstance(verified, result.Success):
@@ -110,6 +113,23 @@
             key.issuer, request, body, Code.KEY_INCARNATION_GONE
         )
 
+    async def _run_at_home(
+        self,
+        home: identity.ProcessId,
+        request: requests.JobRequest,
+        body: bytes,
+    ) -> replies.Reply:
+        """Run a job where its team has a part of its quota.
+
+        If that process cannot be reached, the job was not sent, and runs
+        here one task at a time.
+        """
+        unreachable = Code.COORDINATOR_UNREACHABLE
+        reply = await self._forward(home, request, body, unreachable)
+        if reply.code is unreachable:
+            return await self._run(request, body, None, False)
+        return reply
+
     async def _forward(
         self,
         target: identity.ProcessId,
--- a/waxwingwalk/testing/backend.py
+++ b/waxwingwalk/testing/backend.py
@@ -124,6 +124,11 @@
             "state": "leaving" if self.is_leaving else "live",
         }
 
+    @property
+    def running(self) -> int:
+        """How many tasks run now."""
+        return self._sharing.running
+
     def silence_open_connections(self) -> None:
         """Let open connections go silent for good; new ones work."""
         self._silenced |= self._transports
