--- a/Makefile
+++ b/Makefile
@@ -22,7 +22,7 @@
 lint: $(STAMP)
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
-	$(BIN)/flake8 waxwingwalk tests bench examples
+	$(BIN)/flake8 waxwingwalk tests bench examples docs
 
 types: $(STAMP)
 	$(BIN)/mypy
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -168,17 +168,16 @@
         }
         settings_file = folder / f"entry-{index}.yaml"
         settings_file.write_text(yaml.safe_dump(settings))
-        log = open(folder / f"entry-{index}.log", "wb")  # noqa: SIM115
-        process = await asyncio.create_subprocess_exec(
-            sys.executable,
-            "-m",
-            "bench.entry_process",
-            str(settings_file),
-            str(delays_file),
-            stdout=log,
-            stderr=asyncio.subprocess.PIPE,
-        )
-        log.close()
+        with open(folder / f"entry-{index}.log", "wb") as log:
+            process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "bench.entry_process",
+                str(settings_file),
+                str(delays_file),
+                stdout=log,
+                stderr=asyncio.subprocess.PIPE,
+            )
         assert process.stderr is not None
         said = json.loads(await process.stderr.readline())
         self.entries.append(
--- a/tests/routing/test_slots.py
+++ b/tests/routing/test_slots.py
@@ -211,3 +211,14 @@
             if backend.suspect_until is not None
         }
         self.assertEqual({"b2", "b3"}, suspects)
+
+    def test_tight_deadlines_set_no_server_aside(self):
+        """A task that is given up at its deadline says nothing of a server."""
+        harness = reducers.ReducerHarness()
+        harness.list_backends(reducers.backend("b1", slots=4))
+        for _ in range(20):
+            _, done = harness.submit(1, deadline=0.25)
+            (sent,) = reducers.sent(done)
+            harness.clock.advance(reducers.seconds(0.25))
+            harness.reply(sent, model.TaskOutcome.LOST)
+        self.assertEqual(0, harness.state.counters.backends_set_aside)
--- a/waxwingwalk/routing/health.py
+++ b/waxwingwalk/routing/health.py
@@ -45,7 +45,9 @@
             if not job.is_ended:
                 done += _note_failed(state, backend, job, now)
         case model.TaskOutcome.LOST:
-            done += _note_failed(state, backend, job, now)
+            # At its deadline a task is given up, whatever its server does.
+            if now < job.spec.deadline and not job.is_ended:
+                done += _note_failed(state, backend, job, now)
         case model.TaskOutcome.NOT_SENT:
             _note_unreachable(backend, now)
             done += _suspect_rack(state, backend, now)
