Met unforeseen errors in the engine and the loops

A client that fails in an unforeseen way ends its job as lost, an error in a loop is logged and the loop goes on, a message that a peer of another version sends is passed over.

--- a/tests/entry/test_backend_faults.py
+++ b/tests/entry/test_backend_faults.py
@@ -45,6 +45,18 @@
                     self.assertEqual(is_started, bool(starts))
                     self.assertLessEqual(max(starts.values(), default=0), 1)
 
+    async def test_reset_of_a_used_connection_repeats_nothing(self):
+        """An HTTP client must not resend on a connection that broke."""
+        for fault in (Fault.RESET, Fault.RUN_AND_RESET):
+            with self.subTest(fault=fault.value):
+                async with fleet.Fleet() as started:
+                    (server,) = await jobs.add_backends(started, 1)
+                    await started.submit(0, jobs.job(count=1))
+                    server.fault = fault
+                    reply = await started.submit(0, jobs.job(count=1))
+                    self.assertEqual(Code.TASK_LOST, reply["code"], reply)
+                    self.assertEqual({1}, set(started.starts().values()))
+
     async def test_foreign_answer_reaches_no_caller(self):
         async with fleet.Fleet() as started:
             (server,) = await jobs.add_backends(started, 1)
--- /dev/null
+++ b/tests/entry/test_engine.py
@@ -0,0 +1,55 @@
+"""The engine: each task that is sent gets exactly one reply."""
+
+import random
+
+import structlog
+
+from tests.core import reducers
+from tests.entry import jobs
+from waxwingwalk.core import clock
+from waxwingwalk.core import events
+from waxwingwalk.core import results
+from waxwingwalk.entry import engine
+from waxwingwalk.settings import adopted
+import waxwingwalk.wiring as wiring
+
+
+class BrokenBackends:
+    """A client whose every call fails in a way that nobody foresaw."""
+
+    def use_freshness(self, freshness):
+        """Accept any freshness."""
+
+    async def run(self, effect):
+        """Fail."""
+        raise KeyError("unforeseen")
+
+    async def stop(self, address, tasks):
+        """Do nothing."""
+
+
+class EngineTests(jobs.FleetTestCase):
+    async def test_unforeseen_error_leaves_no_job_without_an_answer(self):
+        captured = structlog.testing.LogCapture()
+        logger = structlog.wrap_logger(
+            structlog.ReturnLogger(),
+            processors=[captured],
+            wrapper_class=structlog.make_filtering_bound_logger(0),
+        )
+        time = clock.ManualClock()
+        reducer = wiring.build_reducer(
+            reducers.SELF, reducers.PLACE, time, random.Random(1)
+        )
+        running = engine.Engine(reducer, time, BrokenBackends(), logger)
+        document = adopted.Revision(number=1).document()
+        running.apply(events.SettingsRead(document))
+        running.apply(events.BackendsListed([reducers.backend()]))
+        harness = reducers.ReducerHarness()
+        spec = reducers.job_spec(harness, 2)
+        answer = running.wait_for(spec.job_id)
+        running.apply(events.JobSubmitted(spec))
+        self.assertEqual(results.ResultCode.TASK_LOST, (await answer).code)
+        await running.close()
+        names = [entry["event"] for entry in captured.entries]
+        self.assertIn("internal.error", names)
+        self.assertEqual({}, running.state.attempts)
--- a/waxwingwalk/entry/engine.py
+++ b/waxwingwalk/entry/engine.py
@@ -127,6 +127,15 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
+    def report_failure(self, where: str, error: Exception) -> None:
+        """Log an error that no handler was ready for."""
+        self._log.error(
+            "internal.error",
+            where=where,
+            error=f"{type(error).__name__}: {error}",
+            exc_info=error,
+        )
+
     async def close(self) -> None:
         """Cancel what is under way."""
         for task in list(self._tasks):
@@ -138,7 +147,13 @@
     async def _run(self, effect: effects.SendTask) -> None:
         options = self.state.settings.process()
         self._backends.use_freshness(options.connection_freshness)
-        reply = await self._backends.run(effect)
+        try:
+            reply = await self._backends.run(effect)
+        except Exception as error:
+            # Whatever went wrong here, the task may have been sent.
+            self.report_failure("task", error)
+            detail = f"{type(error).__name__}: {error}"
+            reply = backend_client.Reply(model.TaskOutcome.LOST, detail=detail)
         self._apply_reply(
             effect.job_id,
             effect.index,
--- a/waxwingwalk/entry/links.py
+++ b/waxwingwalk/entry/links.py
@@ -18,6 +18,7 @@
 import aiohttp
 from aiohttp import web
 import orjson
+import pydantic
 
 from waxwingwalk.core import events
 from waxwingwalk.core import identity
@@ -201,7 +202,12 @@
         if frame.type is not aiohttp.WSMsgType.TEXT:
             return
         for content in orjson.loads(frame.data):
-            message = messages.decoder.validate_python(content)
+            try:
+                message = messages.decoder.validate_python(content)
+            except pydantic.ValidationError:
+                # A peer of another version may say what is not known here.
+                self._traffic.count("peer_not_understood")
+                continue
             self._notify(
                 events.PeerMessageReceived(address, incarnation, message)
             )
--- a/waxwingwalk/entry/server.py
+++ b/waxwingwalk/entry/server.py
@@ -31,6 +31,8 @@
 EAGER_SETTINGS_INTERVAL = datetime.timedelta(milliseconds=500)
 LISTEN_BACKLOG = 1024
 
+Step = Callable[[], Coroutine[Any, Any, datetime.timedelta]]
+
 
 def bind(listener: entry_config.ListenerConfig) -> socket.socket:
     """Return a listening socket for an address in a settings file."""
@@ -73,8 +75,8 @@
             self._runners.append(runner)
         gc.freeze()
         gc.set_threshold(GC_THRESHOLD)
-        for loop in (self._tick, self._read_hosts, self._read_settings):
-            self._tasks.append(asyncio.create_task(loop()))
+        for step in (self._tick, self._read_hosts, self._read_settings):
+            self._tasks.append(asyncio.create_task(self._repeat(step)))
 
     async def stop(self, exception: Exception | None = None) -> None:
         """Drain: finish the jobs in progress, then close everything."""
@@ -103,19 +105,26 @@
         for close in self._closers:
             await close()
 
-    async def _tick(self) -> None:
-        while True:
-            await asyncio.sleep(TICK_INTERVAL.total_seconds())
-            self._engine.apply(events.Ticked())
-
-    async def _read_hosts(self) -> None:
+    async def _repeat(self, step: Step) -> None:
+        """Repeat a step after the pause that it returns, whatever happens."""
         while True:
-            read = await self._hosts.hosts()
-            listed = read.value_or(None)
-            if listed is not None:
-                self._take_hosts(listed)
-            options = self._engine.state.settings.process()
-            await asyncio.sleep(options.host_list_interval.total_seconds())
+            pause = TICK_INTERVAL
+            try:
+                pause = await step()
+            except Exception as error:
+                self._engine.report_failure(step.__name__, error)
+            await asyncio.sleep(pause.total_seconds())
+
+    async def _tick(self) -> datetime.timedelta:
+        self._engine.apply(events.Ticked())
+        return TICK_INTERVAL
+
+    async def _read_hosts(self) -> datetime.timedelta:
+        read = await self._hosts.hosts()
+        listed = read.value_or(None)
+        if listed is not None:
+            self._take_hosts(listed)
+        return self._engine.state.settings.process().host_list_interval
 
     def _take_hosts(self, listed: dict[str, Any]) -> None:
         parsed = host_list.parse(listed)
@@ -133,15 +142,13 @@
             document = revision.document()
             self._engine.apply(events.SettingsRead(document))
 
-    async def _read_settings(self) -> None:
+    async def _read_settings(self) -> datetime.timedelta:
         """Ask the store for a newer revision, eagerly until there is one."""
-        while True:
-            settings = self._engine.state.settings
-            read = await self._store.head()
-            head = read.value_or(None)
-            if head is not None and head.number > settings.number:
-                await self._read_revision(head.number)
-            interval = settings.process().settings_interval
-            if not settings.is_ready:
-                interval = EAGER_SETTINGS_INTERVAL
-            await asyncio.sleep(interval.total_seconds())
+        settings = self._engine.state.settings
+        read = await self._store.head()
+        head = read.value_or(None)
+        if head is not None and head.number > settings.number:
+            await self._read_revision(head.number)
+        if not settings.is_ready:
+            return EAGER_SETTINGS_INTERVAL
+        return settings.process().settings_interval
