Bounded request bodies by their setting while they are read

The listener read up to 1 GiB before the body_max setting was looked at. Added tests of a full queue and of the blocking face of the callers' library.

--- a/tests/client/test_client.py
+++ b/tests/client/test_client.py
@@ -1,5 +1,6 @@
 """The callers' library: when a job is submitted again, and when not."""
 
+import asyncio
 import datetime
 import unittest
 
@@ -112,6 +113,22 @@
                 answer = await dispatcher.submit(job)
         self.assertEqual([7], answer.results)
 
+    async def test_blocking_face_does_the_same(self):
+        async with fleet.Fleet() as started:
+            await loopback.add_backends(started, 1)
+            address = started.entries[0].callers_address
+            answer, status = await asyncio.to_thread(self.use, address)
+        self.assertEqual([7], answer.results)
+        self.assertEqual(Code.COMPLETE, status.code)
+
+    def use(self, address):
+        """Submit a job without an event loop."""
+        with client.BlockingClient([address], team="shops") as dispatcher:
+            (key,) = dispatcher.issue_keys(1)
+            tasks = [client.Task({"value": 7, "run_seconds": 0.01})]
+            answer = dispatcher.submit(client.Job("refunds", tasks, key=key))
+            return answer, dispatcher.status(answer.job_id)
+
     async def keys(self, dispatcher):
         """Ask until the reachable address is picked."""
         while True:
--- a/tests/entry/test_whole_path.py
+++ b/tests/entry/test_whole_path.py
@@ -1,5 +1,7 @@
 """The whole path over loopback, from the caller to the backend server."""
 
+import asyncio
+
 from tests.entry import jobs
 from waxwingwalk.core import results
 from waxwingwalk.testing import fleet
@@ -34,9 +36,12 @@
         changes = {
             "defaults.job_max_tasks": 5,
             "defaults.payload_max": "1 KiB",
+            "defaults.body_max": "16 KiB",
         }
         big = {"payload": {"value": "x" * 2000}, "run_time_seconds": 0.1}
+        too_long = {"payload": "x" * 20_000}
         cases = [
+            ({**jobs.job(), "tasks": [too_long]}, Code.BODY_TOO_LARGE),
             (jobs.job(count=6), Code.TOO_MANY_TASKS),
             (jobs.job(count=1, service="unknown"), Code.UNKNOWN_SERVICE),
             (jobs.job(service="no spaces"), Code.INVALID_REQUEST),
@@ -63,3 +68,20 @@
                     reply = await started.submit(0, submission)
                     self.assertEqual(code, reply["code"], reply)
             self.assertEqual({}, started.starts())
+
+    async def test_full_queue_refuses_truly_and_says_when_to_come_back(self):
+        changes = {"defaults.queue_max_tasks": 20}
+        async with fleet.Fleet(settings=changes) as started:
+            await jobs.add_backends(started, 1)
+            replies = await asyncio.gather(
+                *(
+                    started.submit(0, jobs.job(count=14, seconds=0.1))
+                    for _ in range(4)
+                )
+            )
+            refused = [r for r in replies if r["code"] == Code.QUEUE_FULL]
+            complete = [r for r in replies if r["code"] == Code.COMPLETE]
+            self.assertEqual(4, len(refused) + len(complete))
+            self.assertGreater(len(refused), 0)
+            self.assertGreater(refused[0]["retry_after_seconds"], 0)
+            self.assertEqual(14 * len(complete), len(started.starts()))
--- a/waxwingwalk/entry/callers_api.py
+++ b/waxwingwalk/entry/callers_api.py
@@ -47,8 +47,9 @@
         is_allowed, team = self._team(request)
         if not is_allowed:
             return replies.Reply(results.ResultCode.UNAUTHORIZED).response()
+        body_max = self._engine.state.settings.process().body_max
         try:
-            body = await request.read()
+            body = await request.clone(client_max_size=body_max).read()
         except web.HTTPRequestEntityTooLarge:
             return replies.Reply(results.ResultCode.BODY_TOO_LARGE).response()
         reply = await self._submissions.submit(body, team=team)
--- a/waxwingwalk/entry/submission.py
+++ b/waxwingwalk/entry/submission.py
@@ -73,8 +73,6 @@
     ) -> replies.Reply | None:
         settings = self._engine.state.settings
         options = settings.service(request.service)
-        if body_size > settings.process().body_max:
-            return replies.Reply(Code.BODY_TOO_LARGE)
         if len(request.tasks) > options.job_max_tasks:
             detail = (
                 f"{len(request.tasks)} tasks, {options.job_max_tasks} allowed"
