--- a/bench/scenarios.py
+++ b/bench/scenarios.py
@@ -46,6 +46,7 @@
     "least outstanding": policy("unlimited", "least-outstanding"),
 }
 OURS = ("occupancy",)
+FEW = ("occupancy", "equal share", "least outstanding")
 OURS_AND_SHARE = ("occupancy", "equal share")
 
 
@@ -114,12 +115,14 @@
         "1d one job of 570 tasks on an idle fleet",
         COOPERATIVE,
         workload.Work(single_job_tasks=570),
+        policies=(*FEW, "owner leases"),
         is_quick=True,
     ),
     Scenario(
         "2 Groenhof, 10x burst for 2 s over 25% load",
         GROENHOF,
         workload.Work(load=0.25, burst=(2.0, 4.0, 10.0)),
+        policies=FEW,
     ),
     Scenario(
         "3a speeds 1:8, 70% load",
@@ -146,7 +149,7 @@
         "4b one fails all tasks",
         COOPERATIVE,
         workload.Work(load=0.6, seconds=12.0),
-        policies=("occupancy", "equal share", "least outstanding"),
+        policies=FEW,
         trouble=one_fails_all_tasks,
         bad_backends=(0,),
     ),
--- a/tests/entry/test_access.py
+++ b/tests/entry/test_access.py
@@ -24,6 +24,59 @@
                     async with session.get(url) as response:
                         self.assertEqual(status, response.status)
 
+    async def test_callers_and_operators_need_their_tokens(self):
+        secrets = config.Secrets(
+            peers=fleet.SECRET,
+            callers={"shops": "token-of-shops", "pubs": "token-of-pubs"},
+            operators={"ann": "token-of-ann"},
+        )
+        async with fleet.Fleet(secrets=secrets) as started:
+            await jobs.add_backends(started, 1)
+            entry = started.entries[0]
+            callers = f"http://{entry.callers_address}"
+            operators = f"http://{entry.operators_address}"
+            change = {"changes": {"defaults.weight": 2}, "reason": "test"}
+            cases = [
+                ("POST", f"{callers}/v1/jobs", jobs.job(), "", 401),
+                ("POST", f"{callers}/v1/jobs", jobs.job(), "shops", 200),
+                ("POST", f"{callers}/v1/jobs", jobs.job(), "pubs", 401),
+                ("POST", f"{callers}/v1/keys", {"team": "pubs"}, "shops", 401),
+                ("GET", f"{callers}/v1/jobs/x", None, "", 401),
+                ("GET", f"{callers}/ready", None, "", 200),
+                ("GET", f"{operators}/v1/hosts", None, "", 401),
+                ("GET", f"{operators}/metrics", None, "shops", 401),
+                ("GET", f"{operators}/metrics", None, "ann", 200),
+                (
+                    "POST",
+                    f"{operators}/v1/settings/changes",
+                    change,
+                    "ann",
+                    200,
+                ),
+            ]
+            for method, url, body, holder, status in cases:
+                with self.subTest(url=url, holder=holder):
+                    headers = {"Authorization": f"Bearer token-of-{holder}"}
+                    async with started.session.request(
+                        method, url, json=body, headers=headers
+                    ) as response:
+                        self.assertEqual(status, response.status)
+                        text = await response.text()
+            revision = entry.engine.state.settings.revision
+            self.assertEqual("ann", revision.author)
+            self.assertIn("revision", text)
+
+    async def test_metrics_count_what_happened(self):
+        async with fleet.Fleet() as started:
+            await jobs.add_backends(started, 1)
+            await started.submit(0, jobs.job(count=5))
+            url = f"http://{started.entries[0].operators_address}/metrics"
+            async with started.session.get(url) as response:
+                text = await response.text()
+            self.assertIn("waxwingwalk_tasks_done_total 5", text)
+            self.assertIn("waxwingwalk_jobs_complete_total 1", text)
+            self.assertIn('waxwingwalk_messages_sent_total{kind="task"}', text)
+
     async def test_log_explains_placements_and_holds_no_secret(self):
         captured = structlog.testing.LogCapture()
         logger = structlog.wrap_logger(
--- a/waxwingwalk/testing/fleet.py
+++ b/waxwingwalk/testing/fleet.py
@@ -44,11 +44,13 @@
         entries: int = 1,
         logger: structlog.typing.FilteringBoundLogger | None = None,
         settings: dict[str, Any] | None = None,
+        secrets: config.Secrets | None = None,
     ) -> None:
         self._zones = zones
         self._count = entries
         self._logger = logger or _silent_logger()
         self._settings = settings or {}
+        self._secrets = secrets or config.Secrets(peers=SECRET)
         self._folder = tempfile.TemporaryDirectory(prefix="waxwingwalk-")
         self.platform = platform_stand_in.Platform()
         self.backends: dict[str, backend_stand_in.BackendServer] = {}
@@ -107,9 +109,8 @@
             pair = (own[0].peers_address, address)
             return math.inf if pair in self.cuts else 0.0
 
-        secrets = config.Secrets(peers=SECRET)
         entry = wiring.build_entry(
-            entry_config, secrets, self._logger, delay=delay
+            entry_config, self._secrets, self._logger, delay=delay
         )
         own.append(entry)
         await entry.service.start()
