--- a/waxwingwalk/testing/backend.py
+++ b/waxwingwalk/testing/backend.py
@@ -50,7 +50,7 @@
     services: tuple[str, ...] = ("refunds",)
     slots: int = 8
     speed: float = 1.0
-    late_seconds: float = 0.5
+    late_seconds: float = 3.0
     delays: dict[str, float] = dataclasses.field(default_factory=dict)
 
 
