Let a late backend server say that its task still runs

With a longer delay the look-up of an overdue task found the result and the job was complete, as it should be; the fault now keeps the task running, so that the deadline passes.

--- a/waxwingwalk/testing/backend.py
+++ b/waxwingwalk/testing/backend.py
@@ -37,7 +37,7 @@
     OTHER_INCARNATION = "answer another incarnation"
     MALFORMED = "answer nonsense"
     TWICE = "answer twice"
-    LATE = "answer late"
+    LATE = "end tasks late"
 
 
 @dataclasses.dataclass(slots=True)
@@ -179,8 +179,6 @@
                 return {**reply, "task": f"{name}0"}
             case Fault.OTHER_INCARNATION:
                 return {**reply, "incarnation": "0" * 12}
-            case Fault.LATE:
-                await asyncio.sleep(self.options.late_seconds)
             case Fault.TWICE:
                 self._answer_early(request, reply)
         return reply
@@ -239,6 +237,8 @@
             return self._reply(content, "failed", error="task failed")
         seconds = float(payload.get("run_seconds", DEFAULT_RUN_SECONDS))
         await self._sharing.run(seconds)
+        if self.fault is Fault.LATE:
+            await asyncio.sleep(self.options.late_seconds)
         return self._reply(content, "done", value=payload.get("value"))
 
     def _reply(
