--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -70,6 +70,13 @@
     return ports
 
 
+def _count_name(metric: str, kind: str | None) -> str:
+    """Return the name of a counter: messages go by their kind alone."""
+    if kind is None:
+        return metric
+    return f"bytes_{kind}" if metric.startswith("bytes") else kind
+
+
 class BenchFleet:
     """Entry processes and stand-ins as processes of their own."""
 
@@ -248,7 +255,7 @@
                 for line in (await response.text()).splitlines():
                     match = _SAMPLE.match(line)
                     if match:
-                        name = match[2] or match[1]
+                        name = _count_name(match[1], match[2])
                         total[name] = total.get(name, 0.0) + float(match[3])
         total["cpu"] = sum(self.cpu_seconds())
         return total
--- a/bench/spread.py
+++ b/bench/spread.py
@@ -28,7 +28,7 @@
         jobs = workload.draw_jobs(work, servers, layout.entries, seed)
         load = asyncio.create_task(callers.Callers(fleet).drive(jobs))
         await asyncio.sleep(2)
-        settings = await _settings_spread(fleet)
+        settings = await settings_spread(fleet)
         leaving = await _last_start(fleet)
         outcomes = await load
     complete = sum(each.code == report.COMPLETE for each in outcomes)
@@ -41,7 +41,7 @@
     return report.table(TITLE, [report.Row("occupancy", cells)])
 
 
-async def _settings_spread(fleet: bench_fleet.BenchFleet) -> float:
+async def settings_spread(fleet: bench_fleet.BenchFleet) -> float:
     """Return the time from a change until every process has it."""
     url = f"http://{fleet.entries[0].operators}/v1/settings/changes"
     body = {"changes": {"teams.pubs.quota": 9}, "reason": "benchmark"}
--- a/waxwingwalk/core/state.py
+++ b/waxwingwalk/core/state.py
@@ -87,7 +87,8 @@
 class State:
     """State that the handlers of every area share.
 
-    Only the reducer's handlers change it; I/O code may read it.
+    Only the reducer's handlers change it. I/O code may read it, and draw job
+    ids.
     """
 
     def __init__(
--- a/waxwingwalk/entry/metrics.py
+++ b/waxwingwalk/entry/metrics.py
@@ -26,6 +26,7 @@
             for field in dataclasses.fields(core_state.Counters)
         }
         self._messages = self._counter("messages_sent")
+        self._bytes = self._counter("bytes_sent")
         self._gauges = {
             name: collectors.Gauge(
                 f"{PREFIX}_{name}", text, registry=self._registry
@@ -58,6 +59,8 @@
             counter.set({}, getattr(state.counters, name))
         for kind, count in self._traffic.messages.items():
             self._messages.set({"kind": kind}, count)
+        for kind, size in self._traffic.sent_bytes.items():
+            self._bytes.set({"kind": kind}, size)
         queued = sum(queue.task_count for queue in state.queues.values())
         values = {
             "jobs_active": state.active_jobs,
