--- a/waxwingwalk/routing/base.py
+++ b/waxwingwalk/routing/base.py
@@ -124,10 +124,6 @@
         """Return the load to state to peers: mean running tasks."""
         ...
 
-    def held_total(self, service: str) -> int:
-        """Return how many slots of a service this process may use."""
-        ...
-
     def served_services(self) -> Collection[str]:
         """Return services whose idle slots changed since the last call."""
         ...
--- a/waxwingwalk/routing/estimates.py
+++ b/waxwingwalk/routing/estimates.py
@@ -72,11 +72,6 @@
         term = self._slownesses.get((service, backend_id))
         return 1.0 if term is None else _level(round(term.log / LEVEL_STEP))
 
-    def observations(self, service: str, backend_id: str) -> int:
-        """Return how many run times the slowness rests on."""
-        term = self._slownesses.get((service, backend_id))
-        return 0 if term is None else term.count
-
     def mean_run_time(self, service: str, default: float = 0.3) -> float:
         """Return the moving mean of observed run times, in seconds."""
         return self._means.get(service, default)
@@ -107,9 +102,3 @@
         work = seen / slowness.factor
         mean_work = self._mean_works.get(service, work)
         self._mean_works[service] = mean_work + MIN_STEP * (work - mean_work)
-
-    def forget_backend(self, backend_id: str) -> None:
-        """Drop what was learned of a backend server."""
-        stale = [key for key in self._slownesses if key[1] == backend_id]
-        for key in stale:
-            del self._slownesses[key]
--- a/waxwingwalk/routing/slots/leases.py
+++ b/waxwingwalk/routing/slots/leases.py
@@ -74,7 +74,7 @@
             return list(listed.values())
         return [only] if only.backend_id in listed else []
 
-    def held_total(self, service: str) -> int:
+    def _held_total(self, service: str) -> int:
         return sum(
             self.holdings[backend.backend_id].held
             for backend in self._registry.offering(service)
@@ -133,7 +133,7 @@
         return self._borrower.ask(service, waiting, owners, teams, now)
 
     def _is_served_soon(self, service: str, waiting: int) -> bool:
-        held = self.held_total(service)
+        held = self._held_total(service)
         if held == 0:
             return False
         return waiting * self._mean_run_time(service) / held < ASK_PATIENCE
--- a/waxwingwalk/routing/slots/occupancy.py
+++ b/waxwingwalk/routing/slots/occupancy.py
@@ -233,9 +233,6 @@
     def stated_load(self) -> dict[str, float]:
         return {name: round(mean, 1) for name, mean in self._means.items()}
 
-    def held_total(self, service: str) -> int:
-        return self._running.get(service, 0)
-
     def served_services(self) -> Collection[str]:
         changed = self._changed
         self._changed = set()
--- a/waxwingwalk/routing/slots/simple.py
+++ b/waxwingwalk/routing/slots/simple.py
@@ -93,11 +93,6 @@
     def stated_load(self) -> dict[str, float]:
         return {}
 
-    def held_total(self, service: str) -> int:
-        return sum(
-            self._limit(each) for each in self._registry.offering(service)
-        )
-
     def served_services(self) -> Collection[str]:
         changed = self._changed
         self._changed = set()
