Made one piece of code of what stood twice

A job's estimates were computed twice at its submission; the name of a task was spelled in four places; messages to every peer were built in three, one with a check that the list had made already; waking from a pause and a change of slot sharing renewed the sharing each in its own way; three job commands had one body; occupancy and the unlimited baseline shared five methods.

One behaviour changed, and was wrong: with leases, a woken process reported its slots before it had counted those in use, so owners were told of none. The new test fails with the old order.

--- a/tests/routing/test_slots.py
+++ b/tests/routing/test_slots.py
@@ -158,6 +158,20 @@
         ]
         self.assertGreaterEqual(min(running), 3, running)
 
+    def test_woken_process_reports_the_slots_that_it_still_uses(self):
+        """All but the slots in use were given to others meanwhile."""
+        first, second = self.both
+        self.submit(first, 8)
+        harness = self.both[first]
+        harness.clock.advance(reducers.seconds(20))
+        done = harness.apply(events.Ticked())
+        reports = [
+            message
+            for message in reducers.messages_to(done, second)
+            if message.kind == "slot_report"
+        ]
+        self.assertEqual({"b2": 4}, reports[0].slots)
+
     def test_death_of_a_holder_frees_its_slots(self):
         first, second = self.both
         self.submit(first, 20)
--- a/waxwingwalk/core/identity.py
+++ b/waxwingwalk/core/identity.py
@@ -58,6 +58,11 @@
     return JobId(process, int(match["serial"]))
 
 
+def task_name(job_id: str, index: int) -> str:
+    """Return the name by which backend servers know a task."""
+    return f"{job_id}/{index}"
+
+
 def new_incarnation(now: datetime.datetime) -> str:
     """Return an incarnation that no other process has.
 
--- a/waxwingwalk/core/lifecycle.py
+++ b/waxwingwalk/core/lifecycle.py
@@ -51,11 +51,7 @@
     but those in use, and the owners are told.
     """
     state.counters.wakes_after_pause += 1
-    sharing_name = state.settings.process().slot_sharing
-    state.sharing = state.policies.slot_sharing(sharing_name, state)
-    done = state.sharing.topology_changed(now)
-    state.occupy_running_slots()
-    return [effects.Log("process.woke", {}), *done]
+    return [effects.Log("process.woke", {}), *state.renew_sharing(now)]
 
 
 def drain(
--- a/waxwingwalk/core/state.py
+++ b/waxwingwalk/core/state.py
@@ -6,6 +6,7 @@
 import random
 from typing import Protocol
 
+from waxwingwalk.core import effects
 from waxwingwalk.core import identity
 from waxwingwalk.core import model
 from waxwingwalk.jobs import job as jobs
@@ -195,22 +196,24 @@
             return None
         return identity.ProcessId(share.home, member.record.incarnation)
 
-    def occupy_running_slots(self) -> None:
-        """Tell a new slot sharing of the tasks that run already."""
+    def renew_sharing(self, now: datetime.datetime) -> list[effects.Effect]:
+        """Share slots afresh, in the way that the settings name.
+
+        Tasks in progress keep their slots, and owners are told of those.
+        """
+        self.sharing_name = self.settings.process().slot_sharing
+        self.sharing = self.policies.slot_sharing(self.sharing_name, self)
         for attempt in self.attempts.values():
             backend = self.registry.get(attempt.backend_id)
             if backend is not None:
                 self.sharing.take(backend)
+        return self.sharing.topology_changed(now)
 
     def next_job_id(self) -> str:
         """Return an id for a new job of this process."""
         self.serial += 1
         return str(identity.JobId(self.process, self.serial))
 
-    def task_name(self, job_id: str, index: int) -> str:
-        """Return the name by which a backend server knows a task."""
-        return f"{job_id}/{index}"
-
     def backend_for(self, task: model.TaskSpec, service: str) -> bool:
         """Tell whether some known backend server could hold the task."""
         return any(
--- a/waxwingwalk/entry/backend_client.py
+++ b/waxwingwalk/entry/backend_client.py
@@ -18,6 +18,7 @@
 import yarl
 
 from waxwingwalk.core import effects
+from waxwingwalk.core import identity
 from waxwingwalk.core import model
 from waxwingwalk.entry import traffic
 
@@ -155,7 +156,7 @@
         """Run a task and wait for its end."""
         body = orjson.dumps(
             {
-                "task": f"{effect.job_id}/{effect.index}",
+                "task": identity.task_name(effect.job_id, effect.index),
                 "incarnation": self._incarnation,
                 "service": effect.service,
                 "payload": effect.payload,
--- a/waxwingwalk/entry/engine.py
+++ b/waxwingwalk/entry/engine.py
@@ -12,6 +12,7 @@
 from waxwingwalk.core import clock
 from waxwingwalk.core import effects
 from waxwingwalk.core import events
+from waxwingwalk.core import identity
 from waxwingwalk.core import messages
 from waxwingwalk.core import model
 from waxwingwalk.core import reducer as core_reducer
@@ -95,7 +96,7 @@
                 case effects.DeliverAnswer():
                     self._deliver(effect.answer)
                 case effects.StopTask():
-                    name = f"{effect.job_id}/{effect.index}"
+                    name = identity.task_name(effect.job_id, effect.index)
                     stops.setdefault(effect.address, []).append(name)
                 case effects.Log():
                     self._log.info(effect.event, **effect.fields)
@@ -112,7 +113,7 @@
             case effects.ReadTaskStatus():
                 self._spawn(self._read_status(effect))
             case effects.RenewLeases():
-                tasks = [f"{job}/{index}" for job, index in effect.tasks]
+                tasks = [identity.task_name(*ref) for ref in effect.tasks]
                 self._spawn(
                     self._backends.renew(effect.address, tasks, effect.lease)
                 )
@@ -187,7 +188,7 @@
         )
 
     async def _read_status(self, effect: effects.ReadTaskStatus) -> None:
-        name = f"{effect.job_id}/{effect.index}"
+        name = identity.task_name(effect.job_id, effect.index)
         status = await self._backends.status(effect.address, name)
         if status.reply is not None:
             self._recover(effect, status.reply)
--- a/waxwingwalk/jobs/handlers.py
+++ b/waxwingwalk/jobs/handlers.py
@@ -4,6 +4,7 @@
 
 from waxwingwalk.core import effects
 from waxwingwalk.core import events
+from waxwingwalk.core import identity
 from waxwingwalk.core import model
 from waxwingwalk.core import results
 from waxwingwalk.core import state as core_state
@@ -68,7 +69,7 @@
         model.TaskOutcome.NOT_SENT,
     ):
         return False
-    expected = state.task_name(event.job_id, event.index)
+    expected = identity.task_name(event.job_id, event.index)
     return (
         event.reply_task != expected
         or event.reply_incarnation != state.process.incarnation
--- a/waxwingwalk/jobs/intake.py
+++ b/waxwingwalk/jobs/intake.py
@@ -26,12 +26,12 @@
 ) -> Effects:
     """Accept a job, or refuse it before anything ran."""
     spec = event.spec
-    refusal = _refusal(state, spec, now)
+    estimates = _estimates(state, spec)
+    refusal = _refusal(state, spec, sum(estimates), now)
     if refusal is not None:
         state.counters.jobs_refused += 1
         return [effects.DeliverAnswer(refusal), _refusal_log(spec, refusal)]
     state.counters.jobs_accepted += 1
-    estimates = _estimates(state, spec)
     phase = jobs.JobPhase.ACTIVE
     if spec.key is not None:
         keys.remember(state, spec)
@@ -56,7 +56,10 @@
 
 
 def _refusal(
-    state: core_state.State, spec: model.JobSpec, now: datetime.datetime
+    state: core_state.State,
+    spec: model.JobSpec,
+    work: float,
+    now: datetime.datetime,
 ) -> model.Answer | None:
     code = results.ResultCode
     if state.drain is not None:
@@ -71,7 +74,7 @@
     queue = state.queue(spec.service)
     if queue.task_count + len(spec.tasks) > options.queue_max_tasks:
         return _refuse(spec, code.QUEUE_FULL, retry_after=QUEUE_FULL_RETRY)
-    retry_after = _admission_refusal(state, spec, now)
+    retry_after = _admission_refusal(state, spec, work, now)
     if retry_after is not None:
         return _refuse(
             spec, code.DEADLINE_UNREACHABLE, retry_after=retry_after
@@ -91,12 +94,14 @@
 
 
 def _admission_refusal(
-    state: core_state.State, spec: model.JobSpec, now: datetime.datetime
+    state: core_state.State,
+    spec: model.JobSpec,
+    work: float,
+    now: datetime.datetime,
 ) -> datetime.timedelta | None:
     options = state.settings.service(spec.service)
-    estimates = _estimates(state, spec)
     request = base.AdmissionRequest(
-        work=sum(estimates),
+        work=work,
         queued_work=state.queue(spec.service).work,
         slots=sum(
             backend.spec.slots
--- a/waxwingwalk/management/commands/jobs.py
+++ b/waxwingwalk/management/commands/jobs.py
@@ -86,41 +86,38 @@
                 self.line_error(f"waiting for {waited:.0f} s")
 
 
-class JobStatusCommand(JobCommand):
-    """Shows a job's state, or its answer once it has one."""
+class AboutJobCommand(JobCommand):
+    """A command that asks about a job by its id."""
 
-    name = "job status"
-    description = "Show the state of JOB."
+    method = "GET"
+    suffix = ""
     arguments = [cleo.helpers.argument("job", "The job's id.")]
     options = JobCommand.shared_options
 
     def handle(self) -> int:
-        reply = self.request("GET", f"/v1/jobs/{self.argument('job')}")
+        path = f"/v1/jobs/{self.argument('job')}{self.suffix}"
+        reply = self.request(self.method, path)
         return base.EXIT_USAGE if reply is None else self.show(reply)
 
 
-class JobCancelCommand(JobCommand):
+class JobStatusCommand(AboutJobCommand):
+    """Shows a job's state, or its answer once it has one."""
+
+    name = "job status"
+    description = "Show the state of JOB."
+
+
+class JobCancelCommand(AboutJobCommand):
     """Cancels a job."""
 
     name = "job cancel"
     description = "Cancel JOB."
-    arguments = [cleo.helpers.argument("job", "The job's id.")]
-    options = JobCommand.shared_options
+    method = "DELETE"
 
-    def handle(self) -> int:
-        reply = self.request("DELETE", f"/v1/jobs/{self.argument('job')}")
-        return base.EXIT_USAGE if reply is None else self.show(reply)
 
-
-class JobExplainCommand(JobCommand):
+class JobExplainCommand(AboutJobCommand):
     """Shows what became of a job and its tasks, and why."""
 
     name = "job explain"
     description = "Explain JOB from its coordinator's memory."
-    arguments = [cleo.helpers.argument("job", "The job's id.")]
-    options = JobCommand.shared_options
-
-    def handle(self) -> int:
-        path = f"/v1/jobs/{self.argument('job')}/explain"
-        reply = self.request("GET", path)
-        return base.EXIT_USAGE if reply is None else self.show(reply)
+    suffix = "/explain"
--- a/waxwingwalk/membership/handlers.py
+++ b/waxwingwalk/membership/handlers.py
@@ -7,7 +7,6 @@
 from waxwingwalk.core import messages
 from waxwingwalk.core import state as core_state
 from waxwingwalk.jobs import dispatch
-from waxwingwalk.membership import members
 from waxwingwalk.routing import health
 from waxwingwalk.settings import handlers as settings_handlers
 
@@ -215,8 +214,6 @@
     state.membership.leave()
     done = _topology_if_changed(state, now)
     for member in state.membership.peers():
-        if member.record.state == members.GONE:
-            continue
         probe = _probe(state, is_reply=True, everything=False)
         done.append(effects.SendToPeer(member.record.address, probe))
     return done
--- a/waxwingwalk/routing/health.py
+++ b/waxwingwalk/routing/health.py
@@ -8,7 +8,7 @@
 from waxwingwalk.core import model
 from waxwingwalk.core import state as core_state
 from waxwingwalk.jobs import job as jobs
-from waxwingwalk.membership import members
+from waxwingwalk.membership import broadcast
 from waxwingwalk.routing import backends
 
 Effects = list[effects.Effect]
@@ -125,7 +125,7 @@
             "seconds": pause.total_seconds(),
         },
     )
-    return [log, *tell_peers(state, notice)]
+    return [log, *broadcast.tell_peers(state, notice)]
 
 
 def _note_unreachable(
@@ -180,16 +180,7 @@
     notice = messages.BackendNotice(
         backend.backend_id, incarnation, model.BackendState.LEAVING.value
     )
-    return tell_peers(state, notice)
-
-
-def tell_peers(state: core_state.State, message: messages.Message) -> Effects:
-    """Send a message to every member that is present."""
-    return [
-        effects.SendToPeer(member.record.address, message)
-        for member in state.membership.peers()
-        if member.record.state != members.GONE
-    ]
+    return broadcast.tell_peers(state, notice)
 
 
 def receive_notice(
--- a/waxwingwalk/routing/overdue.py
+++ b/waxwingwalk/routing/overdue.py
@@ -7,6 +7,7 @@
 from waxwingwalk.core import messages
 from waxwingwalk.core import state as core_state
 from waxwingwalk.jobs import job as jobs
+from waxwingwalk.membership import broadcast
 from waxwingwalk.routing import backends
 from waxwingwalk.routing import health
 
@@ -71,7 +72,7 @@
         health.SUSPECT_STATE,
         health.SUSPECT_TIME.total_seconds(),
     )
-    return health.tell_peers(state, notice)
+    return broadcast.tell_peers(state, notice)
 
 
 def _is_look_up_due(
--- a/waxwingwalk/routing/slots/occupancy.py
+++ b/waxwingwalk/routing/slots/occupancy.py
@@ -21,6 +21,7 @@
 from waxwingwalk.core import effects
 from waxwingwalk.core import messages
 from waxwingwalk.routing import backends
+from waxwingwalk.routing.slots import simple
 
 # Among more backend servers than this, so many are drawn and compared.
 SAMPLE_SIZE = 24
@@ -57,7 +58,7 @@
         self.stated_at = stated_at
 
 
-class OccupancySlots:
+class OccupancySlots(simple.MessagelessSlots):
     """Sends where a slot is probably free."""
 
     def __init__(
@@ -69,9 +70,7 @@
         mean_run_time: Callable[[str], float],
         generator: random.Random,
     ) -> None:
-        self._registry = registry
-        self._self = self_address
-        self._members = members
+        super().__init__(registry, self_address, members)
         self._mean_run_time = mean_run_time
         self._random = generator
         self._views: dict[str, _View] = {}
@@ -81,7 +80,6 @@
         self._mean_others: dict[str, float] = {}
         self._slots: dict[str, int] = {}
         self._now = 0.0
-        self._changed: set[str] = set()
 
     def idle(
         self, service: str, only: backends.Backend | None = None
@@ -158,15 +156,6 @@
         view.others = max(0.0, running - (view.busy - 1))
         view.seen_at = self._now
 
-    def demand(
-        self,
-        service: str,
-        waiting: int,
-        teams: Callable[[], dict[str, float]],
-        now: datetime.datetime,
-    ) -> list[effects.Effect]:
-        return []
-
     def tick(self, now: datetime.datetime) -> list[effects.Effect]:
         self._now = now.timestamp()
         for service in self._registry.services():
@@ -188,7 +177,7 @@
         own = self._means.get(service, 0.0)
         running = 0.0
         for address in self._members():
-            if address == self._self:
+            if address == self._self_address:
                 continue
             stated = self._stated.get(address)
             if (
@@ -215,11 +204,6 @@
         self._changed.update(self._registry.services())
         return []
 
-    def peer_connected(
-        self, address: str, now: datetime.datetime
-    ) -> list[effects.Effect]:
-        return []
-
     def receive(
         self, address: str, message: messages.Message, now: datetime.datetime
     ) -> list[effects.Effect]:
@@ -227,17 +211,9 @@
             self._stated[address] = _StatedLoad(message.running, now)
         return []
 
-    def free_hints(self) -> dict[str, int]:
-        return {}
-
     def stated_load(self) -> dict[str, float]:
         return {name: round(mean, 1) for name, mean in self._means.items()}
 
-    def served_services(self) -> Collection[str]:
-        changed = self._changed
-        self._changed = set()
-        return changed
-
     def _view(self, backend_id: str) -> _View:
         view = self._views.get(backend_id)
         if view is None:
--- a/waxwingwalk/routing/slots/simple.py
+++ b/waxwingwalk/routing/slots/simple.py
@@ -13,8 +13,8 @@
 MembersView = Callable[[], list[str]]
 
 
-class UnlimitedSlots:
-    """Sends at once, bounded only by the share of connections."""
+class MessagelessSlots:
+    """What slot sharing without requests for slots has in common."""
 
     def __init__(
         self,
@@ -25,9 +25,43 @@
         self._registry = registry
         self._self_address = self_address
         self._members = members
-        self._busy: dict[str, int] = {}
         self._changed: set[str] = set()
 
+    def demand(
+        self,
+        service: str,
+        waiting: int,
+        teams: Callable[[], dict[str, float]],
+        now: datetime.datetime,
+    ) -> list[effects.Effect]:
+        return []
+
+    def peer_connected(
+        self, address: str, now: datetime.datetime
+    ) -> list[effects.Effect]:
+        return []
+
+    def free_hints(self) -> dict[str, int]:
+        return {}
+
+    def served_services(self) -> Collection[str]:
+        changed = self._changed
+        self._changed = set()
+        return changed
+
+
+class UnlimitedSlots(MessagelessSlots):
+    """Sends at once, bounded only by the share of connections."""
+
+    def __init__(
+        self,
+        registry: backends.BackendRegistry,
+        self_address: str,
+        members: MembersView,
+    ) -> None:
+        super().__init__(registry, self_address, members)
+        self._busy: dict[str, int] = {}
+
     def _limit(self, backend: backends.Backend) -> int:
         processes = max(1, len(self._members()))
         return max(1, backend.spec.connections // processes)
@@ -56,15 +90,6 @@
             self._changed |= backend.spec.services
         return []
 
-    def demand(
-        self,
-        service: str,
-        waiting: int,
-        teams: Callable[[], dict[str, float]],
-        now: datetime.datetime,
-    ) -> list[effects.Effect]:
-        return []
-
     def tick(self, now: datetime.datetime) -> list[effects.Effect]:
         self._changed.update(self._registry.services())
         return []
@@ -72,19 +97,11 @@
     def topology_changed(self, now: datetime.datetime) -> list[effects.Effect]:
         return self.tick(now)
 
-    def peer_connected(
-        self, address: str, now: datetime.datetime
-    ) -> list[effects.Effect]:
-        return []
-
     def receive(
         self, address: str, message: messages.Message, now: datetime.datetime
     ) -> list[effects.Effect]:
         return []
 
-    def free_hints(self) -> dict[str, int]:
-        return {}
-
     def note_usage(
         self, backend_id: str, running: int, now: datetime.datetime
     ) -> None:
@@ -93,11 +110,6 @@
     def stated_load(self) -> dict[str, float]:
         return {}
 
-    def served_services(self) -> Collection[str]:
-        changed = self._changed
-        self._changed = set()
-        return changed
-
 
 class EqualShareSlots(UnlimitedSlots):
     """Every entry process uses an equal, fixed share of every slot count.
--- a/waxwingwalk/settings/handlers.py
+++ b/waxwingwalk/settings/handlers.py
@@ -11,6 +11,7 @@
 from waxwingwalk.core import state as core_state
 from waxwingwalk.jobs import dispatch
 from waxwingwalk.jobs import job as jobs
+from waxwingwalk.membership import broadcast
 from waxwingwalk.settings import adopted
 from waxwingwalk.settings import tree
 
@@ -84,7 +85,7 @@
     options = state.settings.process()
     done: Effects = []
     if options.slot_sharing is not state.sharing_name:
-        done += _replace_sharing(state, now)
+        done += state.renew_sharing(now)
     if options.outlier_detection is not state.detector_name:
         state.detector_name = options.outlier_detection
         state.detector = state.policies.outlier_detector(state.detector_name)
@@ -94,17 +95,6 @@
     return done
 
 
-def _replace_sharing(
-    state: core_state.State, now: datetime.datetime
-) -> Effects:
-    """Change the way slots are shared; tasks in progress keep their slot."""
-    state.sharing_name = state.settings.process().slot_sharing
-    state.sharing = state.policies.slot_sharing(state.sharing_name, state)
-    done = state.sharing.topology_changed(now)
-    state.occupy_running_slots()
-    return done
-
-
 def _rebuild_queues(state: core_state.State) -> None:
     """Queue the waiting jobs anew, in the order that holds now."""
     state.queues.clear()
@@ -120,7 +110,4 @@
     notice = messages.SettingsNotice(
         revision.number, revision.document(has_tree=False)
     )
-    return [
-        effects.SendToPeer(member.record.address, notice)
-        for member in state.membership.peers()
-    ]
+    return broadcast.tell_peers(state, notice)
