--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -19,9 +19,9 @@
 from waxwingwalk.core import identity
 from waxwingwalk.core import messages
 from waxwingwalk.core import model
-from waxwingwalk.platform import host_list
 from waxwingwalk.settings import adopted
 from waxwingwalk.settings import tree as settings_tree
+from waxwingwalk.store import host_list
 import waxwingwalk.wiring as wiring
 
 REPEATS = 200
--- a/tests/platform/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Tests of platform."""
--- a/tests/settings/test_store.py
+++ b/tests/settings/test_store.py
@@ -6,7 +6,7 @@
 
 from returns import result
 
-from tests.platform import fakes
+from tests.store import fakes
 from waxwingwalk.core import results
 from waxwingwalk.settings import store
 from waxwingwalk.testing import platform
--- a/tests/platform/fakes.py
+++ b/tests/store/fakes.py
@@ -2,7 +2,7 @@
 
 from returns import result
 
-from waxwingwalk.platform import base
+from waxwingwalk.store import base
 from waxwingwalk.testing import platform
 
 Fault = platform.PlatformFault
--- a/tests/platform/test_contract.py
+++ b/tests/store/test_contract.py
@@ -9,10 +9,10 @@
 import aiohttp
 from returns import result
 
-from tests.platform import fakes
-from waxwingwalk.platform import base
-from waxwingwalk.platform import host_list
-from waxwingwalk.platform import http
+from tests.store import fakes
+from waxwingwalk.store import base
+from waxwingwalk.store import host_list
+from waxwingwalk.store import http
 from waxwingwalk.testing import platform
 
 Fault = platform.PlatformFault
--- a/waxwingwalk/core/results.py
+++ b/waxwingwalk/core/results.py
@@ -54,6 +54,8 @@
     DEADLINE_UNSTARTED = 2015
     KEY_REUSED = 2016
     DRAIN_UNSTARTED = 2017
+    NOT_SUPPORTED = 2018
+    JOB_NOT_STORED = 2019
 
     TASK_FAILED = 3001
     CANCELLED = 3002
@@ -137,6 +139,12 @@
     ResultCode.DRAIN_UNSTARTED: CodeInfo(
         503, "The entry process stopped before any task started."
     ),
+    ResultCode.NOT_SUPPORTED: CodeInfo(
+        503, "The job asks for something that is not served here."
+    ),
+    ResultCode.JOB_NOT_STORED: CodeInfo(
+        410, "No job of that id is stored: its answer went to its caller."
+    ),
     ResultCode.TASK_FAILED: CodeInfo(502, "A task ran and failed."),
     ResultCode.CANCELLED: CodeInfo(
         409, "The job was cancelled after a task had started."
--- /dev/null
+++ b/waxwingwalk/dispatch/backend.py
@@ -0,0 +1,218 @@
+"""One life of a backend server, as the host that orders it knows it."""
+
+import dataclasses
+import datetime
+import enum
+
+from waxwingwalk.dispatch import model
+from waxwingwalk.dispatch import speeds
+
+# The lease that is asked for. The platform shortens what is above a second;
+# the rest is left for the answer to travel.
+LEASE = datetime.timedelta(milliseconds=950)
+# The platform allows a backend server's clock to be this much slow.
+CLOCK_DRIFT = 0.02
+# A stop takes up to 50 ms at a backend server; as much again for the answer.
+STOP_TIME = datetime.timedelta(milliseconds=100)
+# A lease is not renewed while a stop has been unanswered for longer, so that
+# the lapse ends what the stop could not.
+STOP_PATIENCE = datetime.timedelta(milliseconds=150)
+
+
+class RunState(enum.Enum):
+    """How far an order to run a task has come.
+
+    ORDERED is sent and unanswered, DOUBTFUL may be there or may yet arrive,
+    SETTLED will not start any more but may be running.
+    """
+
+    ORDERED = "ordered"
+    RUNNING = "running"
+    DOUBTFUL = "doubtful"
+    SETTLED = "settled"
+
+
+@dataclasses.dataclass(slots=True)
+class TaskOrder:
+    """A task that is to run once, as whoever asked for it describes it."""
+
+    ref: model.TaskRef
+    run: int
+    queue: str
+    service: str
+    spec: str
+    room: model.Room
+    estimate: datetime.timedelta
+    label: str | None
+    max_per_backend: int | None
+    owner: int | None
+
+    @property
+    def key(self) -> model.RunKey:
+        """The run as backend servers name it."""
+        return model.RunKey(self.ref.name, self.run)
+
+
+@dataclasses.dataclass(slots=True)
+class Run:
+    """A run that occupies room until it is known to have ended."""
+
+    order: TaskOrder
+    ordered_at: datetime.datetime
+    state: RunState = RunState.ORDERED
+    accepted_at: datetime.datetime | None = None
+    stop_wanted_at: datetime.datetime | None = None
+    stop_sent_at: datetime.datetime | None = None
+    is_stop_confirmed: bool = False
+    # The first look at the lists that was taken after the run was settled.
+    settled_by_look: int | None = None
+    is_reported: bool = False
+
+
+class BackendState(enum.Enum):
+    """What may be done with a backend server.
+
+    UNPROVEN has not been fenced off from its former scheduler, or still
+    runs what that one started; SUSPECT has left an order unanswered; FENCED
+    obeys another scheduler.
+    """
+
+    UNPROVEN = "unproven"
+    READY = "ready"
+    SUSPECT = "suspect"
+    FENCED = "fenced"
+
+
+class Backend:
+    """A backend server's life: its runs, its room, its lease, its clock."""
+
+    def __init__(
+        self, report: model.BackendReport, fence: int, now: datetime.datetime
+    ) -> None:
+        self.report = report
+        self.fence = fence
+        self.state = BackendState.UNPROVEN
+        self.runs: dict[model.RunKey, Run] = {}
+        self.foreign: set[model.RunKey] = set()
+        self.foreign_stops: dict[model.RunKey, datetime.datetime] = {}
+        self.used = model.Room()
+        self.acknowledged = 0
+        self.is_acknowledgement_due = False
+        self.is_held = False
+        self.looks = 0
+        self.next_look_at = now
+        self.taken_at = now
+        self.heard_at: datetime.datetime | None = None
+        self.failed_looks = 0
+        self.lease_ends_ms = 0
+        self.pace = speeds.Pace()
+        self.set_aside_until: datetime.datetime | None = None
+        self.is_closing = False
+        self.missing_since: datetime.datetime | None = None
+        self._clock: tuple[int, datetime.datetime] | None = None
+
+    def __repr__(self) -> str:
+        return f"<Backend {self.report.life} {self.state.value}>"
+
+    @property
+    def life(self) -> model.Life:
+        """Which life of which backend server this is."""
+        return self.report.life
+
+    @property
+    def free(self) -> model.Room:
+        """Room that nothing occupies, as far as is known."""
+        return self.report.room - self.used
+
+    def read_clock(self, clock_ms: int, now: datetime.datetime) -> None:
+        """Note what the backend server's clock showed just before now."""
+        self._clock = (clock_ms, now)
+
+    def lease_end(self, now: datetime.datetime) -> int | None:
+        """Return the end of a new lease on the server's clock, in ms."""
+        if self._clock is None:
+            return None
+        clock_ms, read_at = self._clock
+        elapsed = now - read_at
+        end = clock_ms + int((elapsed + LEASE) / model.MILLISECOND)
+        self.lease_ends_ms = max(self.lease_ends_ms, end)
+        return end
+
+    def lapses_by(self, now: datetime.datetime) -> datetime.datetime:
+        """Return when all that was ever ordered has certainly ended.
+
+        That holds if no further order is sent: orders that arrive late are
+        refused once the lease that they carry is over.
+        """
+        if self._clock is None or not self.lease_ends_ms:
+            return now
+        clock_ms, read_at = self._clock
+        left = max(0, self.lease_ends_ms - clock_ms) * model.MILLISECOND
+        return read_at + left * (1 + 1.1 * CLOCK_DRIFT) + STOP_TIME
+
+    def may_extend_lease(self, now: datetime.datetime) -> bool:
+        """Tell whether the lease may be renewed.
+
+        It may not while something must end that has not been seen to obey,
+        nor while the server is silent: the lapse is what is waited for then.
+        """
+        if self.foreign or self.state is not BackendState.READY:
+            return False
+        return not any(
+            run.stop_wanted_at is not None
+            and not run.is_stop_confirmed
+            and now - run.stop_wanted_at > STOP_PATIENCE
+            for run in self.runs.values()
+        )
+
+    def is_usable(self, now: datetime.datetime) -> bool:
+        """Tell whether new runs may be ordered here."""
+        return (
+            self.state is BackendState.READY
+            and not self.is_closing
+            and self.missing_since is None
+            and self.report.willingness is model.Willingness.READY
+            and (self.set_aside_until is None or self.set_aside_until <= now)
+            and self._clock is not None
+        )
+
+    def takes(self, order: TaskOrder, now: datetime.datetime) -> bool:
+        """Tell whether a task may start here now."""
+        if not self.is_usable(now) or order.service != self.report.service:
+            return False
+        if order.label is not None and order.label not in self.report.labels:
+            return False
+        if not self.free.holds(order.room):
+            return False
+        return self._is_below_step_limit(order)
+
+    def could_ever_take(self, order: TaskOrder) -> bool:
+        """Tell whether a task would fit here with nothing else running."""
+        return (
+            order.service == self.report.service
+            and (order.label is None or order.label in self.report.labels)
+            and self.report.room.holds(order.room)
+        )
+
+    def _is_below_step_limit(self, order: TaskOrder) -> bool:
+        if order.max_per_backend is None:
+            return True
+        ref = order.ref
+        same = sum(
+            1
+            for run in self.runs.values()
+            if run.order.ref.job_id == ref.job_id
+            and run.order.ref.step == ref.step
+        )
+        return same < order.max_per_backend
+
+    def slowness(self, now: datetime.datetime) -> float:
+        """Return how many times as long as estimated tasks take here."""
+        slowest = self.pace.slowness
+        for run in self.runs.values():
+            if run.accepted_at is not None and run.stop_wanted_at is None:
+                elapsed = now - run.accepted_at
+                slowest = max(
+                    slowest, speeds.overdue(elapsed, run.order.estimate)
+                )
+        return slowest
--- /dev/null
+++ b/waxwingwalk/dispatch/effects.py
@@ -0,0 +1,140 @@
+"""Everything that the dispatch reducer can ask for."""
+
+import dataclasses
+import datetime
+from typing import Any
+
+from waxwingwalk.dispatch import messages
+from waxwingwalk.dispatch import model
+from waxwingwalk.dispatch import pool_rows
+
+
+@dataclasses.dataclass(slots=True)
+class StartRun:
+    """Order a backend server to run a task; RunStarted follows.
+
+    ``lease_ends_ms`` is a time on the backend server's own clock.
+    """
+
+    life: model.Life
+    address: str
+    fence: int
+    run: model.RunKey
+    spec: str
+    lease_ends_ms: int
+
+
+@dataclasses.dataclass(slots=True)
+class StopRun:
+    """Order a backend server to stop a run; RunStopped follows."""
+
+    life: model.Life
+    address: str
+    fence: int
+    run: model.RunKey
+
+
+@dataclasses.dataclass(slots=True)
+class HoldRuns:
+    """Fetch a backend server's lists, and renew its lease; RunsHeld follows.
+
+    With no ``lease_ends_ms`` the lease stays as it is. The reply may be
+    held back for up to ``wait``, until a run ends.
+    """
+
+    life: model.Life
+    address: str
+    fence: int
+    acknowledged: int
+    lease_ends_ms: int | None
+    wait: datetime.timedelta
+
+
+@dataclasses.dataclass(slots=True)
+class Send:
+    """Send a message over a link; it is dropped if the link is gone."""
+
+    link: int
+    message: messages.Message
+
+
+@dataclasses.dataclass(slots=True)
+class LinkHosts:
+    """Keep links to exactly these hosts."""
+
+    hosts: frozenset[str]
+
+
+@dataclasses.dataclass(slots=True)
+class CloseLink:
+    """Close a link that has been silent for too long."""
+
+    link: int
+    reason: str
+
+
+@dataclasses.dataclass(slots=True)
+class AnswerJob:
+    """Release the answer of a job to the caller that waits here.
+
+    ``reason`` is a word for logs and metrics.
+    """
+
+    job_id: str
+    outcome: model.JobOutcome
+    reason: str
+    retry_after: datetime.timedelta | None
+
+
+@dataclasses.dataclass(slots=True)
+class WritePool:
+    """Write the row of a pool if it still has this version."""
+
+    pool: str
+    row: pool_rows.PoolRow
+    if_version: int
+
+
+@dataclasses.dataclass(slots=True)
+class ProbeBackends:
+    """Find out whether any of these addresses accepts connections."""
+
+    pool: str
+    addresses: tuple[str, ...]
+
+
+@dataclasses.dataclass(slots=True)
+class DecodeCatalog:
+    """Decode the operators' document; CatalogRead follows if it is valid."""
+
+    document: str
+
+
+@dataclasses.dataclass(slots=True)
+class Log:
+    """Write a log line."""
+
+    event: str
+    fields: dict[str, Any]
+
+
+@dataclasses.dataclass(slots=True)
+class Exit:
+    """Nothing is left to do here; the process may end."""
+
+
+Effect = (
+    StartRun
+    | StopRun
+    | HoldRuns
+    | Send
+    | LinkHosts
+    | CloseLink
+    | AnswerJob
+    | WritePool
+    | ProbeBackends
+    | DecodeCatalog
+    | Log
+    | Exit
+)
+Effects = list[Effect]
--- /dev/null
+++ b/waxwingwalk/dispatch/front.py
@@ -0,0 +1,200 @@
+"""Jobs of the callers that are connected to this host.
+
+The host passes each job to one that schedules a pool, and waits for the
+answer. It keeps nothing that must outlive it: a caller whose host dies sees
+its connection break, and asks another.
+"""
+
+import dataclasses
+import datetime
+
+from waxwingwalk.dispatch import effects
+from waxwingwalk.dispatch import hosts as dispatch_hosts
+from waxwingwalk.dispatch import messages
+from waxwingwalk.dispatch import model
+from waxwingwalk.dispatch import ownership as dispatch_ownership
+from waxwingwalk.dispatch import scheduler as dispatch_scheduler
+
+# A pool of another zone is chosen only if its queue is this much shorter.
+HOME_PREFERENCE = datetime.timedelta(milliseconds=60)
+# A refused caller may return when a scheduler has probably been found.
+NO_SCHEDULER_RETRY = datetime.timedelta(seconds=1)
+
+
+@dataclasses.dataclass(slots=True)
+class PendingJob:
+    """A job that waits for its answer; ``link`` is None if scheduled here."""
+
+    job: model.Job
+    submitted_at: datetime.datetime
+    link: int | None = None
+
+
+class Front:
+    """Passes callers' jobs on to schedulers."""
+
+    def __init__(
+        self,
+        hosts: dispatch_hosts.Hosts,
+        ownership: dispatch_ownership.Ownership,
+        scheduler: dispatch_scheduler.Scheduler,
+    ) -> None:
+        self._hosts = hosts
+        self._ownership = ownership
+        self._scheduler = scheduler
+        self._pending: dict[str, PendingJob] = {}
+
+    @property
+    def pending(self) -> dict[str, PendingJob]:
+        """Jobs without an answer, to be read only."""
+        return self._pending
+
+    def submit(
+        self, job: model.Job, now: datetime.datetime
+    ) -> effects.Effects:
+        """Pass a caller's job to a scheduler."""
+        pending = PendingJob(job, now)
+        self._pending[job.job_id] = pending
+        return self._pass_on(pending, now)
+
+    def _pass_on(
+        self, pending: PendingJob, now: datetime.datetime
+    ) -> effects.Effects:
+        job = pending.job
+        address = self._choose(now)
+        if address is None:
+            return self._answer(
+                job.job_id,
+                model.JobOutcome.NOT_RUN,
+                "no scheduler",
+                NO_SCHEDULER_RETRY,
+            )
+        log = effects.Log(
+            "job.routed",
+            {
+                "job": job.job_id,
+                "queue": job.queue,
+                "scheduler": address,
+                "expires_in_ms": _milliseconds(job.expires - now),
+            },
+        )
+        if address == self._hosts.me.address:
+            pending.link = None
+            return [log, *self._scheduler.submit(job, None, now)]
+        peer = self._hosts.get(address)
+        assert peer is not None and peer.link is not None
+        pending.link = peer.link
+        return [log, effects.Send(peer.link, _submission(job, now))]
+
+    def _choose(self, now: datetime.datetime) -> str | None:
+        """Return the address of the scheduler with the shortest wait."""
+        best: tuple[datetime.timedelta, str] | None = None
+        for pool in self._ownership.pools:
+            address = self._ownership.owner_address(pool, now)
+            if address is None:
+                continue
+            wait = self._backlog(address, now)
+            if pool != self._hosts.me.zone:
+                wait += HOME_PREFERENCE
+            if best is None or wait < best[0]:
+                best = (wait, address)
+        return None if best is None else best[1]
+
+    def _backlog(
+        self, address: str, now: datetime.datetime
+    ) -> datetime.timedelta:
+        if address == self._hosts.me.address:
+            return self._scheduler.backlog(now)
+        peer = self._hosts.get(address)
+        if peer is None or peer.status is None:
+            return model.ZERO
+        longest = max(
+            (load.backlog_ms for load in peer.status.loads), default=0.0
+        )
+        return longest * model.MILLISECOND
+
+    def answered(
+        self,
+        job_id: str,
+        link: int | None,
+        outcome: model.JobOutcome,
+        reason: str,
+        retry_after: datetime.timedelta | None,
+        now: datetime.datetime,
+    ) -> effects.Effects:
+        """Take in a scheduler's answer; ask another if that one leaves."""
+        pending = self._pending.get(job_id)
+        if pending is None or pending.link != link:
+            return []
+        if (
+            outcome is model.JobOutcome.NOT_RUN
+            and reason == dispatch_scheduler.REASON_LEAVING
+            and now < pending.job.expires
+        ):
+            return self._pass_on(pending, now)
+        return self._answer(job_id, outcome, reason, retry_after)
+
+    def _answer(
+        self,
+        job_id: str,
+        outcome: model.JobOutcome,
+        reason: str,
+        retry_after: datetime.timedelta | None,
+    ) -> effects.Effects:
+        del self._pending[job_id]
+        return [effects.AnswerJob(job_id, outcome, reason, retry_after)]
+
+    def abandon(self, job_id: str, now: datetime.datetime) -> effects.Effects:
+        """Stop a job whose caller has left."""
+        pending = self._pending.pop(job_id, None)
+        if pending is None:
+            return []
+        if pending.link is None:
+            return self._scheduler.abandon(job_id, None, now)
+        return [
+            effects.Send(pending.link, messages.AbandonJob(job_id)),
+            effects.Log("job.left", {"job": job_id}),
+        ]
+
+    def close_link(self, link: int) -> effects.Effects:
+        """Answer the jobs whose scheduler is gone."""
+        done: effects.Effects = []
+        for job_id, pending in list(self._pending.items()):
+            if pending.link == link:
+                done += self._answer(
+                    job_id, model.JobOutcome.LOST, "scheduler lost", None
+                )
+        return done
+
+
+def _submission(job: model.Job, now: datetime.datetime) -> messages.SubmitJob:
+    return messages.SubmitJob(
+        job_id=job.job_id,
+        queue=job.queue,
+        service=job.service,
+        priority=job.priority,
+        attempts=job.attempts,
+        spec=job.spec,
+        steps=job.steps,
+        due_in_ms=_milliseconds(job.due - now),
+        expires_in_ms=_milliseconds(job.expires - now),
+    )
+
+
+def job_of(message: messages.SubmitJob, now: datetime.datetime) -> model.Job:
+    """Return the job that a peer passed on."""
+    return model.Job(
+        job_id=message.job_id,
+        queue=message.queue,
+        service=message.service,
+        priority=message.priority,
+        attempts=message.attempts,
+        spec=message.spec,
+        steps=tuple(message.steps),
+        due=now + message.due_in_ms * model.MILLISECOND,
+        expires=now + message.expires_in_ms * model.MILLISECOND,
+    )
+
+
+def _milliseconds(duration: datetime.timedelta) -> float:
+    return round(duration / model.MILLISECOND, 1)
--- /dev/null
+++ b/waxwingwalk/dispatch/hosts.py
@@ -0,0 +1,123 @@
+"""What this host knows of the other dispatch hosts: alive, leaving, dead."""
+
+import dataclasses
+import datetime
+
+from waxwingwalk.dispatch import messages
+from waxwingwalk.dispatch import model
+
+# A host that cannot be linked to is taken for dead after this time: as long
+# as a link may be silent.
+UNREACHABLE_AFTER = datetime.timedelta(milliseconds=600)
+
+
+@dataclasses.dataclass(slots=True)
+class Peer:
+    """Another dispatch host and the link that this one opened to it."""
+
+    record: model.HostRecord
+    known_since: datetime.datetime
+    link: int | None = None
+    down_since: datetime.datetime | None = None
+    is_refused: bool = False
+    status: messages.HostStatus | None = None
+
+    @property
+    def is_leaving(self) -> bool:
+        """Whether the host said that it is shutting down."""
+        return self.status is not None and self.status.is_leaving
+
+
+class Hosts:
+    """The other dispatch hosts, by address."""
+
+    def __init__(self, me: model.HostRecord) -> None:
+        self.me = me
+        self._peers: dict[str, Peer] = {}
+        self._by_link: dict[int, Peer] = {}
+
+    def all(self) -> list[Peer]:
+        """Return every other host."""
+        return list(self._peers.values())
+
+    def get(self, address: str) -> Peer | None:
+        """Return the host at an address."""
+        return self._peers.get(address)
+
+    def by_link(self, link: int) -> Peer | None:
+        """Return the host at the other end of a link that we opened."""
+        return self._by_link.get(link)
+
+    def learn(self, record: model.HostRecord, now: datetime.datetime) -> None:
+        """Take in a host, or its newer life."""
+        if record.address == self.me.address:
+            return
+        peer = self._peers.get(record.address)
+        if peer is None:
+            self._peers[record.address] = Peer(record, now, down_since=now)
+        elif record.incarnation > peer.record.incarnation:
+            peer.record = record
+            if peer.link is None:
+                peer.is_refused = False
+                peer.down_since = now
+
+    def link_opened(
+        self, link: int, record: model.HostRecord, now: datetime.datetime
+    ) -> None:
+        """Note that a link to a host was opened."""
+        self.learn(record, now)
+        peer = self._peers[record.address]
+        peer.record = record
+        peer.link = link
+        peer.down_since = None
+        peer.is_refused = False
+        peer.status = None
+        self._by_link[link] = peer
+
+    def link_closed(self, link: int, now: datetime.datetime) -> None:
+        """Note that a link is gone."""
+        peer = self._by_link.pop(link, None)
+        if peer is not None and peer.link == link:
+            peer.link = None
+            peer.status = None
+            peer.down_since = now
+
+    def link_failed(
+        self, address: str, refused: bool, now: datetime.datetime
+    ) -> None:
+        """Note that no link could be opened."""
+        peer = self._peers.get(address)
+        if peer is None or peer.link is not None:
+            return
+        peer.is_refused = peer.is_refused or refused
+        peer.down_since = peer.down_since or now
+
+    def is_alive(
+        self, record: model.HostRecord, now: datetime.datetime
+    ) -> bool:
+        """Tell whether that life of a host is, as far as is known, alive."""
+        if record.address == self.me.address:
+            return record.incarnation == self.me.incarnation
+        peer = self._peers.get(record.address)
+        if peer is None:
+            return False
+        if peer.record.incarnation != record.incarnation:
+            return False
+        if peer.link is not None:
+            return True
+        if peer.is_refused or peer.down_since is None:
+            return False
+        return now - peer.down_since < UNREACHABLE_AFTER
+
+    def is_linked(self, record: model.HostRecord) -> bool:
+        """Tell whether there is a link to that life of a host."""
+        peer = self._peers.get(record.address)
+        return (
+            peer is not None
+            and peer.link is not None
+            and peer.record.incarnation == record.incarnation
+        )
+
+    def is_isolated(self) -> bool:
+        """Tell whether this host reaches none of the others."""
+        return bool(self._peers) and not self._by_link
--- /dev/null
+++ b/waxwingwalk/dispatch/job_record.py
@@ -0,0 +1,107 @@
+"""A job under way at the host that schedules it."""
+
+import dataclasses
+import datetime
+import enum
+
+from waxwingwalk.dispatch import backend as backends
+from waxwingwalk.dispatch import model
+
+# Time that a task needs beside its work: two calls and a look.
+OVERHEAD = datetime.timedelta(milliseconds=8)
+
+
+class TaskState(enum.Enum):
+    """Where a task is: here, at a backend server, or with another host."""
+
+    WAITING = "waiting"
+    PLACED = "placed"
+    OFFERED = "offered"
+    DONE = "done"
+
+
+@dataclasses.dataclass(slots=True)
+class TaskRecord:
+    """A task of a job; ``run`` numbers its newest run, 0 before the first."""
+
+    ref: model.TaskRef
+    state: TaskState = TaskState.WAITING
+    run: int = 0
+    failures: int = 0
+    backend_id: str | None = None
+    link: int | None = None
+    started_at: datetime.datetime | None = None
+    refused_by: set[int] = dataclasses.field(default_factory=set)
+
+
+class JobRecord:
+    """A job, its tasks, and who waits for its answer.
+
+    ``link`` is the link that the job came over, None for a caller here.
+    """
+
+    def __init__(
+        self, job: model.Job, link: int | None, now: datetime.datetime
+    ) -> None:
+        self.job = job
+        self.link = link
+        self.arrived_at = now
+        self.has_started = False
+        self.tasks = {
+            (step, index): TaskRecord(model.TaskRef(job.job_id, step, index))
+            for step, each in enumerate(job.steps)
+            for index in range(each.count)
+        }
+        self._left = [step.count for step in job.steps]
+
+    @property
+    def is_done(self) -> bool:
+        """Whether every task has ended well."""
+        return not any(self._left)
+
+    def waiting(self) -> list[TaskRecord]:
+        """Return the tasks that may start now."""
+        steps = self.job.steps
+        is_open = [
+            not any(self._left[earlier] for earlier in step.after)
+            for step in steps
+        ]
+        return [
+            task
+            for (step, _), task in self.tasks.items()
+            if task.state is TaskState.WAITING and is_open[step]
+        ]
+
+    def finish(self, task: TaskRecord) -> None:
+        """Note that a task is done."""
+        if task.state is not TaskState.DONE:
+            task.state = TaskState.DONE
+            self._left[task.ref.step] -= 1
+
+    def work_left(self) -> datetime.timedelta:
+        """Return the estimated time that the longest chain still takes."""
+        chain: list[datetime.timedelta] = []
+        for number, step in enumerate(self.job.steps):
+            before = max(
+                (chain[earlier] for earlier in step.after),
+                default=model.ZERO,
+            )
+            own = step.estimate + OVERHEAD if self._left[number] else before
+            chain.append(before + own if self._left[number] else before)
+        return max(chain, default=model.ZERO)
+
+    def order(self, task: TaskRecord, run: int) -> backends.TaskOrder:
+        """Return the order for a run of a task."""
+        step = self.job.steps[task.ref.step]
+        return backends.TaskOrder(
+            ref=task.ref,
+            run=run,
+            queue=self.job.queue,
+            service=self.job.service,
+            spec=self.job.spec,
+            room=step.room,
+            estimate=step.estimate,
+            label=step.label,
+            max_per_backend=step.max_per_backend,
+            owner=None,
+        )
--- /dev/null
+++ b/waxwingwalk/dispatch/ownership.py
@@ -0,0 +1,413 @@
+"""Who schedules which pool.
+
+A pool is the backend servers of an availability zone. Its row in the store
+names an owner and successors, each with a fence that is already above those
+before it. A successor takes over as soon as all before it are dead or
+leaving, without asking the store, which may be down. It then writes a new
+row with itself as the owner.
+
+Nothing here is needed for safety: a backend server obeys the highest fence
+that it has seen, and a scheduler clears away what others left there. Two
+hosts that disagree cost work, not a promise.
+"""
+
+import dataclasses
+import datetime
+
+import xxhash
+
+from waxwingwalk.dispatch import effects
+from waxwingwalk.dispatch import hosts as dispatch_hosts
+from waxwingwalk.dispatch import messages
+from waxwingwalk.dispatch import model
+from waxwingwalk.dispatch import pool_rows
+
+# A row is not written more often than this, whatever changes.
+WRITE_INTERVAL = datetime.timedelta(milliseconds=700)
+# A host of another zone waits this long before it takes a pool over, so that
+# a host that is restarted, which takes about a second, finds its own again.
+FOREIGN_ZONE_DELAY = datetime.timedelta(milliseconds=1500)
+# A host waits this long before it takes its zone's pool back.
+RETURN_DELAY = datetime.timedelta(milliseconds=500)
+# A former owner that is alive has this long to let runs end.
+HANDOVER_TIME = datetime.timedelta(milliseconds=2500)
+
+
+@dataclasses.dataclass(slots=True)
+class Claim:
+    """A pool that this host schedules.
+
+    ``taken_from`` is the former owner while it may still let runs end.
+    """
+
+    pool: str
+    fence: int
+    since: datetime.datetime
+    taken_from: str | None
+    released: set[model.Life] = dataclasses.field(default_factory=set)
+    lives: dict[str, int] = dataclasses.field(default_factory=dict)
+
+    def next_order_fence(self, backend_id: str) -> int:
+        """Return the fence for a life of a server that is newly taken."""
+        life = self.lives.get(backend_id, 0)
+        self.lives[backend_id] = life + 1
+        return pool_rows.order_fence(self.fence, life)
+
+
+@dataclasses.dataclass(slots=True)
+class _PoolState:
+    version: int = 0
+    row: pool_rows.PoolRow | None = None
+    is_writing: bool = False
+    written_at: datetime.datetime | None = None
+    ownerless_since: datetime.datetime | None = None
+    stranger_since: datetime.datetime | None = None
+    probed_at: datetime.datetime | None = None
+    is_reachable: bool = False
+
+
+class Ownership:
+    """Decides which pools this host schedules."""
+
+    def __init__(self, hosts: dispatch_hosts.Hosts) -> None:
+        self._hosts = hosts
+        self._pools: dict[str, _PoolState] = {}
+        self._is_listed = False
+        self.claims: dict[str, Claim] = {}
+        self.is_leaving = False
+
+    @property
+    def pools(self) -> list[str]:
+        """The known pools."""
+        return list(self._pools)
+
+    def add_pool(self, pool: str) -> None:
+        """Note that a pool exists."""
+        self._pools.setdefault(pool, _PoolState())
+
+    def owner_address(self, pool: str, now: datetime.datetime) -> str | None:
+        """Return the address of the host that schedules a pool, if known."""
+        best_fence, best = -1, None
+        claim = self.claims.get(pool)
+        if claim is not None and not self.is_leaving:
+            best_fence, best = claim.fence, self._hosts.me.address
+        for peer in self._hosts.all():
+            if peer.link is None or peer.status is None or peer.is_leaving:
+                continue
+            for load in peer.status.loads:
+                if load.pool == pool and load.fence > best_fence:
+                    best_fence, best = load.fence, peer.record.address
+        return best
+
+    def named_hosts(self, pool: str) -> set[str]:
+        """Return the addresses of a pool's owner and first successor."""
+        row = self._pools[pool].row
+        if row is None:
+            return set()
+        return {record.address for record in row.order[:2]}
+
+    # What the store says.
+
+    def rows_listed(
+        self,
+        rows: dict[str, tuple[int, pool_rows.PoolRow]],
+        now: datetime.datetime,
+    ) -> effects.Effects:
+        """Take in all rows of pools."""
+        self._is_listed = True
+        for pool, (version, row) in rows.items():
+            self._read(pool, version, row, now)
+        return self.decide(now)
+
+    def written(
+        self,
+        pool: str,
+        version: int | None,
+        row: pool_rows.PoolRow | None,
+        now: datetime.datetime,
+    ) -> effects.Effects:
+        """Take in how the write of a row ended."""
+        state = self._pools.setdefault(pool, _PoolState())
+        state.is_writing = False
+        if version is None:
+            return []
+        if row is not None:
+            self._read(pool, version, row, now)
+        return self.decide(now)
+
+    def _read(
+        self,
+        pool: str,
+        version: int,
+        row: pool_rows.PoolRow,
+        now: datetime.datetime,
+    ) -> None:
+        state = self._pools.setdefault(pool, _PoolState())
+        if version > state.version:
+            state.version = version
+            state.row = row
+            state.ownerless_since = None
+            for record in row.order:
+                self._hosts.learn(record, now)
+
+    def probed(self, pool: str, is_reachable: bool) -> None:
+        """Note whether a pool's backend servers can be reached from here."""
+        state = self._pools.setdefault(pool, _PoolState())
+        state.is_reachable = is_reachable
+
+    # Decisions.
+
+    def decide(self, now: datetime.datetime) -> effects.Effects:
+        """Claim, give up and write what is due."""
+        done: effects.Effects = []
+        for pool, state in self._pools.items():
+            done += self._decide(pool, state, now)
+        return done
+
+    def _decide(
+        self, pool: str, state: _PoolState, now: datetime.datetime
+    ) -> effects.Effects:
+        claim = self.claims.get(pool)
+        if claim is not None and self._is_outbid(pool, claim, state, now):
+            del self.claims[pool]
+            return [
+                effects.Log("pool.lost", {"pool": pool, "fence": claim.fence})
+            ]
+        if self.is_leaving or not self._is_listed:
+            return []
+        if claim is not None:
+            return self._keep_row(pool, state, now)
+        if state.row is None:
+            return self._found(pool, state, now)
+        return self._succeed(pool, state, now)
+
+    def _is_outbid(
+        self,
+        pool: str,
+        claim: Claim,
+        state: _PoolState,
+        now: datetime.datetime,
+    ) -> bool:
+        """Tell whether another host has a better claim, and uses it."""
+        for peer in self._hosts.all():
+            if peer.link is None or peer.status is None:
+                continue
+            for load in peer.status.loads:
+                if load.pool == pool and load.fence > claim.fence:
+                    return True
+        row = state.row
+        if row is None or pool_rows.fence(state.version, 0) <= claim.fence:
+            return False
+        return row.owner != self._hosts.me and self._hosts.is_linked(row.owner)
+
+    def _found(
+        self, pool: str, state: _PoolState, now: datetime.datetime
+    ) -> effects.Effects:
+        """Write the first row of a pool."""
+        order = self._preferred(pool, now)
+        if not order or order[0] != self._hosts.me:
+            return []
+        if self._hosts.me.zone != pool and not self._may_cross(
+            pool, state, now
+        ):
+            return []
+        return self._write(pool, state, order, now)
+
+    def _succeed(
+        self, pool: str, state: _PoolState, now: datetime.datetime
+    ) -> effects.Effects:
+        """Claim a pool whose owner is dead, or whose turn it is."""
+        row = state.row
+        assert row is not None
+        me = self._hosts.me
+        for rank, record in enumerate(row.order):
+            if record == me:
+                if rank and me.zone != pool:
+                    if not self._may_cross(pool, state, now):
+                        return []
+                return self._claim(pool, state, rank, now)
+            if self._is_in_office(record, now):
+                state.ownerless_since = None
+                return self._return_home(pool, state, record, now)
+        # Nobody named in the row is left.
+        order = self._preferred(pool, now)
+        if not order or order[0] != me or self._hosts.is_isolated():
+            return []
+        if me.zone != pool and not self._may_cross(pool, state, now):
+            return []
+        return self._write(pool, state, order, now)
+
+    def _is_in_office(
+        self, record: model.HostRecord, now: datetime.datetime
+    ) -> bool:
+        if not self._hosts.is_alive(record, now):
+            return False
+        peer = self._hosts.get(record.address)
+        return peer is None or not peer.is_leaving
+
+    def _return_home(
+        self,
+        pool: str,
+        state: _PoolState,
+        owner: model.HostRecord,
+        now: datetime.datetime,
+    ) -> effects.Effects:
+        """Take a zone's pool back from a host of another zone."""
+        me = self._hosts.me
+        order = self._preferred(pool, now)
+        if owner.zone == pool or me.zone != pool or order[0] != me:
+            state.stranger_since = None
+            return []
+        if state.stranger_since is None:
+            state.stranger_since = now
+        if now - state.stranger_since < RETURN_DELAY:
+            return []
+        return self._write(pool, state, order, now)
+
+    def _may_cross(
+        self, pool: str, state: _PoolState, now: datetime.datetime
+    ) -> bool:
+        """Tell whether a host of another zone may take a pool over.
+
+        It may once the zone has been without a scheduler for a while, and
+        if its backend servers can be reached; the zone may just be cut off.
+        """
+        if state.ownerless_since is None:
+            state.ownerless_since = now
+            state.is_reachable = False
+        if now - state.ownerless_since < FOREIGN_ZONE_DELAY:
+            return False
+        return state.is_reachable and not self._hosts.is_isolated()
+
+    def probes(self, now: datetime.datetime) -> list[str]:
+        """Return pools whose backend servers should be probed now."""
+        due = []
+        for pool, state in self._pools.items():
+            if state.ownerless_since is None or pool in self.claims:
+                continue
+            if (
+                state.probed_at is None
+                or now - state.probed_at > WRITE_INTERVAL
+            ):
+                state.probed_at = now
+                due.append(pool)
+        return due
+
+    def _claim(
+        self,
+        pool: str,
+        state: _PoolState,
+        rank: int,
+        now: datetime.datetime,
+    ) -> effects.Effects:
+        row = state.row
+        assert row is not None
+        if rank and self._hosts.is_isolated():
+            return []
+        former = self.owner_address(pool, now)
+        if former is None:
+            former = next(
+                (
+                    each.address
+                    for each in row.order[:rank]
+                    if self._hosts.is_linked(each)
+                ),
+                None,
+            )
+        fence = pool_rows.fence(state.version, rank)
+        self.claims[pool] = Claim(pool, fence, now, former)
+        state.ownerless_since = None
+        return [
+            effects.Log(
+                "pool.claimed",
+                {
+                    "pool": pool,
+                    "fence": fence,
+                    "row_version": state.version,
+                    "rank": rank,
+                    "former": former,
+                },
+            ),
+            *self._keep_row(pool, state, now),
+        ]
+
+    def _keep_row(
+        self, pool: str, state: _PoolState, now: datetime.datetime
+    ) -> effects.Effects:
+        """Write a pool's row anew when it names the wrong hosts."""
+        order = self._preferred(pool, now, first=self._hosts.me)
+        if state.row is not None and state.row.order == order:
+            return []
+        return self._write(pool, state, order, now)
+
+    def _write(
+        self,
+        pool: str,
+        state: _PoolState,
+        order: tuple[model.HostRecord, ...],
+        now: datetime.datetime,
+    ) -> effects.Effects:
+        if state.is_writing:
+            return []
+        if (
+            state.written_at is not None
+            and now - state.written_at < WRITE_INTERVAL
+        ):
+            return []
+        state.is_writing = True
+        state.written_at = now
+        row = pool_rows.PoolRow(order)
+        return [effects.WritePool(pool, row, state.version)]
+
+    def _preferred(
+        self,
+        pool: str,
+        now: datetime.datetime,
+        first: model.HostRecord | None = None,
+    ) -> tuple[model.HostRecord, ...]:
+        """Return the live hosts in the order in which they should own it.
+
+        Hosts of the zone come first, strong ones before weak ones.
+        """
+        me = self._hosts.me
+        live = [me] + [
+            peer.record
+            for peer in self._hosts.all()
+            if self._is_in_office(peer.record, now)
+        ]
+        live.sort(key=lambda each: _preference(pool, each))
+        if first is not None:
+            live.remove(first)
+            live.insert(0, first)
+        return tuple(live[: pool_rows.SUCCESSORS_MAX])
+
+    # Backend servers.
+
+    def may_take(
+        self, pool: str, life: model.Life, now: datetime.datetime
+    ) -> bool:
+        """Tell whether a backend server of a claimed pool may be taken.
+
+        Its former owner, if alive, first lets the runs there end.
+        """
+        claim = self.claims[pool]
+        if claim.taken_from is None or life in claim.released:
+            return True
+        peer = self._hosts.get(claim.taken_from)
+        if peer is None or peer.link is None:
+            return True
+        return now - claim.since > HANDOVER_TIME
+
+    def released(self, message: messages.ReleaseBackend) -> None:
+        """Note that a former owner has let go of a backend server."""
+        claim = self.claims.get(message.pool)
+        if claim is not None:
+            life = model.Life(message.backend_id, message.started_ms)
+            claim.released.add(life)
+
+
+def _preference(
+    pool: str, record: model.HostRecord
+) -> tuple[bool, float, int]:
+    spread = xxhash.xxh64_intdigest(f"{pool}/{record.address}".encode())
+    return (record.zone != pool, -record.processors, spread)
--- /dev/null
+++ b/waxwingwalk/dispatch/run_keeper.py
@@ -0,0 +1,598 @@
+"""Runs on the backend servers that this host orders.
+
+Backend servers neither guard their room nor refuse a second run of a task
+elsewhere. A run therefore occupies its room from the order until the server
+lists its end, or it is certain that the order never took effect. A server is
+used only after it was fenced off from its former scheduler and runs nothing
+that that one started.
+"""
+
+from collections.abc import Iterator
+import dataclasses
+import datetime
+import enum
+
+from waxwingwalk.dispatch import backend as backends
+from waxwingwalk.dispatch import effects
+from waxwingwalk.dispatch import model
+from waxwingwalk.routing import outliers
+
+# A look at a server waits this long for an end. Leases are renewed as often,
+# which leaves time for two looks that fail before the lease is over.
+LOOK_WAIT = datetime.timedelta(milliseconds=300)
+# A look that failed is repeated after this time, doubled up to the maximum.
+LOOK_RETRY = datetime.timedelta(milliseconds=60)
+LOOK_RETRY_MAX = datetime.timedelta(milliseconds=500)
+# An unanswered stop is sent again after this time.
+STOP_RETRY = datetime.timedelta(milliseconds=150)
+# A server that fails everything is set aside for this long, then tried.
+SET_ASIDE = datetime.timedelta(seconds=3)
+# The platform's list may lack a living server for about two seconds.
+MISSING_GRACE = datetime.timedelta(seconds=2.5)
+
+
+class TaskEnd(enum.Enum):
+    """How a run ended for whoever ordered it.
+
+    NOT_RUN never began and GONE began and is over; both may run again. LOST
+    may still be running under another scheduler.
+    """
+
+    DONE = "done"
+    FAILED = "failed"
+    NOT_RUN = "not_run"
+    GONE = "gone"
+    LOST = "lost"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EndedTask:
+    """The end of a run that was ordered here."""
+
+    order: backends.TaskOrder
+    end: TaskEnd
+    backend_id: str
+    elapsed: datetime.timedelta
+
+
+class RunKeeper:
+    """Orders runs, follows them to their end, and accounts for room."""
+
+    def __init__(self) -> None:
+        self._backends: dict[model.Life, backends.Backend] = {}
+        self._places: dict[model.RunKey, backends.Backend] = {}
+        self._detector = outliers.LikelihoodDetector()
+        self.ended: list[EndedTask] = []
+
+    def __iter__(self) -> Iterator[backends.Backend]:
+        return iter(self._backends.values())
+
+    def get(self, life: model.Life) -> backends.Backend | None:
+        """Return a backend server that is ordered here, if it is."""
+        return self._backends.get(life)
+
+    def place_of(self, key: model.RunKey) -> backends.Backend | None:
+        """Return where a run is, if it was ordered here."""
+        return self._places.get(key)
+
+    # Which servers are ordered here.
+
+    def take(
+        self, report: model.BackendReport, fence: int, now: datetime.datetime
+    ) -> effects.Effects:
+        """Begin to order a backend server."""
+        backend = backends.Backend(report, fence, now)
+        self._backends[report.life] = backend
+        return [
+            effects.Log(
+                "backend.taken",
+                {
+                    "backend": report.life.backend_id,
+                    "life": report.life.started_ms,
+                    "fence": fence,
+                },
+            ),
+            *self._look(backend, now),
+        ]
+
+    def release(
+        self, life: model.Life, now: datetime.datetime, reason: str
+    ) -> effects.Effects:
+        """Order a backend server no more; what runs there may go on."""
+        backend = self._backends.pop(life, None)
+        if backend is None:
+            return []
+        for run in list(backend.runs.values()):
+            self._end(backend, run, TaskEnd.LOST, now)
+        self._detector.forget(str(life))
+        return [
+            effects.Log(
+                "backend.released",
+                {
+                    "backend": life.backend_id,
+                    "life": life.started_ms,
+                    "fence": backend.fence,
+                    "reason": reason,
+                },
+            )
+        ]
+
+    def life_over(
+        self, life: model.Life, now: datetime.datetime, reason: str
+    ) -> effects.Effects:
+        """Forget a life that is over; what it ran is over too."""
+        backend = self._backends.pop(life, None)
+        if backend is None:
+            return []
+        for run in list(backend.runs.values()):
+            self._end(backend, run, TaskEnd.GONE, now)
+        self._detector.forget(str(life))
+        return [
+            effects.Log(
+                "backend.gone",
+                {
+                    "backend": life.backend_id,
+                    "life": life.started_ms,
+                    "reason": reason,
+                },
+            )
+        ]
+
+    def report(
+        self, report: model.BackendReport, now: datetime.datetime
+    ) -> effects.Effects:
+        """Take in what a backend server says of itself."""
+        backend = self._backends[report.life]
+        changed = backend.report.willingness is not report.willingness
+        backend.report = report
+        backend.missing_since = None
+        if not changed:
+            return []
+        return [
+            effects.Log(
+                "backend.willingness",
+                {
+                    "backend": report.life.backend_id,
+                    "state": report.willingness.value,
+                },
+            )
+        ]
+
+    def missing(
+        self, life: model.Life, now: datetime.datetime
+    ) -> effects.Effects:
+        """Note that the platform's list lacks a backend server."""
+        backend = self._backends[life]
+        if backend.missing_since is None:
+            backend.missing_since = now
+        is_silent = backend.state is not backends.BackendState.READY
+        if not backend.runs or (
+            is_silent and now - backend.missing_since > MISSING_GRACE
+        ):
+            if now - backend.missing_since > MISSING_GRACE:
+                return self.life_over(life, now, "not listed")
+        return []
+
+    # Orders.
+
+    def start(
+        self,
+        order: backends.TaskOrder,
+        backend: backends.Backend,
+        now: datetime.datetime,
+    ) -> effects.Effects:
+        """Order a run; the caller has made sure that it fits."""
+        lease_end = backend.lease_end(now)
+        if lease_end is None:
+            raise ValueError(f"{backend!r} has shown no clock yet")
+        backend.runs[order.key] = backends.Run(order, now)
+        backend.used = backend.used + order.room
+        self._places[order.key] = backend
+        return [
+            effects.StartRun(
+                life=backend.life,
+                address=backend.report.address,
+                fence=backend.fence,
+                run=order.key,
+                spec=order.spec,
+                lease_ends_ms=lease_end,
+            ),
+            *self._look(backend, now),
+        ]
+
+    def stop(
+        self, key: model.RunKey, now: datetime.datetime
+    ) -> effects.Effects:
+        """Stop a run; its end is reported when it is certain."""
+        backend = self._places.get(key)
+        if backend is None:
+            return []
+        run = backend.runs[key]
+        if run.stop_wanted_at is not None:
+            return []
+        run.stop_wanted_at = now
+        return self._send_stop(backend, run, now)
+
+    def _send_stop(
+        self,
+        backend: backends.Backend,
+        run: backends.Run,
+        now: datetime.datetime,
+    ) -> effects.Effects:
+        run.stop_sent_at = now
+        return [self._stop_effect(backend, run.order.key)]
+
+    def _stop_effect(
+        self, backend: backends.Backend, key: model.RunKey
+    ) -> effects.StopRun:
+        return effects.StopRun(
+            backend.life, backend.report.address, backend.fence, key
+        )
+
+    def _look(
+        self, backend: backends.Backend, now: datetime.datetime
+    ) -> effects.Effects:
+        """Fetch the lists, unless that is under way or not needed."""
+        is_needed = (
+            backend.runs
+            or backend.foreign
+            or backend.is_acknowledgement_due
+            or backend.state
+            in (backends.BackendState.UNPROVEN, backends.BackendState.SUSPECT)
+        )
+        if backend.is_held or not is_needed or now < backend.next_look_at:
+            return []
+        if backend.state is backends.BackendState.FENCED:
+            return []
+        backend.is_held = True
+        backend.looks += 1
+        may_extend = backend.runs and backend.may_extend_lease(now)
+        may_wait = (
+            backend.runs
+            and backend.state is backends.BackendState.READY
+            and not any(
+                run.settled_by_look is not None
+                for run in backend.runs.values()
+            )
+        )
+        return [
+            effects.HoldRuns(
+                life=backend.life,
+                address=backend.report.address,
+                fence=backend.fence,
+                acknowledged=backend.acknowledged,
+                lease_ends_ms=backend.lease_end(now) if may_extend else None,
+                wait=LOOK_WAIT if may_wait else model.ZERO,
+            )
+        ]
+
+    # Answers.
+
+    def started(
+        self,
+        life: model.Life,
+        key: model.RunKey,
+        outcome: model.CallOutcome,
+        clock_ms: int | None,
+        now: datetime.datetime,
+    ) -> effects.Effects:
+        """Take in the answer to an order to start."""
+        backend = self._backends.get(life)
+        run = backend.runs.get(key) if backend is not None else None
+        if backend is None or run is None:
+            return []
+        if clock_ms is not None:
+            backend.read_clock(clock_ms, now)
+            backend.heard_at = now
+        outcomes = model.CallOutcome
+        match outcome:
+            case outcomes.ACCEPTED:
+                if run.state is backends.RunState.ORDERED:
+                    run.state = backends.RunState.RUNNING
+                    run.accepted_at = now
+                return []
+            case outcomes.UNKNOWN:
+                return self._start_unanswered(backend, run, now)
+            case outcomes.FENCED:
+                return self._fenced(backend, now)
+            case outcomes.OTHER_LIFE:
+                return self.life_over(life, now, "other life")
+            case outcomes.UNHEALTHY | outcomes.NOT_SENT:
+                self._end(backend, run, TaskEnd.NOT_RUN, now)
+                return self._suspect(backend, now, outcome.value)
+            case _:
+                self._end(backend, run, TaskEnd.NOT_RUN, now)
+                return [
+                    effects.Log(
+                        "run.refused",
+                        {
+                            "task": key.task,
+                            "run": key.run,
+                            "backend": life.backend_id,
+                            "reason": outcome.value,
+                        },
+                    )
+                ]
+
+    def _start_unanswered(
+        self,
+        backend: backends.Backend,
+        run: backends.Run,
+        now: datetime.datetime,
+    ) -> effects.Effects:
+        done = self._suspect(backend, now, "start unanswered")
+        if run.is_stop_confirmed:
+            _settle_by_next_look(backend, run, now)
+            return [*done, *self._look(backend, now)]
+        run.state = backends.RunState.DOUBTFUL
+        run.stop_wanted_at = run.stop_wanted_at or now
+        return [*done, *self._send_stop(backend, run, now)]
+
+    def stopped(
+        self,
+        life: model.Life,
+        key: model.RunKey,
+        outcome: model.CallOutcome,
+        now: datetime.datetime,
+    ) -> effects.Effects:
+        """Take in the answer to an order to stop."""
+        backend = self._backends.get(life)
+        if backend is None:
+            return []
+        if outcome is model.CallOutcome.FENCED:
+            return self._fenced(backend, now)
+        if outcome is model.CallOutcome.OTHER_LIFE:
+            return self.life_over(life, now, "other life")
+        if outcome is not model.CallOutcome.ACCEPTED:
+            return self._suspect(backend, now, "stop unanswered")
+        run = backend.runs.get(key)
+        if run is not None:
+            run.is_stop_confirmed = True
+            if run.state is backends.RunState.DOUBTFUL:
+                _settle_by_next_look(backend, run, now)
+        return self._look(backend, now)
+
+    def held(
+        self,
+        life: model.Life,
+        outcome: model.CallOutcome,
+        clock_ms: int | None,
+        running: tuple[model.RunKey, ...],
+        ended: tuple[model.EndedRun, ...],
+        now: datetime.datetime,
+    ) -> effects.Effects:
+        """Take in a backend server's lists."""
+        backend = self._backends.get(life)
+        if backend is None:
+            return []
+        backend.is_held = False
+        if outcome is model.CallOutcome.FENCED:
+            return self._fenced(backend, now)
+        if outcome is model.CallOutcome.OTHER_LIFE:
+            return self.life_over(life, now, "other life")
+        if outcome is not model.CallOutcome.ACCEPTED or clock_ms is None:
+            return self._look_failed(backend, now, outcome)
+        backend.read_clock(clock_ms, now)
+        backend.heard_at = now
+        backend.failed_looks = 0
+        backend.next_look_at = now
+        backend.is_acknowledgement_due = False
+        self._take_ends(backend, ended, now)
+        self._settle(backend, running, now)
+        done = self._prove(backend, running, now)
+        return [*done, *self._look(backend, now)]
+
+    def _take_ends(
+        self,
+        backend: backends.Backend,
+        ended: tuple[model.EndedRun, ...],
+        now: datetime.datetime,
+    ) -> None:
+        for entry in ended:
+            if entry.serial <= backend.acknowledged:
+                continue
+            backend.acknowledged = entry.serial
+            backend.is_acknowledgement_due = True
+            key = model.RunKey(entry.task, entry.run)
+            backend.foreign.discard(key)
+            backend.foreign_stops.pop(key, None)
+            run = backend.runs.get(key)
+            if run is not None:
+                self._end(backend, run, _task_end(entry.end), now)
+
+    def _settle(
+        self,
+        backend: backends.Backend,
+        running: tuple[model.RunKey, ...],
+        now: datetime.datetime,
+    ) -> None:
+        """Free the room of orders that are known never to take effect."""
+        present = set(running)
+        for key, run in list(backend.runs.items()):
+            look = run.settled_by_look
+            if look is not None and backend.looks >= look:
+                if key in present:
+                    run.settled_by_look = None
+                else:
+                    self._end(backend, run, TaskEnd.NOT_RUN, now)
+
+    def _prove(
+        self,
+        backend: backends.Backend,
+        running: tuple[model.RunKey, ...],
+        now: datetime.datetime,
+    ) -> effects.Effects:
+        """Clear away what former schedulers left; use the server then."""
+        done: effects.Effects = []
+        if backend.state is backends.BackendState.UNPROVEN:
+            backend.foreign = {
+                key for key in running if key not in backend.runs
+            }
+            for key in backend.foreign:
+                sent = backend.foreign_stops.get(key)
+                if sent is None or now - sent > STOP_RETRY:
+                    backend.foreign_stops[key] = now
+                    done.append(self._stop_effect(backend, key))
+            if backend.foreign:
+                backend.next_look_at = now + LOOK_RETRY
+                return done
+        if backend.state is not backends.BackendState.READY:
+            done.append(
+                effects.Log(
+                    "backend.ready",
+                    {
+                        "backend": backend.life.backend_id,
+                        "was": backend.state.value,
+                        "fence": backend.fence,
+                        "running": len(running),
+                    },
+                )
+            )
+            backend.state = backends.BackendState.READY
+        return done
+
+    def _look_failed(
+        self,
+        backend: backends.Backend,
+        now: datetime.datetime,
+        outcome: model.CallOutcome,
+    ) -> effects.Effects:
+        backend.failed_looks += 1
+        pause = LOOK_RETRY * 2 ** min(backend.failed_looks - 1, 8)
+        backend.next_look_at = now + min(pause, LOOK_RETRY_MAX)
+        return self._suspect(backend, now, f"look {outcome.value}")
+
+    def _suspect(
+        self, backend: backends.Backend, now: datetime.datetime, reason: str
+    ) -> effects.Effects:
+        if backend.state is not backends.BackendState.READY:
+            return []
+        backend.state = backends.BackendState.SUSPECT
+        heard = backend.heard_at
+        age = None if heard is None else (now - heard).total_seconds()
+        return [
+            effects.Log(
+                "backend.suspect",
+                {
+                    "backend": backend.life.backend_id,
+                    "reason": reason,
+                    "heard_seconds_ago": age,
+                },
+            )
+        ]
+
+    def _fenced(
+        self, backend: backends.Backend, now: datetime.datetime
+    ) -> effects.Effects:
+        """Give up a server that obeys a newer scheduler."""
+        if backend.state is backends.BackendState.FENCED:
+            return []
+        backend.state = backends.BackendState.FENCED
+        for run in list(backend.runs.values()):
+            self._end(backend, run, TaskEnd.LOST, now)
+        backend.foreign.clear()
+        return [
+            effects.Log(
+                "backend.fenced",
+                {
+                    "backend": backend.life.backend_id,
+                    "fence": backend.fence,
+                },
+            )
+        ]
+
+    def _end(
+        self,
+        backend: backends.Backend,
+        run: backends.Run,
+        end: TaskEnd,
+        now: datetime.datetime,
+    ) -> None:
+        """Free a run's room, and report its end if that was not done."""
+        del backend.runs[run.order.key]
+        self._places.pop(run.order.key, None)
+        backend.used = backend.used - run.order.room
+        self._report(backend, run, end, now)
+
+    def _report(
+        self,
+        backend: backends.Backend,
+        run: backends.Run,
+        end: TaskEnd,
+        now: datetime.datetime,
+    ) -> None:
+        if run.is_reported:
+            return
+        run.is_reported = True
+        elapsed = now - (run.accepted_at or run.ordered_at)
+        self._learn(backend, run, end, elapsed, now)
+        self.ended.append(
+            EndedTask(run.order, end, backend.life.backend_id, elapsed)
+        )
+
+    def _learn(
+        self,
+        backend: backends.Backend,
+        run: backends.Run,
+        end: TaskEnd,
+        elapsed: datetime.timedelta,
+        now: datetime.datetime,
+    ) -> None:
+        name = str(backend.life)
+        if end is TaskEnd.DONE:
+            backend.pace.learn(elapsed, run.order.estimate)
+            self._detector.task_done(name, run.order.queue)
+            backend.set_aside_until = None
+        elif end is TaskEnd.FAILED:
+            if self._detector.task_failed(name, run.order.queue):
+                backend.set_aside_until = now + SET_ASIDE
+
+    # Time.
+
+    def tick(self, now: datetime.datetime) -> effects.Effects:
+        """Send again what went unanswered; give up what has lapsed."""
+        done: effects.Effects = []
+        for backend in list(self._backends.values()):
+            if backend.state is backends.BackendState.FENCED:
+                continue
+            for run in backend.runs.values():
+                if _is_stop_due(run, now):
+                    done += self._send_stop(backend, run, now)
+            if backend.state is backends.BackendState.SUSPECT:
+                self._lapse(backend, now)
+            done += self._look(backend, now)
+        return done
+
+    def _lapse(
+        self, backend: backends.Backend, now: datetime.datetime
+    ) -> None:
+        """Report runs whose lease is certainly over; keep their room."""
+        if not backend.runs or now < backend.lapses_by(now):
+            return
+        for run in backend.runs.values():
+            run.stop_wanted_at = run.stop_wanted_at or now
+            self._report(backend, run, TaskEnd.GONE, now)
+
+
+def _is_stop_due(run: backends.Run, now: datetime.datetime) -> bool:
+    return (
+        run.stop_wanted_at is not None
+        and not run.is_stop_confirmed
+        and (run.stop_sent_at is None or now - run.stop_sent_at > STOP_RETRY)
+    )
+
+
+def _settle_by_next_look(
+    backend: backends.Backend, run: backends.Run, now: datetime.datetime
+) -> None:
+    run.state = backends.RunState.SETTLED
+    run.settled_by_look = backend.looks + 1
+    backend.next_look_at = now
+
+
+def _task_end(end: model.RunEnd) -> TaskEnd:
+    if end is model.RunEnd.DONE:
+        return TaskEnd.DONE
+    if end is model.RunEnd.FAILED:
+        return TaskEnd.FAILED
+    return TaskEnd.GONE
--- /dev/null
+++ b/waxwingwalk/dispatch/scheduler.py
@@ -0,0 +1,625 @@
+"""Jobs at the host that schedules a pool: waiting, placed, answered."""
+
+import dataclasses
+import datetime
+
+from waxwingwalk.dispatch import backend as backends
+from waxwingwalk.dispatch import effects
+from waxwingwalk.dispatch import job_record
+from waxwingwalk.dispatch import messages
+from waxwingwalk.dispatch import model
+from waxwingwalk.dispatch import ordering
+from waxwingwalk.dispatch import placement
+from waxwingwalk.dispatch import run_keeper
+
+# A run that takes this many times its expected time is started elsewhere.
+STUCK_FACTOR = 4.0
+# A run is never taken for stuck before this time.
+STUCK_MIN = datetime.timedelta(milliseconds=250)
+# The shortest and the longest time after which a refused caller may return.
+RETRY_AFTER_MIN = datetime.timedelta(milliseconds=200)
+RETRY_AFTER_MAX = datetime.timedelta(seconds=5)
+# Free rooms that a status names; peers offer no more tasks than that at once.
+FREE_ROOMS_MAX = 12
+# Jobs that may wait here for their first task.
+WAITING_JOBS_MAX = 2000
+
+# The answer to a job that another scheduler should be asked to take.
+REASON_LEAVING = "leaving"
+
+TaskState = job_record.TaskState
+
+
+@dataclasses.dataclass(slots=True)
+class PeerPool:
+    """What another host's pools could start, as it said last."""
+
+    link: int
+    service: str
+    free: list[model.Room]
+
+
+class Scheduler:
+    """Schedules the jobs that were given to this host.
+
+    Tasks run on backend servers that this host orders, and on those of other
+    hosts where these have room to spare.
+    """
+
+    def __init__(
+        self,
+        runs: run_keeper.RunKeeper,
+        order: ordering.JobOrder,
+        place: placement.Placement,
+    ) -> None:
+        self._runs = runs
+        self._order = order
+        self._place = place
+        self._jobs: dict[str, job_record.JobRecord] = {}
+        self._offered: dict[model.RunKey, int] = {}
+        self._peers: dict[int, list[PeerPool]] = {}
+        self._is_dispatch_due = False
+
+    @property
+    def jobs(self) -> dict[str, job_record.JobRecord]:
+        """Jobs that have no answer yet, to be read only."""
+        return self._jobs
+
+    # Jobs.
+
+    def submit(
+        self, job: model.Job, link: int | None, now: datetime.datetime
+    ) -> effects.Effects:
+        """Take a job in, or refuse it at once if it cannot be served."""
+        record = job_record.JobRecord(job, link, now)
+        if job.job_id in self._jobs:
+            # The same job is under way for another request.
+            return self._answer(record, model.JobOutcome.LOST, "twice", now)
+        reason = self._reason_to_refuse(record, now)
+        if reason is not None:
+            return self._answer(record, model.JobOutcome.NOT_RUN, reason, now)
+        self._jobs[job.job_id] = record
+        return [
+            effects.Log(
+                "job.queued",
+                {
+                    "job": job.job_id,
+                    "queue": job.queue,
+                    "tasks": len(record.tasks),
+                    "work_ms": _milliseconds(record.work_left()),
+                    "due_in_ms": _milliseconds(job.due - now),
+                    "backlog_ms": _milliseconds(self.backlog(now)),
+                },
+            ),
+            *self.dispatch(now),
+        ]
+
+    def _reason_to_refuse(
+        self, record: job_record.JobRecord, now: datetime.datetime
+    ) -> str | None:
+        orders = [
+            record.order(task, 1)
+            for task in record.tasks.values()
+            if task.ref.index == 0
+        ]
+        usable = [each for each in self._runs if each.is_usable(now)]
+        if not usable and not self._peers:
+            return "no backend server"
+        if usable and not all(
+            any(each.could_ever_take(order) for each in usable)
+            for order in orders
+        ):
+            return "fits no backend server"
+        if len(self._jobs) >= WAITING_JOBS_MAX:
+            return "queue full"
+        if now + record.work_left() > record.job.expires:
+            return "too late"
+        ready_at = now + self.backlog(now) + record.work_left()
+        if ready_at > record.job.expires:
+            return "backlog"
+        return None
+
+    def abandon(
+        self, job_id: str, link: int | None, now: datetime.datetime
+    ) -> effects.Effects:
+        """Stop a job whose answer nobody waits for."""
+        record = self._jobs.get(job_id)
+        if record is None or record.link != link:
+            return []
+        del self._jobs[job_id]
+        return [
+            effects.Log("job.abandoned", {"job": job_id}),
+            *self._stop_tasks(record, now),
+            *self.dispatch(now),
+        ]
+
+    def leave(self, now: datetime.datetime) -> effects.Effects:
+        """Send away the jobs that nothing has started of."""
+        done: effects.Effects = []
+        for record in list(self._jobs.values()):
+            if not record.has_started:
+                done += self._finish(
+                    record, model.JobOutcome.NOT_RUN, REASON_LEAVING, now
+                )
+        return done
+
+    def close_link(self, link: int, now: datetime.datetime) -> effects.Effects:
+        """End all that depends on a link which is gone."""
+        self._peers.pop(link, None)
+        done: effects.Effects = []
+        for record in list(self._jobs.values()):
+            if record.link == link:
+                done += self.abandon(record.job.job_id, link, now)
+                continue
+            if any(
+                task.state is TaskState.OFFERED and task.link == link
+                for task in record.tasks.values()
+            ):
+                done += self._finish(
+                    record, model.JobOutcome.LOST, "peer lost", now
+                )
+        for key, owner in list(self._offered.items()):
+            if owner == link:
+                del self._offered[key]
+                done += self._runs.stop(key, now)
+        return done + self.dispatch(now)
+
+    def _stop_tasks(
+        self, record: job_record.JobRecord, now: datetime.datetime
+    ) -> effects.Effects:
+        done: effects.Effects = []
+        for task in record.tasks.values():
+            if task.state is TaskState.PLACED:
+                key = model.RunKey(task.ref.name, task.run)
+                done += self._runs.stop(key, now)
+            elif task.state is TaskState.OFFERED and task.link is not None:
+                done.append(
+                    effects.Send(
+                        task.link,
+                        messages.StopTask(
+                            task.ref.job_id,
+                            task.ref.step,
+                            task.ref.index,
+                            task.run,
+                        ),
+                    )
+                )
+        return done
+
+    def _finish(
+        self,
+        record: job_record.JobRecord,
+        outcome: model.JobOutcome,
+        reason: str,
+        now: datetime.datetime,
+    ) -> effects.Effects:
+        del self._jobs[record.job.job_id]
+        return [
+            *self._answer(record, outcome, reason, now),
+            *self._stop_tasks(record, now),
+        ]
+
+    def _answer(
+        self,
+        record: job_record.JobRecord,
+        outcome: model.JobOutcome,
+        reason: str,
+        now: datetime.datetime,
+    ) -> effects.Effects:
+        retry_after = None
+        if outcome is model.JobOutcome.NOT_RUN:
+            retry_after = self.retry_after(now)
+        job = record.job
+        log = effects.Log(
+            "job.ended",
+            {
+                "job": job.job_id,
+                "queue": job.queue,
+                "outcome": outcome.value,
+                "reason": reason,
+                "age_ms": _milliseconds(now - record.arrived_at),
+                "late_ms": _milliseconds(now - job.due),
+                "runs": sum(task.run for task in record.tasks.values()),
+            },
+        )
+        if record.link is None:
+            answer: effects.Effect = effects.AnswerJob(
+                job.job_id, outcome, reason, retry_after
+            )
+        else:
+            answer = effects.Send(
+                record.link,
+                messages.JobEnded(
+                    job.job_id,
+                    outcome,
+                    reason,
+                    None
+                    if retry_after is None
+                    else _milliseconds(retry_after),
+                ),
+            )
+        return [log, answer]
+
+    # Load.
+
+    def backlog(self, now: datetime.datetime) -> datetime.timedelta:
+        """Return how long the waiting work keeps the pool busy."""
+        capacity = 0.0
+        for backend in self._runs:
+            if backend.is_usable(now):
+                room = backend.report.room.processors
+                capacity += room / backend.slowness(now)
+        if not capacity:
+            return model.ZERO
+        work = 0.0
+        for record in self._jobs.values():
+            for task in record.tasks.values():
+                if task.state is TaskState.WAITING:
+                    step = record.job.steps[task.ref.step]
+                    seconds = step.estimate.total_seconds()
+                    work += step.room.processors * seconds
+        return datetime.timedelta(seconds=work / capacity)
+
+    def retry_after(self, now: datetime.datetime) -> datetime.timedelta:
+        """Return when a refused caller may expect to be served."""
+        return min(max(self.backlog(now), RETRY_AFTER_MIN), RETRY_AFTER_MAX)
+
+    def free_rooms(
+        self, pool: str, service: str, now: datetime.datetime
+    ) -> list[model.Room]:
+        """Return free rooms that other hosts may use, the largest first."""
+        if any(record.waiting() for record in self._jobs.values()):
+            return []
+        rooms = [
+            backend.free
+            for backend in self._runs
+            if backend.is_usable(now)
+            and backend.report.service == service
+            and backend.report.zone == pool
+        ]
+        rooms = [room for room in rooms if room.processors > 0]
+        rooms.sort(key=lambda room: room.processors, reverse=True)
+        return rooms[:FREE_ROOMS_MAX]
+
+    def peer_status(self, link: int, loads: list[messages.PoolLoad]) -> None:
+        """Note what a peer's pools could start."""
+        self._peers[link] = [
+            PeerPool(link, load.service, list(load.free)) for load in loads
+        ]
+
+    # Tasks.
+
+    def dispatch(self, now: datetime.datetime) -> effects.Effects:
+        """Start what can start, in the order of urgency."""
+        done: effects.Effects = []
+        waiting = [
+            (self._order.key(record, now), record)
+            for record in self._jobs.values()
+        ]
+        waiting.sort(key=lambda pair: pair[0])
+        for _, record in waiting:
+            for task in record.waiting():
+                started = self._start(record, task, now)
+                if not started:
+                    break
+                done += started
+        return done
+
+    def _start(
+        self,
+        record: job_record.JobRecord,
+        task: job_record.TaskRecord,
+        now: datetime.datetime,
+    ) -> effects.Effects:
+        order = record.order(task, task.run + 1)
+        backend = self._place.choose(
+            [each for each in self._runs if each.takes(order, now)],
+            order,
+            record.job.due,
+            now,
+        )
+        if backend is None:
+            return self._offer(record, task, order)
+        task.run = order.run
+        task.state = TaskState.PLACED
+        task.backend_id = backend.life.backend_id
+        task.started_at = now
+        record.has_started = True
+        return [
+            self._log_start(record, order, backend, now),
+            *self._runs.start(order, backend, now),
+        ]
+
+    def _log_start(
+        self,
+        record: job_record.JobRecord,
+        order: backends.TaskOrder,
+        backend: backends.Backend,
+        now: datetime.datetime,
+    ) -> effects.Log:
+        return effects.Log(
+            "task.placed",
+            {
+                "job": order.ref.job_id,
+                "task": order.ref.name,
+                "run": order.run,
+                "backend": backend.life.backend_id,
+                "slowness": round(backend.slowness(now), 2),
+                "free_before": backend.free.processors,
+                "waited_ms": _milliseconds(now - record.arrived_at),
+                "due_in_ms": _milliseconds(record.job.due - now),
+            },
+        )
+
+    def _offer(
+        self,
+        record: job_record.JobRecord,
+        task: job_record.TaskRecord,
+        order: backends.TaskOrder,
+    ) -> effects.Effects:
+        """Offer a task to a host that said it has room, if there is one."""
+        for link, pools in self._peers.items():
+            if link in task.refused_by:
+                continue
+            for pool in pools:
+                room = _take_room(pool, order)
+                if room is None:
+                    continue
+                task.run = order.run
+                task.state = TaskState.OFFERED
+                task.link = link
+                record.has_started = True
+                return [
+                    effects.Log(
+                        "task.offered",
+                        {
+                            "job": order.ref.job_id,
+                            "task": order.ref.name,
+                            "run": order.run,
+                            "link": link,
+                            "free": room.processors,
+                        },
+                    ),
+                    effects.Send(link, _offer_message(order)),
+                ]
+        return []
+
+    def take_ends(self, now: datetime.datetime) -> effects.Effects:
+        """Act on the runs that ended since the last call."""
+        ended, self._runs.ended = self._runs.ended, []
+        done: effects.Effects = []
+        for each in ended:
+            key = each.order.key
+            if each.order.owner is not None:
+                link = self._offered.pop(key, None)
+                if link is not None:
+                    done.append(effects.Send(link, _ended_message(each)))
+                continue
+            done += self._task_ended(
+                each.order.ref, each.order.run, each.end, each.backend_id, now
+            )
+        if ended:
+            done += self.dispatch(now)
+        return done
+
+    def _task_ended(
+        self,
+        ref: model.TaskRef,
+        run: int,
+        end: run_keeper.TaskEnd,
+        where: str,
+        now: datetime.datetime,
+    ) -> effects.Effects:
+        record = self._jobs.get(ref.job_id)
+        if record is None:
+            return []
+        task = record.tasks.get((ref.step, ref.index))
+        if task is None or task.run != run:
+            return []
+        if task.state not in (TaskState.PLACED, TaskState.OFFERED):
+            return []
+        done: effects.Effects = [
+            effects.Log(
+                "task.ended",
+                {
+                    "job": ref.job_id,
+                    "task": ref.name,
+                    "run": run,
+                    "end": end.value,
+                    "where": where,
+                },
+            )
+        ]
+        ends = run_keeper.TaskEnd
+        match end:
+            case ends.DONE:
+                record.finish(task)
+                if record.is_done:
+                    done += self._finish(
+                        record, model.JobOutcome.DONE, "done", now
+                    )
+            case ends.FAILED:
+                task.failures += 1
+                task.state = TaskState.WAITING
+                if task.failures >= record.job.attempts:
+                    done += self._finish(
+                        record, model.JobOutcome.FAILED, "attempts", now
+                    )
+            case ends.LOST:
+                done += self._finish(
+                    record, model.JobOutcome.LOST, "scheduler changed", now
+                )
+            case _:
+                task.state = TaskState.WAITING
+        return done
+
+    # Tasks of other hosts.
+
+    def offered(
+        self,
+        message: messages.OfferTask,
+        link: int,
+        now: datetime.datetime,
+    ) -> effects.Effects:
+        """Run a peer's task if that can start at once."""
+        order = _order_of(message, link)
+        is_busy = any(record.waiting() for record in self._jobs.values())
+        backend = None
+        if not is_busy and order.key not in self._offered:
+            due = now + order.estimate
+            backend = self._place.choose(
+                [each for each in self._runs if each.takes(order, now)],
+                order,
+                due,
+                now,
+            )
+        if backend is None:
+            refused = run_keeper.EndedTask(
+                order, run_keeper.TaskEnd.NOT_RUN, "", model.ZERO
+            )
+            return [effects.Send(link, _ended_message(refused))]
+        self._offered[order.key] = link
+        return [
+            effects.Log(
+                "task.placed",
+                {
+                    "job": order.ref.job_id,
+                    "task": order.ref.name,
+                    "run": order.run,
+                    "backend": backend.life.backend_id,
+                    "slowness": round(backend.slowness(now), 2),
+                    "link": link,
+                },
+            ),
+            *self._runs.start(order, backend, now),
+        ]
+
+    def stop_offered(
+        self, message: messages.StopTask, now: datetime.datetime
+    ) -> effects.Effects:
+        """Stop a peer's task."""
+        ref = model.TaskRef(message.job_id, message.step, message.index)
+        return self._runs.stop(model.RunKey(ref.name, message.run), now)
+
+    def peer_task_ended(
+        self,
+        message: messages.TaskEnded,
+        link: int,
+        now: datetime.datetime,
+    ) -> effects.Effects:
+        """Take in the end of a task that a peer ran."""
+        ref = model.TaskRef(message.job_id, message.step, message.index)
+        end = run_keeper.TaskEnd(message.end)
+        record = self._jobs.get(ref.job_id)
+        if record is not None and end is run_keeper.TaskEnd.NOT_RUN:
+            task = record.tasks.get((ref.step, ref.index))
+            if task is not None and task.run == message.run:
+                task.refused_by.add(link)
+        done = self._task_ended(ref, message.run, end, f"link {link}", now)
+        return done + self.dispatch(now)
+
+    # Time.
+
+    def tick(self, now: datetime.datetime) -> effects.Effects:
+        """Answer what cannot be served any more; move stuck tasks."""
+        done: effects.Effects = []
+        for record in list(self._jobs.values()):
+            if now >= record.job.expires:
+                outcome = model.JobOutcome.LOST
+                if not record.has_started:
+                    outcome = model.JobOutcome.NOT_RUN
+                done += self._finish(record, outcome, "expired", now)
+            elif (
+                not record.has_started
+                and now + record.work_left() > record.job.expires
+            ):
+                done += self._finish(
+                    record, model.JobOutcome.NOT_RUN, "too late", now
+                )
+            else:
+                done += self._stop_stuck(record, now)
+                for task in record.tasks.values():
+                    task.refused_by.clear()
+        return done + self.dispatch(now)
+
+    def _stop_stuck(
+        self, record: job_record.JobRecord, now: datetime.datetime
+    ) -> effects.Effects:
+        """Stop runs that take far too long, so that they start elsewhere."""
+        done: effects.Effects = []
+        for task in record.tasks.values():
+            if task.state is not TaskState.PLACED or task.started_at is None:
+                continue
+            estimate = record.job.steps[task.ref.step].estimate
+            limit = max(STUCK_MIN, STUCK_FACTOR * estimate)
+            if now - task.started_at > limit:
+                key = model.RunKey(task.ref.name, task.run)
+                stopped = self._runs.stop(key, now)
+                if stopped:
+                    done.append(
+                        effects.Log(
+                            "task.stuck",
+                            {
+                                "job": task.ref.job_id,
+                                "task": task.ref.name,
+                                "run": task.run,
+                                "backend": task.backend_id,
+                                "limit_ms": _milliseconds(limit),
+                            },
+                        )
+                    )
+                done += stopped
+        return done
+
+
+def _take_room(pool: PeerPool, order: backends.TaskOrder) -> model.Room | None:
+    """Take a task's room from what a peer said is free, if it fits."""
+    if pool.service != order.service or order.label is not None:
+        return None
+    for number, room in enumerate(pool.free):
+        if room.holds(order.room):
+            pool.free[number] = room - order.room
+            return room
+    return None
+
+
+def _offer_message(order: backends.TaskOrder) -> messages.OfferTask:
+    return messages.OfferTask(
+        job_id=order.ref.job_id,
+        step=order.ref.step,
+        index=order.ref.index,
+        run=order.run,
+        queue=order.queue,
+        service=order.service,
+        spec=order.spec,
+        room=order.room,
+        estimate_ms=_milliseconds(order.estimate),
+        label=order.label,
+        max_per_backend=order.max_per_backend,
+    )
+
+
+def _order_of(message: messages.OfferTask, link: int) -> backends.TaskOrder:
+    return backends.TaskOrder(
+        ref=model.TaskRef(message.job_id, message.step, message.index),
+        run=message.run,
+        queue=message.queue,
+        service=message.service,
+        spec=message.spec,
+        room=message.room,
+        estimate=message.estimate_ms * model.MILLISECOND,
+        label=message.label,
+        max_per_backend=message.max_per_backend,
+        owner=link,
+    )
+
+
+def _ended_message(ended: run_keeper.EndedTask) -> messages.TaskEnded:
+    ref = ended.order.ref
+    return messages.TaskEnded(
+        ref.job_id, ref.step, ref.index, ended.order.run, ended.end.value
+    )
+
+
+def _milliseconds(duration: datetime.timedelta) -> float:
+    return round(duration / model.MILLISECOND, 1)
--- a/waxwingwalk/entry/claims.py
+++ b/waxwingwalk/entry/claims.py
@@ -16,7 +16,7 @@
 from waxwingwalk.core import effects
 from waxwingwalk.core import identity
 from waxwingwalk.core import results
-from waxwingwalk.platform import base
+from waxwingwalk.store import base
 
 CLAIMS_TABLE = "claims"
 # How long claims are collected before they are written together.
--- a/waxwingwalk/entry/server.py
+++ b/waxwingwalk/entry/server.py
@@ -18,9 +18,9 @@
 from waxwingwalk.entry import config as entry_config
 from waxwingwalk.entry import engine as entry_engine
 from waxwingwalk.entry import links
-from waxwingwalk.platform import base as platform_base
-from waxwingwalk.platform import host_list
 from waxwingwalk.settings import store as settings_store
+from waxwingwalk.store import base as store_base
+from waxwingwalk.store import host_list
 
 TICK_INTERVAL = datetime.timedelta(milliseconds=50)
 # Objects created since the last collection of the youngest generation.
@@ -48,7 +48,7 @@
         self,
         engine: entry_engine.Engine,
         peer_links: links.PeerLinks,
-        hosts: platform_base.HostList,
+        hosts: store_base.HostList,
         store: settings_store.SettingsStore,
         seeds: list[str],
         listeners: list[tuple[socket.socket, web.Application]],
--- /dev/null
+++ b/waxwingwalk/host/__init__.py
@@ -0,0 +1,1 @@
+"""The dispatch host: carries out what the dispatch reducer decides."""
--- /dev/null
+++ b/waxwingwalk/host/records.py
@@ -0,0 +1,42 @@
+"""The rows that dispatch hosts keep in the store, as JSON."""
+
+import dataclasses
+
+import orjson
+import pydantic
+from returns import result
+
+from waxwingwalk.dispatch import model
+from waxwingwalk.dispatch import pool_rows
+
+# Tables in the store. Hosts have one row each, by peer address; pools one
+# row each, by availability zone.
+HOSTS_TABLE = "waxwingwalk_hosts"
+POOLS_TABLE = "waxwingwalk_pools"
+
+_host = pydantic.TypeAdapter(model.HostRecord)
+_pool = pydantic.TypeAdapter(pool_rows.PoolRow)
+
+
+def encode(record: model.HostRecord | pool_rows.PoolRow) -> bytes:
+    """Return a row's value."""
+    return orjson.dumps(dataclasses.asdict(record))
+
+
+def decode_host(value: bytes) -> result.Result[model.HostRecord, str]:
+    """Return the host that a row describes, or what is wrong with it."""
+    try:
+        return result.Success(_host.validate_json(value))
+    except pydantic.ValidationError as error:
+        return result.Failure(str(error))
+
+
+def decode_pool(value: bytes) -> result.Result[pool_rows.PoolRow, str]:
+    """Return a pool's row, or what is wrong with it."""
+    try:
+        row = _pool.validate_json(value)
+    except pydantic.ValidationError as error:
+        return result.Failure(str(error))
+    if not row.order:
+        return result.Failure("a pool's row names no host")
+    return result.Success(row)
--- /dev/null
+++ b/waxwingwalk/host/service.py
@@ -0,0 +1,163 @@
+"""The dispatch host as an aiomisc service."""
+
+import asyncio
+from collections.abc import Coroutine
+from collections.abc import Sequence
+import datetime
+import gc
+import socket
+from typing import Any
+from typing import Protocol
+
+from aiohttp import web
+import aiomisc
+
+from waxwingwalk.dispatch import events
+from waxwingwalk.host import config as host_config
+from waxwingwalk.host import engine as host_engine
+from waxwingwalk.host import links as host_links
+from waxwingwalk.host import records
+from waxwingwalk.host import registry as host_registry
+from waxwingwalk.store import follower
+from waxwingwalk.store import rows as store_rows
+
+TICK_INTERVAL = datetime.timedelta(milliseconds=25)
+LOG_FLUSH_INTERVAL = datetime.timedelta(milliseconds=100)
+# Objects created since the last collection of the youngest generation.
+GC_THRESHOLD = 20_000
+LISTEN_BACKLOG = 1024
+# Left of the time before SIGKILL for the last answers to leave.
+DRAIN_MARGIN = datetime.timedelta(milliseconds=800)
+FLUSH_TIME = datetime.timedelta(milliseconds=150)
+
+
+class Closer(Protocol):
+    """A part that holds connections."""
+
+    async def close(self) -> None: ...
+
+
+class HostService(aiomisc.Service):
+    """Listens, follows the store, keeps time, and shuts down in order."""
+
+    def __init__(
+        self,
+        config: host_config.HostConfig,
+        engine: host_engine.Engine,
+        links: host_links.HostLinks,
+        registry: host_registry.HostRegistry,
+        store: store_rows.RowStore,
+        listeners: Sequence[tuple[str, web.Application]],
+        followers: Sequence[follower.TableFollower],
+        closers: Sequence[Closer],
+    ) -> None:
+        super().__init__()
+        self._config = config
+        self._engine = engine
+        self._links = links
+        self._registry = registry
+        self._store = store
+        self._listeners = listeners
+        self._followers = followers
+        self._closers = closers
+        self._runners: list[web.AppRunner] = []
+        self._tasks: list[asyncio.Task[None]] = []
+        self._is_stopping = False
+
+    async def start(self) -> None:
+        """Open the listeners and start the loops."""
+        for address, app in self._listeners:
+            runner = web.AppRunner(
+                app,
+                access_log=None,
+                shutdown_timeout=1,
+                handler_cancellation=True,
+            )
+            await runner.setup()
+            await web.SockSite(runner, _bind(address)).start()
+            self._runners.append(runner)
+        self._engine.log.info(
+            "process.started",
+            host=self._config.name,
+            zone=self._config.zone,
+            incarnation=self._engine.reducer.me.incarnation,
+            callers=self._config.callers,
+            peers=self._config.peers,
+            store=self._config.store,
+        )
+        self._links.want(frozenset(self._config.seeds) - {self._config.peers})
+        gc.freeze()
+        gc.set_threshold(GC_THRESHOLD)
+        log = self._engine.log
+        mine = [
+            follower.TableFollower(
+                self._store, records.HOSTS_TABLE, self._take_hosts, log
+            ),
+            follower.TableFollower(
+                self._store, records.POOLS_TABLE, self._take_pools, log
+            ),
+        ]
+        loops: list[Coroutine[Any, Any, None]] = [
+            self._registry.register(),
+            self._keep_time(),
+            *(each.run() for each in [*mine, *self._followers]),
+        ]
+        for loop in loops:
+            self._start_task(loop)
+
+    def _start_task(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(work)
+        task.add_done_callback(self._report)
+        self._tasks.append(task)
+
+    def _report(self, task: asyncio.Task[None]) -> None:
+        if not task.cancelled() and task.exception() is not None:
+            self._engine.report_failure("loop", task.exception())
+
+    def _take_hosts(self, rows: follower.TableRows) -> None:
+        self._engine.apply(events.HostsListed(self._registry.hosts(rows)))
+
+    def _take_pools(self, rows: follower.TableRows) -> None:
+        self._engine.apply(events.PoolsListed(self._registry.pools(rows)))
+
+    async def _keep_time(self) -> None:
+        flushed_at = self._engine.clock.now()
+        while True:
+            due = self._engine.clock.now() + TICK_INTERVAL
+            await asyncio.sleep(TICK_INTERVAL.total_seconds())
+            now = self._engine.clock.now()
+            self._engine.metrics.event_loop_lag(now - due)
+            try:
+                self._engine.apply(events.Ticked())
+            except Exception as error:
+                self._engine.report_failure("tick", error)
+            if now - flushed_at >= LOG_FLUSH_INTERVAL:
+                flushed_at = now
+                self._engine.log.flush()
+
+    async def stop(self, exception: Exception | None = None) -> None:
+        """Drain: hand over, finish what is under way, then close."""
+        limit = self._config.grace - DRAIN_MARGIN
+        unregister = asyncio.create_task(self._registry.unregister())
+        await self._engine.drain(limit)
+        await asyncio.sleep(FLUSH_TIME.total_seconds())
+        unregister.cancel()
+        self._engine.log.info("process.stopped", host=self._config.name)
+        await self._close()
+
+    async def _close(self) -> None:
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._links.close()
+        for runner in self._runners:
+            await runner.cleanup()
+        await self._engine.close()
+        for closer in self._closers:
+            await closer.close()
+        self._engine.log.flush()
+
+
+def _bind(address: str) -> socket.socket:
+    host, _, port = address.rpartition(":")
+    return socket.create_server((host, int(port)), backlog=LISTEN_BACKLOG)
--- a/waxwingwalk/platform/__init__.py
+++ b/waxwingwalk/platform/__init__.py
@@ -1,1 +1,4 @@
-"""Clients of what the platform gives: tables, objects and the host list."""
+"""The adapter to the users' platform: its messages into ours and back.
+
+Nothing outside this package knows the platform's names.
+"""
--- /dev/null
+++ b/waxwingwalk/platform/__main__.py
@@ -0,0 +1,61 @@
+"""The dispatch daemon on the users' platform."""
+
+import sys
+
+import aiomisc
+from returns import result
+import uvloop
+
+from waxwingwalk.core import clock
+from waxwingwalk.host import config as host_config
+from waxwingwalk.host import logs
+from waxwingwalk.platform import boot
+from waxwingwalk.platform import wiring
+
+# The drain ends by its own limit; this only bounds a hang.
+SHUTDOWN_TIMEOUT_SECONDS = 60
+
+
+class Daemon(aiomisc.Service):
+    """Builds the host once the event loop runs."""
+
+    def __init__(self, config: host_config.HostConfig) -> None:
+        super().__init__()
+        self._config = config
+        self._host: aiomisc.Service | None = None
+
+    async def start(self) -> None:
+        """Start to serve."""
+        time = clock.SystemClock()
+        log = logs.HostLog(
+            time, logs.NonBlockingWriter(), self._config.log_level
+        )
+        self._host = wiring.build(self._config, time, log)
+        await self._host.start()
+
+    async def stop(self, exception: Exception | None = None) -> None:
+        """Drain."""
+        if self._host is not None:
+            await self._host.stop(exception)
+
+
+def main() -> int:
+    """Run until SIGTERM; return the exit status."""
+    match boot.load():
+        case result.Success(config):
+            daemon = Daemon(config)
+        case result.Failure(error):
+            print(f"error: {error}", file=sys.stderr)
+            return 1
+    with aiomisc.entrypoint(
+        daemon,
+        loop_factory=uvloop.new_event_loop,
+        log_config=False,
+        shutdown_timeout=SHUTDOWN_TIMEOUT_SECONDS,
+    ) as loop:
+        loop.run_forever()
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/waxwingwalk/platform/backends.py
@@ -0,0 +1,229 @@
+"""Orders to backend servers, as the platform's workers take them."""
+
+import asyncio
+import datetime
+import time
+from typing import Any
+from typing import TypeVar
+
+import aiohttp
+import orjson
+import pydantic
+
+from waxwingwalk.dispatch import effects
+from waxwingwalk.dispatch import events
+from waxwingwalk.dispatch import model
+from waxwingwalk.host import metrics
+
+# Within a zone an order is answered in a few milliseconds. The rest allows
+# for a pause of this process or of the server.
+CALL_TIMEOUT = datetime.timedelta(milliseconds=350)
+CONNECT_TIMEOUT = datetime.timedelta(milliseconds=200)
+# Each server allows 64 connections to all hosts together; one is for looks.
+CONNECTIONS_MAX = 6
+KEEPALIVE = datetime.timedelta(seconds=30)
+
+Outcome = model.CallOutcome
+Model = TypeVar("Model", bound=pydantic.BaseModel)
+# What a worker's reason for refusing a start means.
+REASONS = {
+    "fence": Outcome.FENCED,
+    "old": Outcome.OLD_RUN,
+    "late": Outcome.EXPIRED,
+    "room": Outcome.NO_ROOM,
+}
+ENDS = {
+    "done": model.RunEnd.DONE,
+    "failed": model.RunEnd.FAILED,
+    "stopped": model.RunEnd.STOPPED,
+    "lapsed": model.RunEnd.LAPSED,
+}
+
+
+class _Reply(pydantic.BaseModel):
+    clock_ms: int
+    reason: str = ""
+
+
+class _Lists(pydantic.BaseModel):
+    clock_ms: int
+    born: int | None = None
+    # Task, run, checkpoint, percent, and a load figure, in this order.
+    running: list[list[Any]] = []
+    # Number of the end, task, run, how it ended, checkpoint.
+    ended: list[list[Any]] = []
+
+
+class PlatformBackends:
+    """Calls the platform's workers over HTTP."""
+
+    def __init__(self, measured: metrics.HostMetrics) -> None:
+        self._metrics = measured
+        self._session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(
+                limit=0,
+                limit_per_host=CONNECTIONS_MAX,
+                keepalive_timeout=KEEPALIVE.total_seconds(),
+            ),
+            cookie_jar=aiohttp.DummyCookieJar(),
+            headers={"Content-Type": "application/json"},
+        )
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self._session.close()
+
+    async def start(self, order: effects.StartRun) -> events.RunStarted:
+        """Order a run."""
+        body = {
+            "task": order.run.task,
+            "run": order.run.run,
+            "spec": order.spec,
+            "deadline_ms": order.lease_ends_ms,
+            "fence": order.fence,
+        }
+        outcome, content = await self._call(
+            "start", order.address, "/run-start", order.life, body
+        )
+        reply = _parse(_Reply, content)
+        return events.RunStarted(
+            order.life,
+            order.run,
+            outcome,
+            None if reply is None else reply.clock_ms,
+        )
+
+    async def stop(self, order: effects.StopRun) -> events.RunStopped:
+        """Order the end of a run."""
+        body = {
+            "task": order.run.task,
+            "run": order.run.run,
+            "fence": order.fence,
+        }
+        outcome, _ = await self._call(
+            "stop", order.address, "/run-stop", order.life, body
+        )
+        return events.RunStopped(order.life, order.run, outcome)
+
+    async def hold(self, order: effects.HoldRuns) -> events.RunsHeld:
+        """Fetch the lists, and renew the lease."""
+        wait_ms = int(order.wait / model.MILLISECOND)
+        body: dict[str, Any] = {
+            "fence": order.fence,
+            "acked_upto": order.acknowledged,
+            "wait_ms": wait_ms,
+        }
+        if order.lease_ends_ms is not None:
+            body["deadline_ms"] = order.lease_ends_ms
+        outcome, content = await self._call(
+            "hold",
+            order.address,
+            "/hold",
+            order.life,
+            body,
+            CALL_TIMEOUT + order.wait,
+        )
+        if outcome is not Outcome.ACCEPTED:
+            return events.RunsHeld(order.life, outcome)
+        return _held(order.life, _parse(_Lists, content))
+
+    async def accepts_connections(self, address: str) -> bool:
+        """Tell whether a worker accepts a connection."""
+        host, _, port = address.rpartition(":")
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT.total_seconds()):
+                _, writer = await asyncio.open_connection(host, int(port))
+        except (OSError, TimeoutError, ValueError):
+            return False
+        writer.close()
+        return True
+
+    async def _call(
+        self,
+        kind: str,
+        address: str,
+        path: str,
+        life: model.Life,
+        body: dict[str, Any],
+        timeout: datetime.timedelta = CALL_TIMEOUT,
+    ) -> tuple[Outcome, bytes]:
+        started = time.monotonic()
+        outcome, content = await self._send(
+            f"http://{address}{path}", life, body, timeout
+        )
+        elapsed = datetime.timedelta(seconds=time.monotonic() - started)
+        self._metrics.backend_call(kind, outcome.value, elapsed)
+        return outcome, content
+
+    async def _send(
+        self,
+        url: str,
+        life: model.Life,
+        body: dict[str, Any],
+        timeout: datetime.timedelta,
+    ) -> tuple[Outcome, bytes]:
+        limits = aiohttp.ClientTimeout(
+            total=timeout.total_seconds(),
+            sock_connect=CONNECT_TIMEOUT.total_seconds(),
+        )
+        try:
+            async with self._session.post(
+                url,
+                data=orjson.dumps(body),
+                headers={"Expect-Instance": life.backend_id},
+                timeout=limits,
+                allow_redirects=False,
+            ) as response:
+                content = await response.read()
+                return _outcome(response.status, content), content
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
+            return Outcome.NOT_SENT, b""
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            return Outcome.UNKNOWN, b""
+
+
+def _outcome(status: int, content: bytes) -> Outcome:
+    match status:
+        case 200:
+            return Outcome.ACCEPTED
+        case 409:
+            reply = _parse(_Reply, content)
+            reason = "" if reply is None else reply.reason
+            return REASONS.get(reason, Outcome.INVALID)
+        case 400 | 404:
+            return Outcome.INVALID
+        case 421:
+            return Outcome.OTHER_LIFE
+        case 429 | 503:
+            return Outcome.UNHEALTHY
+        case _:
+            return Outcome.UNKNOWN
+
+
+def _held(life: model.Life, lists: _Lists | None) -> events.RunsHeld:
+    if lists is None:
+        return events.RunsHeld(life, Outcome.UNKNOWN)
+    if lists.born is not None and lists.born != life.started_ms:
+        return events.RunsHeld(life, Outcome.OTHER_LIFE)
+    return events.RunsHeld(
+        life,
+        Outcome.ACCEPTED,
+        lists.clock_ms,
+        tuple(model.RunKey(str(row[0]), int(row[1])) for row in lists.running),
+        tuple(
+            model.EndedRun(
+                int(row[0]),
+                str(row[1]),
+                int(row[2]),
+                ENDS.get(str(row[3]), model.RunEnd.STOPPED),
+            )
+            for row in lists.ended
+        ),
+    )
+
+
+def _parse(kind: type[Model], content: bytes) -> Model | None:
+    try:
+        return kind.model_validate_json(content)
+    except pydantic.ValidationError:
+        return None
--- /dev/null
+++ b/waxwingwalk/platform/boot.py
@@ -0,0 +1,88 @@
+"""The platform's settings file of a process."""
+
+import datetime
+import os
+import pathlib
+from typing import Any
+
+import pydantic
+from returns import result
+import yaml
+
+from waxwingwalk.host import config
+
+# The variable that names the settings file.
+SETTINGS_VARIABLE = "WAXWINGWALK_BOOT"
+# The port that deploy/system.toml names for metrics.
+METRICS_PORT = 9464
+
+
+class _Listen(pydantic.BaseModel):
+    front: str
+    ready: str
+    control: str
+
+
+class _Limits(pydantic.BaseModel):
+    cpu_share: float = 1.0
+    # How many times as fast as a plain core the processor is.
+    cores: float = 1.0
+
+
+class _Bounds(pydantic.BaseModel):
+    grace_s: float = 6.0
+
+
+class _Store(pydantic.BaseModel):
+    address: str
+
+
+class _Settings(pydantic.BaseModel):
+    node: str
+    ip: str
+    zone: str
+    region: str = ""
+    listen: _Listen
+    # Addresses at which some hosts serve their peers; may be stale.
+    seeds: list[str] = []
+    limits: _Limits = _Limits()
+    bounds: _Bounds = _Bounds()
+    platform: _Store
+
+
+def load() -> result.Result[config.HostConfig, str]:
+    """Read the settings file that the environment names."""
+    path = os.environ.get(SETTINGS_VARIABLE)
+    if not path:
+        return result.Failure(f"{SETTINGS_VARIABLE} names no settings file")
+    try:
+        content = yaml.safe_load(pathlib.Path(path).read_text())
+    except OSError as error:
+        return result.Failure(f"{path}: {error.strerror}")
+    except yaml.YAMLError as error:
+        return result.Failure(f"{path}: {error}")
+    return decode(content)
+
+
+def decode(content: Any) -> result.Result[config.HostConfig, str]:
+    """Return the host's configuration, or what is wrong with it."""
+    try:
+        settings = _Settings.model_validate(content)
+    except pydantic.ValidationError as error:
+        return result.Failure(str(error))
+    limits = settings.limits
+    return result.Success(
+        config.HostConfig(
+            name=settings.node,
+            zone=settings.zone,
+            region=settings.region,
+            callers=settings.listen.front,
+            readiness=settings.listen.ready,
+            peers=settings.listen.control,
+            metrics=f"{settings.ip}:{METRICS_PORT}",
+            store=settings.platform.address,
+            seeds=tuple(settings.seeds),
+            processors=round(limits.cpu_share * limits.cores, 3),
+            grace=datetime.timedelta(seconds=settings.bounds.grace_s),
+        )
+    )
--- /dev/null
+++ b/waxwingwalk/platform/catalog.py
@@ -0,0 +1,184 @@
+"""The operators' configuration, and what backend servers register."""
+
+import datetime
+from typing import Any
+from typing import Literal
+
+import orjson
+import pydantic
+from returns import result
+
+from waxwingwalk.dispatch import model
+from waxwingwalk.store import follower
+from waxwingwalk.store import rows as store_rows
+
+# Tables of the store that the platform writes.
+OPERATORS_TABLE = "op"
+BACKENDS_TABLE = "servers"
+# The operators' row with the newest configuration in full.
+CONFIG_KEY = "config"
+# Characters of a validation error that a log line carries.
+ERROR_MAX = 300
+
+
+class _Route(pydantic.BaseModel):
+    name: str
+    host: str
+    prefix: str
+    # The service whose backend servers run the queue's tasks.
+    backend: str
+    priority: int = 1
+    attempts: int = pydantic.Field(1, ge=1)
+    stretch: float = 1.6
+    # Added to the stretched work of a job, for its objective.
+    slo_ms: float = 60.0
+    timeout_ms: float = 1500.0
+
+
+class _Service(pydantic.BaseModel):
+    name: str
+
+
+class _RequestLimits(pydantic.BaseModel):
+    max_header_bytes: int = 16384
+    max_body_bytes: int = 262144
+    idle_timeout_ms: float = 15000.0
+
+
+class _Config(pydantic.BaseModel):
+    version: int
+    routes: list[_Route] = []
+    backends: list[_Service] = []
+    limits: _RequestLimits = _RequestLimits()
+
+
+class _Room(pydantic.BaseModel):
+    # Thousandths of a core.
+    cpu: int = 0
+    mem_mb: int = 0
+    gpu: int = 0
+
+
+class _Worker(pydantic.BaseModel):
+    backend: str
+    address: str
+    zone: str
+    state: Literal["ready", "draining"]
+    room: _Room
+    labels: list[str] = []
+    # Unix milliseconds of the start of this life.
+    born: int = 0
+
+
+def decode_catalog(document: bytes | str) -> result.Result[model.Catalog, str]:
+    """Return the catalog that the operators' document describes."""
+    try:
+        content = _Config.model_validate_json(document)
+    except pydantic.ValidationError as error:
+        return result.Failure(str(error))
+    return result.Success(
+        model.Catalog(
+            version=content.version,
+            queues=tuple(_queue(route) for route in content.routes),
+            services=frozenset(each.name for each in content.backends),
+            limits=model.RequestLimits(
+                body_bytes=content.limits.max_body_bytes,
+                header_bytes=content.limits.max_header_bytes,
+                idle=_milliseconds(content.limits.idle_timeout_ms),
+            ),
+        )
+    )
+
+
+def _queue(route: _Route) -> model.Queue:
+    return model.Queue(
+        name=route.name,
+        host=route.host,
+        prefix=route.prefix,
+        service=route.backend,
+        priority=route.priority,
+        attempts=route.attempts,
+        stretch=route.stretch,
+        objective=_milliseconds(route.slo_ms),
+        timeout=_milliseconds(route.timeout_ms),
+    )
+
+
+def decode_backend(
+    key: str, value: bytes
+) -> result.Result[model.BackendReport, str]:
+    """Return what a backend server registered, or what is wrong with it."""
+    try:
+        content: Any = orjson.loads(value)
+        worker = _Worker.model_validate(content, strict=True)
+    except (orjson.JSONDecodeError, pydantic.ValidationError) as error:
+        return result.Failure(str(error))
+    room = worker.room
+    return result.Success(
+        model.BackendReport(
+            life=model.Life(key, worker.born),
+            service=worker.backend,
+            address=worker.address,
+            zone=worker.zone,
+            willingness=model.Willingness(worker.state),
+            room=model.Room(room.cpu, room.mem_mb, room.gpu),
+            labels=frozenset(worker.labels),
+        )
+    )
+
+
+class BackendTable:
+    """Decodes the table of backend servers, each version of a row once."""
+
+    def __init__(self, log: follower.FollowerLog) -> None:
+        self._log = log
+        self._decoded: dict[str, tuple[int, model.BackendReport | None]] = {}
+
+    def decode(
+        self, rows: follower.TableRows
+    ) -> tuple[model.BackendReport, ...]:
+        """Return all reports that make sense."""
+        for key in self._decoded.keys() - rows.keys():
+            del self._decoded[key]
+        for key, row in rows.items():
+            known = self._decoded.get(key)
+            if known is None or known[0] != row.version:
+                self._decoded[key] = (row.version, self._decode(row))
+        return tuple(
+            report
+            for _, report in self._decoded.values()
+            if report is not None
+        )
+
+    def _decode(self, row: store_rows.StoredRow) -> model.BackendReport | None:
+        decoded = decode_backend(row.key, row.value or b"")
+        if isinstance(decoded, result.Success):
+            return decoded.unwrap()
+        self._log.info(
+            "row.malformed",
+            table=BACKENDS_TABLE,
+            key=row.key,
+            error=decoded.failure()[:ERROR_MAX],
+        )
+        return None
+
+
+class CatalogDecoder:
+    """Decodes catalogs, and logs those that make no sense."""
+
+    def __init__(self, log: follower.FollowerLog) -> None:
+        self._log = log
+
+    def decode(self, document: str) -> model.Catalog | None:
+        """Return the catalog, None if the document is not valid."""
+        decoded = decode_catalog(document)
+        if isinstance(decoded, result.Success):
+            return decoded.unwrap()
+        self._log.info(
+            "catalog.malformed", error=decoded.failure()[:ERROR_MAX]
+        )
+        return None
+
+
+def _milliseconds(count: float) -> datetime.timedelta:
+    return datetime.timedelta(milliseconds=count)
--- /dev/null
+++ b/waxwingwalk/platform/store.py
@@ -0,0 +1,224 @@
+"""The platform's store as the product's row store."""
+
+import base64
+import binascii
+from collections.abc import Sequence
+import datetime
+import time
+from typing import Any
+
+import aiohttp
+import orjson
+import pydantic
+from returns import result
+
+from waxwingwalk.host import metrics
+from waxwingwalk.store import rows as store_rows
+
+# A transaction takes 8 ms, and many times as long while the store is slow.
+CALL_TIMEOUT = datetime.timedelta(milliseconds=1500)
+# What a feed may take beyond the time that it was asked to wait.
+FEED_SLACK = datetime.timedelta(milliseconds=500)
+CONNECT_TIMEOUT = datetime.timedelta(milliseconds=500)
+# The part of the store's tables in which the operators' rows stand too.
+SHARED_PART = ""
+
+Failure = store_rows.StoreFailure
+
+
+class _Row(pydantic.BaseModel):
+    key: str
+    ver: int
+    # Base64; left out where the row was removed.
+    value: str | None = None
+    tombstone: bool = False
+
+
+class _Rows(pydantic.BaseModel):
+    rows: list[_Row] = []
+    ver: int = 0
+    has_more: bool = False
+
+
+class PlatformStore:
+    """Calls the store over HTTP."""
+
+    def __init__(self, address: str, measured: metrics.HostMetrics) -> None:
+        self._url = f"http://{address}"
+        self._metrics = measured
+        self._session = aiohttp.ClientSession(
+            cookie_jar=aiohttp.DummyCookieJar()
+        )
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self._session.close()
+
+    async def write(
+        self, writes: Sequence[store_rows.RowWrite]
+    ) -> result.Result[store_rows.Written, Failure]:
+        """Write rows, all or none."""
+        body = {
+            "expected": [
+                {**_name(each), "ver": each.if_version}
+                for each in writes
+                if each.if_version is not None
+            ],
+            "writes": [
+                {**_name(each), "value": base64.b64encode(each.value).decode()}
+                for each in writes
+                if each.value is not None
+            ],
+            "remove": [_name(each) for each in writes if each.value is None],
+        }
+        reply = await self._call("POST", "/rows-tx", "write", body=body)
+        if not isinstance(reply, result.Success):
+            return result.Failure(reply.failure())
+        status, content = reply.unwrap()
+        table = _decode(content)
+        if table is None:
+            return result.Failure(Failure.UNKNOWN)
+        return result.Success(
+            store_rows.Written(status == 200, table.version, table.rows)
+        )
+
+    async def read(
+        self, table: str
+    ) -> result.Result[store_rows.Rows, Failure]:
+        """Read a whole table, page by page.
+
+        The version is that of the first page: changes since then come again
+        over the feed.
+        """
+        found: list[store_rows.StoredRow] = []
+        version: int | None = None
+        params = {"table": table, "part": SHARED_PART}
+        while True:
+            reply = await self._call("GET", "/rows-get", "read", params=params)
+            if not isinstance(reply, result.Success):
+                return result.Failure(reply.failure())
+            page = _parse(reply.unwrap()[1])
+            if page is None:
+                return result.Failure(Failure.MALFORMED)
+            found += _stored(page)
+            version = page.ver if version is None else version
+            if not page.has_more or not page.rows:
+                return result.Success(store_rows.Rows(tuple(found), version))
+            # Keys are in byte order; the next one that can be follows.
+            params = {**params, "from": page.rows[-1].key + "\x00"}
+
+    async def changes(
+        self, table: str, after: int, wait: datetime.timedelta
+    ) -> result.Result[store_rows.Rows, Failure]:
+        """Return the rows of a table that changed after a version."""
+        milliseconds = int(wait / datetime.timedelta(milliseconds=1))
+        reply = await self._call(
+            "GET",
+            "/rows-feed",
+            "feed",
+            params={
+                "table": table,
+                "after": str(after),
+                "wait_ms": str(milliseconds),
+            },
+            timeout=wait + FEED_SLACK,
+        )
+        if not isinstance(reply, result.Success):
+            return result.Failure(reply.failure())
+        status, content = reply.unwrap()
+        if status == 410:
+            return result.Failure(Failure.HISTORY_GONE)
+        changed = _decode(content)
+        if changed is None:
+            return result.Failure(Failure.MALFORMED)
+        return result.Success(changed)
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        kind: str,
+        *,
+        body: dict[str, Any] | None = None,
+        params: dict[str, str] | None = None,
+        timeout: datetime.timedelta = CALL_TIMEOUT,
+    ) -> result.Result[tuple[int, bytes], Failure]:
+        """Send a request; return its status and content, or why not."""
+        started = time.monotonic()
+        reply = await self._send(method, path, body, params, timeout)
+        outcome = "ok"
+        if not isinstance(reply, result.Success):
+            outcome = reply.failure().value
+        elapsed = datetime.timedelta(seconds=time.monotonic() - started)
+        self._metrics.store_call(kind, outcome, elapsed)
+        return reply
+
+    async def _send(
+        self,
+        method: str,
+        path: str,
+        body: dict[str, Any] | None,
+        params: dict[str, str] | None,
+        timeout: datetime.timedelta,
+    ) -> result.Result[tuple[int, bytes], Failure]:
+        limits = aiohttp.ClientTimeout(
+            total=timeout.total_seconds(),
+            sock_connect=CONNECT_TIMEOUT.total_seconds(),
+        )
+        headers = {"Content-Type": "application/json"} if body else None
+        data = None if body is None else orjson.dumps(body)
+        try:
+            async with self._session.request(
+                method,
+                self._url + path,
+                data=data,
+                params=params,
+                headers=headers,
+                timeout=limits,
+                allow_redirects=False,
+            ) as response:
+                content = await response.read()
+                if response.status in (200, 410, 412):
+                    return result.Success((response.status, content))
+                if response.status in (400, 403, 429, 503, 507):
+                    return result.Failure(Failure.REFUSED)
+                return result.Failure(Failure.UNKNOWN)
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
+            return result.Failure(Failure.REFUSED)
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            return result.Failure(Failure.UNKNOWN)
+
+
+def _name(write: store_rows.RowWrite) -> dict[str, str]:
+    return {"table": write.table, "part": SHARED_PART, "key": write.key}
+
+
+def _parse(content: bytes) -> _Rows | None:
+    try:
+        return _Rows.model_validate_json(content)
+    except pydantic.ValidationError:
+        return None
+
+
+def _decode(content: bytes) -> store_rows.Rows | None:
+    page = _parse(content)
+    if page is None:
+        return None
+    return store_rows.Rows(tuple(_stored(page)), page.ver)
+
+
+def _stored(page: _Rows) -> list[store_rows.StoredRow]:
+    return [
+        store_rows.StoredRow(
+            row.key, row.ver, None if row.tombstone else _value(row.value)
+        )
+        for row in page.rows
+    ]
+
+
+def _value(text: str | None) -> bytes:
+    """Return a row's bytes; what cannot be read makes an empty value."""
+    try:
+        return base64.b64decode(text or "", validate=True)
+    except binascii.Error:
+        return b""
--- /dev/null
+++ b/waxwingwalk/platform/wiring.py
@@ -0,0 +1,58 @@
+"""Builds a dispatch host that runs on the users' platform."""
+
+from waxwingwalk.core import clock
+from waxwingwalk.dispatch import events
+from waxwingwalk.host import config as host_config
+from waxwingwalk.host import logs
+from waxwingwalk.host import metrics
+from waxwingwalk.host import service
+from waxwingwalk.host import wiring
+from waxwingwalk.platform import backends
+from waxwingwalk.platform import callers
+from waxwingwalk.platform import catalog
+from waxwingwalk.platform import store as platform_store
+from waxwingwalk.store import follower
+
+
+def build(
+    config: host_config.HostConfig, time: clock.Clock, log: logs.HostLog
+) -> service.HostService:
+    """Return the host, listening to nobody yet."""
+    measured = metrics.HostMetrics()
+    store = platform_store.PlatformStore(config.store, measured)
+    engine = wiring.build_engine(config, time, log, measured)
+    table = catalog.BackendTable(log)
+    decoder = catalog.CatalogDecoder(log)
+
+    def take_operators_rows(rows: follower.TableRows) -> None:
+        row = rows.get(catalog.CONFIG_KEY)
+        if row is None or row.value is None:
+            return
+        document = row.value.decode(errors="replace")
+        decoded = decoder.decode(document)
+        if decoded is not None:
+            engine.apply(events.CatalogRead(decoded, document))
+
+    def take_backends(rows: follower.TableRows) -> None:
+        engine.apply(events.BackendsListed(table.decode(rows)))
+
+    api = callers.CallersApi(engine)
+    return wiring.build_service(
+        config,
+        engine,
+        store=store,
+        backends=backends.PlatformBackends(measured),
+        catalogs=decoder,
+        applications=[
+            (config.callers, api.application()),
+            (config.readiness, api.readiness()),
+        ],
+        followers=[
+            follower.TableFollower(
+                store, catalog.OPERATORS_TABLE, take_operators_rows, log
+            ),
+            follower.TableFollower(
+                store, catalog.BACKENDS_TABLE, take_backends, log
+            ),
+        ],
+    )
--- a/waxwingwalk/settings/store.py
+++ b/waxwingwalk/settings/store.py
@@ -14,10 +14,10 @@
 from returns import result
 
 from waxwingwalk.core import results
-from waxwingwalk.platform import base
 from waxwingwalk.settings import adopted
 from waxwingwalk.settings import exceptions
 from waxwingwalk.settings import tree as settings_tree
+from waxwingwalk.store import base
 
 TABLE = "settings"
 HEAD = "head"
--- a/waxwingwalk/platform/http.py
+++ b/waxwingwalk/store/http.py
@@ -9,7 +9,7 @@
 import pydantic
 from returns import result
 
-from waxwingwalk.platform import base
+from waxwingwalk.store import base
 
 REQUEST_TIMEOUT = datetime.timedelta(seconds=2)
 CONNECT_TIMEOUT = datetime.timedelta(seconds=1)
--- a/waxwingwalk/wiring.py
+++ b/waxwingwalk/wiring.py
@@ -28,7 +28,6 @@
 from waxwingwalk.entry import submission
 from waxwingwalk.entry import traffic
 from waxwingwalk.membership import ownership
-from waxwingwalk.platform import http as platform_http
 from waxwingwalk.routing import admission
 from waxwingwalk.routing import base
 from waxwingwalk.routing import job_order
@@ -40,6 +39,7 @@
 from waxwingwalk.settings import adopted
 from waxwingwalk.settings import global_settings
 from waxwingwalk.settings import store as settings_store
+from waxwingwalk.store import http as store_http
 
 # The largest request that a listener reads, in bytes; the settings may allow
 # less.
@@ -179,7 +179,7 @@
     )
     engine.peers = peer_links
     session = aiohttp.ClientSession(cookie_jar=aiohttp.DummyCookieJar())
-    platform = platform_http.HttpPlatform(config.platform.url, session)
+    platform = store_http.HttpPlatform(config.platform.url, session)
     store = settings_store.SettingsStore(
         platform, time.now, lambda: uuid.uuid4().hex
     )
