Fixed the encoding of durations in messages between hosts

Cause: orjson does not encode timedelta, so a link broke at each SubmitJob, and its jobs were answered 502. Found in the log of a run: link.broken with the TypeError after each job.routed.

--- a/waxwingwalk/host/links.py
+++ b/waxwingwalk/host/links.py
@@ -14,7 +14,6 @@
 
 import aiohttp
 from aiohttp import web
-import orjson
 import pydantic
 
 from waxwingwalk.dispatch import events
@@ -59,7 +58,8 @@
             batch = list(self.queue)
             self.queue.clear()
             if batch:
-                await self.socket.send_str(orjson.dumps(batch).decode())
+                frame = messages.decoder.dump_json(batch)
+                await self.socket.send_str(frame.decode())
 
 
 class HostLinks:
