--- a/waxwingwalk/host/service.py
+++ b/waxwingwalk/host/service.py
@@ -1,16 +1,20 @@
 """The dispatch host as an aiomisc service."""
 
 import asyncio
+from collections.abc import Callable
 from collections.abc import Coroutine
 from collections.abc import Sequence
+import dataclasses
 import datetime
 import gc
+import signal
 import socket
 from typing import Any
 from typing import Protocol
 
 from aiohttp import web
 import aiomisc
+from returns import result
 
 from waxwingwalk.dispatch import events
 from waxwingwalk.host import config as host_config
@@ -26,6 +30,12 @@
 # Objects created since the last collection of the youngest generation.
 GC_THRESHOLD = 20_000
 LISTEN_BACKLOG = 1024
+# The settings file may change without a signal; it is read this often.
+SETTINGS_INTERVAL = datetime.timedelta(seconds=5)
+# Settings that are in force only from the next start.
+AT_START = ("zone", "callers", "readiness", "peers", "metrics", "log_level")
+# Characters of a validation error that a log line carries.
+ERROR_MAX = 500
 # Left of the time before SIGKILL for the last answers to leave.
 DRAIN_MARGIN = datetime.timedelta(milliseconds=800)
 FLUSH_TIME = datetime.timedelta(milliseconds=150)
@@ -37,6 +47,15 @@
     async def close(self) -> None: ...
 
 
+class MovableStore(store_rows.RowStore, Protocol):
+    """A store whose address may change while the process runs."""
+
+    def use_address(self, address: str) -> None: ...
+
+
+Reload = Callable[[], result.Result[host_config.HostConfig, str]]
+
+
 class HostService(aiomisc.Service):
     """Listens, follows the store, keeps time, and shuts down in order."""
 
@@ -46,10 +65,11 @@
         engine: host_engine.Engine,
         links: host_links.HostLinks,
         registry: host_registry.HostRegistry,
-        store: store_rows.RowStore,
+        store: MovableStore,
         listeners: Sequence[tuple[str, web.Application]],
         followers: Sequence[follower.TableFollower],
         closers: Sequence[Closer],
+        reload: Reload,
     ) -> None:
         super().__init__()
         self._config = config
@@ -60,6 +80,7 @@
         self._listeners = listeners
         self._followers = followers
         self._closers = closers
+        self._reload = reload
         self._runners: list[web.AppRunner] = []
         self._tasks: list[asyncio.Task[None]] = []
         self._is_stopping = False
@@ -91,19 +112,31 @@
         log = self._engine.log
         mine = [
             follower.TableFollower(
-                self._store, records.HOSTS_TABLE, self._take_hosts, log
+                self._store,
+                records.HOSTS_TABLE,
+                self._take_hosts,
+                log,
+                wait=follower.RELAXED_WAIT,
             ),
             follower.TableFollower(
-                self._store, records.POOLS_TABLE, self._take_pools, log
+                self._store,
+                records.POOLS_TABLE,
+                self._take_pools,
+                log,
+                wait=follower.RELAXED_WAIT,
             ),
         ]
         loops: list[Coroutine[Any, Any, None]] = [
             self._registry.register(),
             self._keep_time(),
+            self._watch_settings(),
             *(each.run() for each in [*mine, *self._followers]),
         ]
         for loop in loops:
             self._start_task(loop)
+        asyncio.get_running_loop().add_signal_handler(
+            signal.SIGHUP, self._read_settings
+        )
 
     def _start_task(self, work: Coroutine[Any, Any, None]) -> None:
         task = asyncio.create_task(work)
@@ -135,6 +168,35 @@
                 flushed_at = now
                 self._engine.log.flush()
 
+    async def _watch_settings(self) -> None:
+        while True:
+            await asyncio.sleep(SETTINGS_INTERVAL.total_seconds())
+            self._read_settings()
+
+    def _read_settings(self) -> None:
+        """Take in a changed settings file; a bad one changes nothing."""
+        loaded = self._reload()
+        if not isinstance(loaded, result.Success):
+            self._engine.log.error(
+                "settings.rejected", error=loaded.failure()[:ERROR_MAX]
+            )
+            return
+        config, former = loaded.unwrap(), self._config
+        if config == former:
+            return
+        self._config = config
+        self._store.use_address(config.store)
+        changed = [
+            field.name
+            for field in dataclasses.fields(config)
+            if getattr(config, field.name) != getattr(former, field.name)
+        ]
+        self._engine.log.info(
+            "settings.reloaded",
+            changed=changed,
+            needs_restart=[each for each in changed if each in AT_START],
+        )
+
     async def stop(self, exception: Exception | None = None) -> None:
         """Drain: hand over, finish what is under way, then close."""
         limit = self._config.grace - DRAIN_MARGIN
--- a/waxwingwalk/host/wiring.py
+++ b/waxwingwalk/host/wiring.py
@@ -22,7 +22,6 @@
 from waxwingwalk.host import registry as host_registry
 from waxwingwalk.host import service
 from waxwingwalk.store import follower
-from waxwingwalk.store import rows as store_rows
 
 
 def build_engine(
@@ -47,7 +46,7 @@
     """A client of backend servers that holds connections."""
 
 
-class StoreAndCloser(store_rows.RowStore, service.Closer, Protocol):
+class StoreAndCloser(service.MovableStore, service.Closer, Protocol):
     """A store client that holds connections."""
 
 
@@ -60,6 +59,7 @@
     catalogs: host_engine.CatalogDecoder,
     applications: Sequence[tuple[str, web.Application]],
     followers: Sequence[follower.TableFollower],
+    reload: service.Reload,
 ) -> service.HostService:
     """Return the whole host, listening to nobody yet."""
     me = engine.reducer.me
@@ -80,4 +80,5 @@
         ],
         followers=followers,
         closers=[backends, store],
+        reload=reload,
     )
--- a/waxwingwalk/platform/__main__.py
+++ b/waxwingwalk/platform/__main__.py
@@ -19,9 +19,12 @@
 class Daemon(aiomisc.Service):
     """Builds the host once the event loop runs."""
 
-    def __init__(self, config: host_config.HostConfig) -> None:
+    def __init__(
+        self, config: host_config.HostConfig, settings: boot.SettingsFile
+    ) -> None:
         super().__init__()
         self._config = config
+        self._settings = settings
         self._host: aiomisc.Service | None = None
 
     async def start(self) -> None:
@@ -30,7 +33,7 @@
         log = logs.HostLog(
             time, logs.NonBlockingWriter(), self._config.log_level
         )
-        self._host = wiring.build(self._config, time, log)
+        self._host = wiring.build(self._config, time, log, self._settings.load)
         await self._host.start()
 
     async def stop(self, exception: Exception | None = None) -> None:
@@ -41,9 +44,10 @@
 
 def main() -> int:
     """Run until SIGTERM; return the exit status."""
-    match boot.load():
+    settings = boot.SettingsFile()
+    match settings.load():
         case result.Success(config):
-            daemon = Daemon(config)
+            daemon = Daemon(config, settings)
         case result.Failure(error):
             print(f"error: {error}", file=sys.stderr)
             return 1
--- a/waxwingwalk/platform/boot.py
+++ b/waxwingwalk/platform/boot.py
@@ -50,18 +50,31 @@
     platform: _Store
 
 
-def load() -> result.Result[config.HostConfig, str]:
-    """Read the settings file that the environment names."""
-    path = os.environ.get(SETTINGS_VARIABLE)
-    if not path:
-        return result.Failure(f"{SETTINGS_VARIABLE} names no settings file")
-    try:
-        content = yaml.safe_load(pathlib.Path(path).read_text())
-    except OSError as error:
-        return result.Failure(f"{path}: {error.strerror}")
-    except yaml.YAMLError as error:
-        return result.Failure(f"{path}: {error}")
-    return decode(content)
+class SettingsFile:
+    """The file that the environment names, parsed when it has changed."""
+
+    def __init__(self) -> None:
+        self._state: tuple[int, int] | None = None
+        self._loaded: result.Result[config.HostConfig, str] | None = None
+
+    def load(self) -> result.Result[config.HostConfig, str]:
+        """Return the host's configuration, or what is wrong with it."""
+        name = os.environ.get(SETTINGS_VARIABLE)
+        if not name:
+            error = f"{SETTINGS_VARIABLE} names no settings file"
+            return result.Failure(error)
+        path = pathlib.Path(name)
+        try:
+            found = path.stat()
+            state = (found.st_mtime_ns, found.st_size)
+            if self._loaded is None or state != self._state:
+                self._loaded = decode(yaml.safe_load(path.read_text()))
+                self._state = state
+        except OSError as error:
+            return result.Failure(f"{path}: {error.strerror}")
+        except yaml.YAMLError as error:
+            return result.Failure(f"{path}: {error}")
+        return self._loaded
 
 
 def decode(content: Any) -> result.Result[config.HostConfig, str]:
--- a/waxwingwalk/platform/catalog.py
+++ b/waxwingwalk/platform/catalog.py
@@ -17,6 +17,9 @@
 BACKENDS_TABLE = "servers"
 # The operators' row with the newest configuration in full.
 CONFIG_KEY = "config"
+# Servers write there every 1.5 s or so; a draining one may get work for two
+# more seconds, and this leaves most of them.
+BACKENDS_INTERVAL = datetime.timedelta(milliseconds=500)
 # Characters of a validation error that a log line carries.
 ERROR_MAX = 300
 
@@ -152,15 +155,15 @@
 
     def _decode(self, row: store_rows.StoredRow) -> model.BackendReport | None:
         decoded = decode_backend(row.key, row.value or b"")
-        if isinstance(decoded, result.Success):
-            return decoded.unwrap()
-        self._log.info(
-            "row.malformed",
-            table=BACKENDS_TABLE,
-            key=row.key,
-            error=decoded.failure()[:ERROR_MAX],
-        )
-        return None
+        report = decoded.value_or(None)
+        if report is None:
+            self._log.info(
+                "row.malformed",
+                table=BACKENDS_TABLE,
+                key=row.key,
+                error=decoded.failure()[:ERROR_MAX],
+            )
+        return report
 
 
 class CatalogDecoder:
@@ -172,12 +175,12 @@
     def decode(self, document: str) -> model.Catalog | None:
         """Return the catalog, None if the document is not valid."""
         decoded = decode_catalog(document)
-        if isinstance(decoded, result.Success):
-            return decoded.unwrap()
-        self._log.info(
-            "catalog.malformed", error=decoded.failure()[:ERROR_MAX]
-        )
-        return None
+        catalog = decoded.value_or(None)
+        if catalog is None:
+            self._log.info(
+                "catalog.malformed", error=decoded.failure()[:ERROR_MAX]
+            )
+        return catalog
 
 
 def _milliseconds(count: float) -> datetime.timedelta:
--- a/waxwingwalk/platform/store.py
+++ b/waxwingwalk/platform/store.py
@@ -50,6 +50,10 @@
             cookie_jar=aiohttp.DummyCookieJar()
         )
 
+    def use_address(self, address: str) -> None:
+        """Call the store at another address from now on."""
+        self._url = f"http://{address}"
+
     async def close(self) -> None:
         """Close all connections."""
         await self._session.close()
--- a/waxwingwalk/platform/wiring.py
+++ b/waxwingwalk/platform/wiring.py
@@ -15,7 +15,10 @@
 
 
 def build(
-    config: host_config.HostConfig, time: clock.Clock, log: logs.HostLog
+    config: host_config.HostConfig,
+    time: clock.Clock,
+    log: logs.HostLog,
+    reload: service.Reload,
 ) -> service.HostService:
     """Return the host, listening to nobody yet."""
     measured = metrics.HostMetrics()
@@ -47,12 +50,17 @@
             (config.callers, api.application()),
             (config.readiness, api.readiness()),
         ],
+        reload=reload,
         followers=[
             follower.TableFollower(
                 store, catalog.OPERATORS_TABLE, take_operators_rows, log
             ),
             follower.TableFollower(
-                store, catalog.BACKENDS_TABLE, take_backends, log
+                store,
+                catalog.BACKENDS_TABLE,
+                take_backends,
+                log,
+                interval=catalog.BACKENDS_INTERVAL,
             ),
         ],
     )
--- a/waxwingwalk/store/follower.py
+++ b/waxwingwalk/store/follower.py
@@ -12,7 +12,10 @@
 # A feed waits this long for a change. With the time for its answer it stays
 # below the two seconds in which a configuration must be in force, also when
 # a connection has silently died.
-FEED_WAIT = datetime.timedelta(milliseconds=1000)
+URGENT_WAIT = datetime.timedelta(milliseconds=1000)
+# A feed that only steers who schedules may notice a dead connection later:
+# peers find each other's death over their links.
+RELAXED_WAIT = datetime.timedelta(seconds=5)
 # Pause after a failed call, doubled up to the maximum.
 RETRY = datetime.timedelta(milliseconds=100)
 RETRY_MAX = datetime.timedelta(milliseconds=400)
@@ -29,6 +32,9 @@
 class TableFollower:
     """Reads a table once, then its feed; reads again when that has gaps.
 
+    The feed is asked no more often than every ``interval``, so that a table
+    that changes all the time costs few calls.
+
     ::
 
         follower = TableFollower(store, "hosts", take_rows, log)
@@ -41,8 +47,13 @@
         table: str,
         notify: Callable[[TableRows], None],
         log: FollowerLog,
+        *,
+        wait: datetime.timedelta = URGENT_WAIT,
+        interval: datetime.timedelta = datetime.timedelta(),
     ) -> None:
         self._store = store
+        self._wait = wait
+        self._interval = interval
         self._table = table
         self._notify = notify
         self._log = log
@@ -61,6 +72,7 @@
             if outcome is None:
                 pause = RETRY
                 self._found()
+                await asyncio.sleep(self._interval.total_seconds())
                 continue
             self._lost(outcome)
             await asyncio.sleep(pause.total_seconds())
@@ -77,7 +89,7 @@
         return None
 
     async def _follow(self, version: int) -> store_rows.StoreFailure | None:
-        read = await self._store.changes(self._table, version, FEED_WAIT)
+        read = await self._store.changes(self._table, version, self._wait)
         if not isinstance(read, result.Success):
             if read.failure() is store_rows.StoreFailure.HISTORY_GONE:
                 self._log.info(
