--- a/waxwingwalk/dispatch/job_record.py
+++ b/waxwingwalk/dispatch/job_record.py
@@ -38,12 +38,19 @@
     """A job, its tasks, and who waits for its answer.
 
     ``link`` is the link that the job came over, None for a caller here.
+    ``estimates`` gives the time that a task of each step is expected to take,
+    in place of what the caller declared.
     """
 
     def __init__(
-        self, job: model.Job, link: int | None, now: datetime.datetime
+        self,
+        job: model.Job,
+        link: int | None,
+        now: datetime.datetime,
+        estimates: list[datetime.timedelta] | None = None,
     ) -> None:
         self.job = job
+        self.estimates = estimates or [step.estimate for step in job.steps]
         self.link = link
         self.arrived_at = now
         self.has_started = False
@@ -86,10 +93,16 @@
                 (chain[earlier] for earlier in step.after),
                 default=model.ZERO,
             )
-            own = step.estimate + OVERHEAD if self._left[number] else before
-            chain.append(before + own if self._left[number] else before)
+            if self._left[number]:
+                chain.append(before + self.estimates[number] + OVERHEAD)
+            else:
+                chain.append(before)
         return max(chain, default=model.ZERO)
 
+    def slack(self, now: datetime.datetime) -> datetime.timedelta:
+        """Return how long the job may wait and still be on time."""
+        return self.job.due - now - self.work_left()
+
     def order(self, task: TaskRecord, run: int) -> backends.TaskOrder:
         """Return the order for a run of a task."""
         step = self.job.steps[task.ref.step]
@@ -100,7 +113,7 @@
             service=self.job.service,
             spec=self.job.spec,
             room=step.room,
-            estimate=step.estimate,
+            estimate=self.estimates[task.ref.step],
             label=step.label,
             max_per_backend=step.max_per_backend,
             owner=None,
--- a/waxwingwalk/dispatch/messages.py
+++ b/waxwingwalk/dispatch/messages.py
@@ -27,6 +27,7 @@
     priority: int
     attempts: int
     spec: str
+    stretch: float
     steps: tuple[model.Step, ...]
     due_in_ms: float
     expires_in_ms: float
--- a/waxwingwalk/dispatch/model.py
+++ b/waxwingwalk/dispatch/model.py
@@ -1,5 +1,6 @@
 """Jobs, queues, pools and backend servers as dispatch hosts see them."""
 
+from collections.abc import Sequence
 import dataclasses
 import datetime
 import enum
@@ -142,7 +143,9 @@
     """A job as a caller submitted it, with what its queue promises.
 
     The two times are set by the host that took the job in: ``due`` is when
-    the objective ends, ``expires`` when the caller stops waiting.
+    the objective ends, ``expires`` when the caller stops waiting. The
+    objective grows by ``stretch`` times what the job's longest chain of work
+    takes longer than declared.
     """
 
     job_id: str
@@ -151,11 +154,23 @@
     priority: int
     attempts: int
     spec: str
+    stretch: float
     steps: tuple[Step, ...]
     due: datetime.datetime
     expires: datetime.datetime
 
 
+def longest_chain(
+    steps: Sequence[Step], times: Sequence[datetime.timedelta]
+) -> datetime.timedelta:
+    """Return how long the longest chain of steps takes."""
+    ends: list[datetime.timedelta] = []
+    for step, time in zip(steps, times, strict=True):
+        before = max((ends[each] for each in step.after), default=ZERO)
+        ends.append(before + time)
+    return max(ends)
+
+
 class JobOutcome(enum.Enum):
     """How a job ended.
 
--- a/waxwingwalk/dispatch/placement.py
+++ b/waxwingwalk/dispatch/placement.py
@@ -51,3 +51,25 @@
             if order.estimate * each.slowness(now) * CAUTION <= left
         ]
         return in_time[-1] if in_time else ranked[0]
+
+
+class Fastest:
+    """The server on which the task is expected to end first.
+
+    Among servers that are equally fast the fullest is taken, which leaves
+    whole servers free for large tasks.
+    """
+
+    def choose(
+        self,
+        candidates: Sequence[backends.Backend],
+        order: backends.TaskOrder,
+        due: datetime.datetime,
+        now: datetime.datetime,
+    ) -> backends.Backend | None:
+        if not candidates:
+            return None
+        return min(
+            candidates,
+            key=lambda each: (each.slowness(now), each.free.processors),
+        )
--- a/waxwingwalk/dispatch/reducer.py
+++ b/waxwingwalk/dispatch/reducer.py
@@ -37,6 +37,9 @@
 KEEPALIVE_INTERVAL = datetime.timedelta(milliseconds=150)
 # A changed load is told to peers no more often than this.
 STATUS_INTERVAL = datetime.timedelta(milliseconds=20)
+# How often it is looked at who should schedule what, beside each event that
+# may change it.
+RECONSIDER_INTERVAL = datetime.timedelta(milliseconds=100)
 # Fleets up to this size link every host to every other.
 FULL_MESH_MAX = 12
 
@@ -57,7 +60,14 @@
 class Reducer:
     """Applies events to the state of one dispatch host."""
 
-    def __init__(self, me: model.HostRecord, now: datetime.datetime) -> None:
+    def __init__(
+        self,
+        me: model.HostRecord,
+        now: datetime.datetime,
+        *,
+        order: ordering.JobOrder | None = None,
+        place: placement.Placement | None = None,
+    ) -> None:
         self.me = me
         self.catalog: model.Catalog | None = None
         self.document = ""
@@ -65,7 +75,9 @@
         self.ownership = dispatch_ownership.Ownership(self.hosts)
         self.runs = run_keeper.RunKeeper()
         self.scheduler = dispatch_scheduler.Scheduler(
-            self.runs, ordering.LeastSlack(), placement.SlowestInTime()
+            self.runs,
+            order or ordering.PriorityThenSlack(),
+            place or placement.Fastest(),
         )
         self.front = dispatch_front.Front(
             self.hosts, self.ownership, self.scheduler
@@ -73,8 +85,9 @@
         self.drain_deadline: datetime.datetime | None = None
         self._links: dict[int, _Link] = {}
         self._reports: dict[model.Life, model.BackendReport] = {}
-        self._told: list[messages.PoolLoad] = []
+        self._told_changes = 0
         self._told_at = now
+        self._reconsidered_at = now
         self._wanted_hosts: frozenset[str] = frozenset()
         self._is_over = False
         self._handlers: dict[type, Callable[..., effects.Effects]] = {
@@ -518,6 +531,9 @@
                 done += self._sign_of_life(number, now)
         done += self.runs.tick(now)
         done += self.scheduler.tick(now)
+        if now - self._reconsidered_at < RECONSIDER_INTERVAL:
+            return [*done, *self._check_drain(now)]
+        self._reconsidered_at = now
         done += self._reconsider(now)
         done += self._want_links(now)
         for pool in self.ownership.probes(now):
@@ -561,16 +577,23 @@
         return loads
 
     def _tell_load(self, now: datetime.datetime) -> effects.Effects:
-        """Tell linked hosts how much room there is when that changes."""
+        """Tell other schedulers how much room there is when that changes.
+
+        Hosts that schedule nothing hear of it with the next sign of life.
+        """
+        if self.runs.changes == self._told_changes:
+            return []
         if now - self._told_at < STATUS_INTERVAL:
             return []
-        loads = self._loads(now)
-        if loads == self._told:
+        self._told_changes, self._told_at = self.runs.changes, now
+        if not self.ownership.claims:
             return []
-        self._told, self._told_at = loads, now
         done: effects.Effects = []
         for number, link in self._links.items():
-            if not link.is_ours:
+            peer = self.hosts.get(link.host.address)
+            if link.is_ours or peer is None or peer.status is None:
+                continue
+            if peer.status.loads:
                 done += self._sign_of_life(number, now)
         return done
 
--- a/waxwingwalk/dispatch/run_keeper.py
+++ b/waxwingwalk/dispatch/run_keeper.py
@@ -47,12 +47,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class EndedTask:
-    """The end of a run that was ordered here."""
+    """The end of a run that was ordered here.
+
+    ``slowness`` is that of the backend server, without this run.
+    """
 
     order: backends.TaskOrder
     end: TaskEnd
     backend_id: str
     elapsed: datetime.timedelta
+    slowness: float = 1.0
 
 
 class RunKeeper:
@@ -63,6 +67,8 @@
         self._places: dict[model.RunKey, backends.Backend] = {}
         self._detector = outliers.LikelihoodDetector()
         self.ended: list[EndedTask] = []
+        # Counts what may have changed the free room.
+        self.changes = 0
 
     def __iter__(self) -> Iterator[backends.Backend]:
         return iter(self._backends.values())
@@ -187,6 +193,7 @@
             raise ValueError(f"{backend!r} has shown no clock yet")
         backend.runs[order.key] = backends.Run(order, now)
         backend.used = backend.used + order.room
+        self.changes += 1
         self._places[order.key] = backend
         return [
             effects.StartRun(
@@ -449,6 +456,7 @@
                 )
             )
             backend.state = backends.BackendState.READY
+            self.changes += 1
         return done
 
     def _look_failed(
@@ -468,6 +476,7 @@
         if backend.state is not backends.BackendState.READY:
             return []
         backend.state = backends.BackendState.SUSPECT
+        self.changes += 1
         heard = backend.heard_at
         age = None if heard is None else (now - heard).total_seconds()
         return [
@@ -512,6 +521,7 @@
         del backend.runs[run.order.key]
         self._places.pop(run.order.key, None)
         backend.used = backend.used - run.order.room
+        self.changes += 1
         self._report(backend, run, end, now)
 
     def _report(
@@ -525,9 +535,12 @@
             return
         run.is_reported = True
         elapsed = now - (run.accepted_at or run.ordered_at)
+        slowness = backend.pace.slowness
         self._learn(backend, run, end, elapsed, now)
         self.ended.append(
-            EndedTask(run.order, end, backend.life.backend_id, elapsed)
+            EndedTask(
+                run.order, end, backend.life.backend_id, elapsed, slowness
+            )
         )
 
     def _learn(
--- a/waxwingwalk/dispatch/scheduler.py
+++ b/waxwingwalk/dispatch/scheduler.py
@@ -11,6 +11,7 @@
 from waxwingwalk.dispatch import ordering
 from waxwingwalk.dispatch import placement
 from waxwingwalk.dispatch import run_keeper
+from waxwingwalk.dispatch import run_times
 
 # A run that takes this many times its expected time is started elsewhere.
 STUCK_FACTOR = 4.0
@@ -21,6 +22,9 @@
 RETRY_AFTER_MAX = datetime.timedelta(seconds=5)
 # Free rooms that a status names; peers offer no more tasks than that at once.
 FREE_ROOMS_MAX = 12
+# A job that is late before its first task is refused when this share of the
+# time that its caller waits has passed: less than half of it is lost then.
+PATIENCE_SHARE = 0.4
 # Jobs that may wait here for their first task.
 WAITING_JOBS_MAX = 2000
 
@@ -58,7 +62,7 @@
         self._jobs: dict[str, job_record.JobRecord] = {}
         self._offered: dict[model.RunKey, int] = {}
         self._peers: dict[int, list[PeerPool]] = {}
-        self._is_dispatch_due = False
+        self._run_times = run_times.RunTimes()
 
     @property
     def jobs(self) -> dict[str, job_record.JobRecord]:
@@ -71,7 +75,7 @@
         self, job: model.Job, link: int | None, now: datetime.datetime
     ) -> effects.Effects:
         """Take a job in, or refuse it at once if it cannot be served."""
-        record = job_record.JobRecord(job, link, now)
+        record = self._record(job, link, now)
         if job.job_id in self._jobs:
             # The same job is under way for another request.
             return self._answer(record, model.JobOutcome.LOST, "twice", now)
@@ -94,6 +98,36 @@
             *self.dispatch(now),
         ]
 
+    def _record(
+        self, job: model.Job, link: int | None, now: datetime.datetime
+    ) -> job_record.JobRecord:
+        """Return a job's record, with expected times for declared ones."""
+        estimates = [
+            self._run_times.expected(job.queue, step.estimate)
+            for step in job.steps
+        ]
+        declared = model.longest_chain(
+            job.steps, [step.estimate for step in job.steps]
+        )
+        expected = model.longest_chain(job.steps, estimates)
+        due = job.due + job.stretch * (expected - declared)
+        return job_record.JobRecord(
+            dataclasses.replace(job, due=due), link, now, estimates
+        )
+
+    def _learn(self, ended: run_keeper.EndedTask) -> None:
+        """Learn how long a task took, as an ordinary server would take."""
+        order = ended.order
+        record = self._jobs.get(order.ref.job_id)
+        if record is None or ended.end is not run_keeper.TaskEnd.DONE:
+            return
+        step = order.ref.step
+        observed = ended.elapsed / ended.slowness
+        declared = record.job.steps[step].estimate
+        self._run_times.learn(record.job.queue, declared, observed)
+        # Tasks of a step are alike: the first to end tells of the others.
+        record.estimates[step] = observed
+
     def _reason_to_refuse(
         self, record: job_record.JobRecord, now: datetime.datetime
     ) -> str | None:
@@ -256,7 +290,8 @@
             for task in record.tasks.values():
                 if task.state is TaskState.WAITING:
                     step = record.job.steps[task.ref.step]
-                    seconds = step.estimate.total_seconds()
+                    estimate = record.estimates[task.ref.step]
+                    seconds = estimate.total_seconds()
                     work += step.room.processors * seconds
         return datetime.timedelta(seconds=work / capacity)
 
@@ -298,6 +333,8 @@
         ]
         waiting.sort(key=lambda pair: pair[0])
         for _, record in waiting:
+            if self._order.yields(record, self._free_share(now), now):
+                continue
             for task in record.waiting():
                 started = self._start(record, task, now)
                 if not started:
@@ -305,6 +342,15 @@
                 done += started
         return done
 
+    def _free_share(self, now: datetime.datetime) -> float:
+        """Return the share of the usable processors that is free."""
+        free = total = 0
+        for backend in self._runs:
+            if backend.is_usable(now):
+                free += backend.free.processors
+                total += backend.report.room.processors
+        return free / total if total else 0.0
+
     def _start(
         self,
         record: job_record.JobRecord,
@@ -395,6 +441,7 @@
                 if link is not None:
                     done.append(effects.Send(link, _ended_message(each)))
                 continue
+            self._learn(each)
             done += self._task_ended(
                 each.order.ref, each.order.run, each.end, each.backend_id, now
             )
@@ -529,10 +576,7 @@
                 if not record.has_started:
                     outcome = model.JobOutcome.NOT_RUN
                 done += self._finish(record, outcome, "expired", now)
-            elif (
-                not record.has_started
-                and now + record.work_left() > record.job.expires
-            ):
+            elif not record.has_started and self._is_hopeless(record, now):
                 done += self._finish(
                     record, model.JobOutcome.NOT_RUN, "too late", now
                 )
@@ -542,6 +586,19 @@
                     task.refused_by.clear()
         return done + self.dispatch(now)
 
+    def _is_hopeless(
+        self, record: job_record.JobRecord, now: datetime.datetime
+    ) -> bool:
+        """Tell whether a job that nothing has started of is given up.
+
+        Its caller then hears so while it still has time to come back.
+        """
+        if now + record.work_left() > record.job.expires:
+            return True
+        patience = PATIENCE_SHARE * (record.job.expires - record.arrived_at)
+        is_late = record.slack(now) < model.ZERO
+        return is_late and now - record.arrived_at > patience
+
     def _stop_stuck(
         self, record: job_record.JobRecord, now: datetime.datetime
     ) -> effects.Effects:
@@ -550,7 +607,7 @@
         for task in record.tasks.values():
             if task.state is not TaskState.PLACED or task.started_at is None:
                 continue
-            estimate = record.job.steps[task.ref.step].estimate
+            estimate = record.estimates[task.ref.step]
             limit = max(STUCK_MIN, STUCK_FACTOR * estimate)
             if now - task.started_at > limit:
                 key = model.RunKey(task.ref.name, task.run)
--- a/waxwingwalk/emulator/fleet.py
+++ b/waxwingwalk/emulator/fleet.py
@@ -14,6 +14,8 @@
 from waxwingwalk.dispatch import events
 from waxwingwalk.dispatch import messages
 from waxwingwalk.dispatch import model
+from waxwingwalk.dispatch import ordering
+from waxwingwalk.dispatch import placement
 from waxwingwalk.dispatch import pool_rows
 from waxwingwalk.dispatch import reducer as dispatch_reducer
 from waxwingwalk.emulator import backend as emulated_backend
@@ -42,6 +44,7 @@
     """A caller's job: its attempts and its last answer."""
 
     job: model.Job
+    submitted_at: datetime.datetime
     objective: datetime.timedelta
     patience: datetime.timedelta
     host: "Host | None" = None
@@ -82,7 +85,14 @@
 class Fleet:
     """Hosts, backend servers and callers on one timeline."""
 
-    def __init__(self, seed: int) -> None:
+    def __init__(
+        self,
+        seed: int,
+        order: ordering.JobOrder | None = None,
+        place: placement.Placement | None = None,
+    ) -> None:
+        self._order_policy = order
+        self._place_policy = place
         self.timeline = emulator_timeline.Timeline()
         self.random = random.Random(seed)
         self.truths: dict[str, emulated_backend.TaskTruth] = {}
@@ -92,8 +102,8 @@
         self.listed: dict[str, model.BackendReport] = {}
         self.callers: dict[str, Caller] = {}
         self.cut_zones: set[str] = set()
-        self.cut_hosts: set[str] = set()
-        self.is_store_down = False
+        self._cut_hosts: set[str] = set()
+        self._is_store_down = False
         self.late_share = 0.0
         self._rows: dict[str, tuple[int, pool_rows.PoolRow]] = {}
         self._version = 0
@@ -148,7 +158,12 @@
         host.is_up = True
         host.has_exited = False
         record = model.HostRecord(host.address, f"{host.lives:04d}", host.zone)
-        host.reducer = dispatch_reducer.Reducer(record, self.timeline.now())
+        host.reducer = dispatch_reducer.Reducer(
+            record,
+            self.timeline.now(),
+            order=self._order_policy,
+            place=self._place_policy,
+        )
         host.wanted = frozenset()
         life = host.lives
         self._tick(host, life)
@@ -170,13 +185,35 @@
                 if not silently:
                     self._ask_again(caller)
 
+    def cut_host(self, host: Host) -> None:
+        """Cut a host off from the other hosts and the store."""
+        self._cut_hosts.add(host.address)
+        self.judge.contact_lost(host.address)
+
+    def mend_host(self, host: Host) -> None:
+        """End the cut of a host."""
+        self._cut_hosts.discard(host.address)
+        self.judge.contact_regained(host.address)
+
+    def stop_store(self) -> None:
+        """Have the store refuse all calls."""
+        self._is_store_down = True
+        self.judge.contact_lost("store")
+
+    def start_store(self) -> None:
+        """Have the store serve again."""
+        self._is_store_down = False
+        self.judge.contact_regained("store")
+
     def freeze_host(self, host: Host) -> None:
         """Stop a host's process; what arrives waits."""
         host.is_frozen = True
+        self.judge.contact_lost(host.address)
 
     def wake_host(self, host: Host) -> None:
         """Let a frozen host go on."""
         host.is_frozen = False
+        self.judge.contact_regained(host.address)
         missed, host.missed = host.missed, []
         for action in missed:
             action()
@@ -186,8 +223,13 @@
         self._apply(host, events.DrainRequested(limit))
 
     def drain_backend(self, backend_id: str) -> None:
-        """Have a backend server say that it is leaving."""
+        """Have a backend server say that it is leaving, once it can."""
         backend = self.backends[backend_id]
+        if self._is_store_down:
+            self.timeline.after(
+                LIST_INTERVAL, lambda: self.drain_backend(backend_id)
+            )
+            return
         backend.report = dataclasses.replace(
             backend.report, willingness=model.Willingness.DRAINING
         )
@@ -227,6 +269,8 @@
         estimate: datetime.timedelta | None = None,
         patience: datetime.timedelta = datetime.timedelta(seconds=3),
         fails: bool = False,
+        queue: str = "q",
+        priority: int = 0,
     ) -> Caller:
         """Submit a job of equal tasks at a host."""
         now = self.timeline.now()
@@ -234,11 +278,12 @@
         step = model.Step(tasks, room, estimate)
         job = model.Job(
             job_id=job_id,
-            queue="q",
+            queue=queue,
             service=Service,
-            priority=0,
+            priority=priority,
             attempts=3,
             spec=f"spec of {job_id}",
+            stretch=1.6,
             steps=(step,),
             due=now + 1.6 * estimate + datetime.timedelta(milliseconds=60),
             expires=now + patience,
@@ -248,7 +293,7 @@
             self.truths[name] = emulated_backend.TaskTruth(
                 job.spec, Service, room, work, fails
             )
-        caller = Caller(job, job.due - now, patience)
+        caller = Caller(job, now, job.due - now, patience)
         self.callers[job_id] = caller
         self._ask(caller, host)
         return caller
@@ -328,7 +373,7 @@
         if host.lives != life or not host.is_up:
             return
         self.timeline.after(LIST_INTERVAL, lambda: self._list(host, life))
-        if self.is_store_down or host.address in self.cut_hosts:
+        if self._is_store_down or host.address in self._cut_hosts:
             return
         records = tuple(
             each.reducer.me
@@ -404,8 +449,8 @@
     def _is_apart(self, one: Host, other: Host) -> bool:
         return (
             self._is_cut(one.zone, other.zone)
-            or one.address in self.cut_hosts
-            or other.address in self.cut_hosts
+            or one.address in self._cut_hosts
+            or other.address in self._cut_hosts
         )
 
     def _want(self, host: Host, wanted: frozenset[str]) -> None:
@@ -551,7 +596,7 @@
 
     def _write(self, host: Host, effect: effects.WritePool) -> None:
         def settle() -> None:
-            if self.is_store_down or host.address in self.cut_hosts:
+            if self._is_store_down or host.address in self._cut_hosts:
                 written = events.PoolWritten(effect.pool, None, None)
                 self._apply(host, written)
                 return
--- a/waxwingwalk/emulator/scenario.py
+++ b/waxwingwalk/emulator/scenario.py
@@ -190,12 +190,12 @@
         host = self._some_host()
         if host is None:
             return
-        self.fleet.cut_hosts.add(host.address)
-        self._after(4, lambda: self.fleet.cut_hosts.discard(host.address))
+        self.fleet.cut_host(host)
+        self._after(4, lambda: self.fleet.mend_host(host))
 
     def _store_down(self) -> None:
-        self.fleet.is_store_down = True
-        self._after(4, lambda: setattr(self.fleet, "is_store_down", False))
+        self.fleet.stop_store()
+        self._after(4, self.fleet.start_store)
 
     def _late_orders(self) -> None:
         self.fleet.late_share = 0.1
--- a/waxwingwalk/platform/callers.py
+++ b/waxwingwalk/platform/callers.py
@@ -224,7 +224,7 @@
         )
         for step in content.steps
     )
-    chain = _longest_chain(steps)
+    chain = model.longest_chain(steps, [step.estimate for step in steps])
     return model.Job(
         job_id=job_id,
         queue=queue.name,
@@ -232,20 +232,13 @@
         priority=queue.priority,
         attempts=queue.attempts,
         spec=content.spec,
+        stretch=queue.stretch,
         steps=steps,
         due=arrived + queue.stretch * chain + queue.objective,
         expires=arrived + wait,
     )
 
 
-def _longest_chain(steps: tuple[model.Step, ...]) -> datetime.timedelta:
-    ends: list[datetime.timedelta] = []
-    for step in steps:
-        before = max((ends[each] for each in step.after), default=model.ZERO)
-        ends.append(before + step.estimate)
-    return max(ends)
-
-
 def _answer(answer: effects.AnswerJob) -> web.Response:
     outcomes = model.JobOutcome
     match answer.outcome:
