Kept a job that is asked for again from running beside its former run

Cause, found by a test of the scheduler: a job abandoned and submitted again at the same host started its tasks while the former runs were still being stopped. A task now waits until no run of it is left here or at the host that it was offered to. Added DELETE for jobs under way and tests of dispatch.

--- /dev/null
+++ b/tests/dispatch/builders.py
@@ -0,0 +1,84 @@
+"""Small models for tests of dispatch."""
+
+import datetime
+
+from waxwingwalk.dispatch import backend as backends
+from waxwingwalk.dispatch import events
+from waxwingwalk.dispatch import model
+
+START = datetime.datetime(2026, 1, 1, tzinfo=datetime.UTC)
+ROOM = model.Room(processors=16_000, memory=65_536)
+TASK_ROOM = model.Room(processors=7_000, memory=64)
+SERVICE = "refunds"
+
+
+def milliseconds(count):
+    """Return a duration."""
+    return datetime.timedelta(milliseconds=count)
+
+
+def at(count):
+    """Return the time so many milliseconds after the start."""
+    return START + milliseconds(count)
+
+
+def report(backend_id="server-1", *, started_ms=1, zone="north", **fields):
+    """Return what a backend server says of itself."""
+    values = {
+        "service": SERVICE,
+        "address": f"{backend_id}:80",
+        "willingness": model.Willingness.READY,
+        "room": ROOM,
+        "labels": frozenset(),
+    }
+    life = model.Life(backend_id, started_ms)
+    return model.BackendReport(life=life, zone=zone, **(values | fields))
+
+
+def order(job_id="j", index=0, run=1, **fields):
+    """Return the order for a task."""
+    values = {
+        "queue": "q",
+        "service": SERVICE,
+        "spec": "spec",
+        "room": TASK_ROOM,
+        "estimate": milliseconds(100),
+        "label": None,
+        "max_per_backend": None,
+        "owner": None,
+    }
+    ref = model.TaskRef(job_id, 0, index)
+    return backends.TaskOrder(ref=ref, run=run, **(values | fields))
+
+
+def job(job_id="j", *, tasks=1, estimate=100, now=START, **fields):
+    """Return a job of one step."""
+    step = model.Step(tasks, TASK_ROOM, milliseconds(estimate))
+    values = {
+        "queue": "q",
+        "service": SERVICE,
+        "priority": 0,
+        "attempts": 3,
+        "spec": "spec",
+        "stretch": 1.6,
+        "steps": (step,),
+        "due": now + milliseconds(1.6 * estimate + 60),
+        "expires": now + milliseconds(3000),
+    }
+    return model.Job(job_id=job_id, **(values | fields))
+
+
+def held(reported, clock_ms=1000, *, running=(), ended=()):
+    """Return a backend server's lists."""
+    return events.RunsHeld(
+        reported.life,
+        model.CallOutcome.ACCEPTED,
+        clock_ms,
+        tuple(running),
+        tuple(ended),
+    )
+
+
+def of_kind(effects, kind):
+    """Return the effects of a kind."""
+    return [each for each in effects if isinstance(each, kind)]
--- /dev/null
+++ b/tests/dispatch/test_scheduler.py
@@ -0,0 +1,263 @@
+import unittest
+
+from tests.dispatch import builders
+from waxwingwalk.dispatch import effects
+from waxwingwalk.dispatch import messages
+from waxwingwalk.dispatch import model
+from waxwingwalk.dispatch import ordering
+from waxwingwalk.dispatch import placement
+from waxwingwalk.dispatch import run_keeper
+from waxwingwalk.dispatch import scheduler as dispatch_scheduler
+
+Outcome = model.JobOutcome
+LINK = 5
+
+
+class SchedulerTests(unittest.TestCase):
+    def setUp(self):
+        self.runs = run_keeper.RunKeeper()
+        self.scheduler = dispatch_scheduler.Scheduler(
+            self.runs, ordering.PriorityThenSlack(), placement.Fastest()
+        )
+        self.serials = {}
+
+    def add_server(self, name="server-1", **fields):
+        report = builders.report(name, **fields)
+        self.runs.take(report, 1, builders.START)
+        self.hold(report.life, 1)
+        return report.life
+
+    def hold(self, life, at, ended=()):
+        self.runs.held(
+            life,
+            model.CallOutcome.ACCEPTED,
+            1000 + at,
+            (),
+            tuple(ended),
+            builders.at(at),
+        )
+
+    def submit(self, job, link=None, at=2):
+        return self.scheduler.submit(job, link, builders.at(at))
+
+    def end(self, start, how, at):
+        """Have a server list the end of a run, and act on it."""
+        serial = self.serials[start.life] = self.serials.get(start.life, 0) + 1
+        run = start.run
+        ended = model.EndedRun(serial, run.task, run.run, how)
+        self.hold(start.life, at, [ended])
+        return self.scheduler.take_ends(builders.at(at))
+
+    def starts(self, done):
+        return builders.of_kind(done, effects.StartRun)
+
+    def answers(self, done):
+        return [
+            (each.outcome, each.reason)
+            for each in builders.of_kind(done, effects.AnswerJob)
+        ]
+
+    def test_job_is_done_when_its_last_task_is(self):
+        self.add_server()
+        starts = self.starts(self.submit(builders.job(tasks=2)))
+        self.assertEqual(len(starts), 2)
+        done = self.end(starts[0], model.RunEnd.DONE, 100)
+        self.assertEqual(self.answers(done), [])
+        done = self.end(starts[1], model.RunEnd.DONE, 110)
+        self.assertEqual(self.answers(done), [(Outcome.DONE, "done")])
+
+    def test_tasks_wait_for_room_and_start_when_it_is_free(self):
+        self.add_server()
+        starts = self.starts(self.submit(builders.job(tasks=3)))
+        self.assertEqual(len(starts), 2)
+        done = self.end(starts[0], model.RunEnd.DONE, 100)
+        self.assertEqual(len(self.starts(done)), 1)
+
+    def test_failed_task_runs_again_within_its_attempts(self):
+        self.add_server()
+        (start,) = self.starts(self.submit(builders.job(attempts=2)))
+        (again,) = self.starts(self.end(start, model.RunEnd.FAILED, 50))
+        self.assertEqual(again.run.run, 2)
+        done = self.end(again, model.RunEnd.FAILED, 90)
+        self.assertEqual(self.answers(done), [(Outcome.FAILED, "attempts")])
+
+    def test_lapsed_task_runs_again_without_using_an_attempt(self):
+        self.add_server()
+        (start,) = self.starts(self.submit(builders.job(attempts=1)))
+        (again,) = self.starts(self.end(start, model.RunEnd.LAPSED, 50))
+        self.assertEqual(again.run.run, 2)
+
+    def test_steps_start_after_those_that_they_follow(self):
+        self.add_server()
+        first = model.Step(1, builders.TASK_ROOM, builders.milliseconds(50))
+        second = model.Step(
+            1, builders.TASK_ROOM, builders.milliseconds(50), after=(0,)
+        )
+        job = builders.job(steps=(first, second))
+        (start,) = self.starts(self.submit(job))
+        self.assertEqual(start.run.task, "j.0.0.0")
+        (then,) = self.starts(self.end(start, model.RunEnd.DONE, 60))
+        self.assertEqual(then.run.task, "j.0.1.0")
+
+    def test_refusals_are_at_once_and_say_when_to_return(self):
+        huge = model.Step(1, model.Room(99_000, 1), builders.milliseconds(50))
+        cases = (
+            ("no backend server", False, builders.job()),
+            ("fits no backend server", True, builders.job(steps=(huge,))),
+            (
+                "too late",
+                True,
+                builders.job(expires=builders.at(50), estimate=100),
+            ),
+        )
+        for reason, has_server, job in cases:
+            with self.subTest(reason=reason):
+                self.setUp()
+                if has_server:
+                    self.add_server()
+                (answer,) = builders.of_kind(
+                    self.submit(job), effects.AnswerJob
+                )
+                self.assertEqual(answer.outcome, Outcome.NOT_RUN)
+                self.assertEqual(answer.reason, reason)
+                self.assertGreater(answer.retry_after, model.ZERO)
+
+    def test_backlog_beyond_the_callers_patience_is_refused(self):
+        self.add_server()
+        for number in range(30):
+            self.submit(builders.job(f"j{number}", tasks=2, estimate=400))
+        late = builders.job("late", expires=builders.at(1500))
+        done = self.submit(late)
+        self.assertEqual(self.answers(done), [(Outcome.NOT_RUN, "backlog")])
+
+    def test_urgent_queue_goes_first_and_late_jobs_last(self):
+        self.add_server()
+        (running, _) = self.starts(self.submit(builders.job("a", tasks=2)))
+        self.submit(builders.job("late", due=builders.at(10)))
+        self.submit(builders.job("plain", priority=1))
+        self.submit(builders.job("urgent", priority=0))
+        (start,) = self.starts(self.end(running, model.RunEnd.DONE, 20))
+        self.assertEqual(start.run.task, "urgent.0.0.0")
+        (start,) = self.starts(self.end(start, model.RunEnd.DONE, 40))
+        self.assertEqual(start.run.task, "plain.0.0.0")
+
+    def test_late_job_waits_until_the_peak_is_over(self):
+        self.add_server(room=model.Room(24_000, 65_536))
+        starts = self.starts(self.submit(builders.job("a", tasks=3)))
+        self.submit(builders.job("late", due=builders.at(10)))
+        done = self.end(starts[0], model.RunEnd.DONE, 60)
+        self.assertEqual(self.starts(done), [])
+        done = self.end(starts[1], model.RunEnd.DONE, 70)
+        (start,) = self.starts(done)
+        self.assertEqual(start.run.task, "late.0.0.0")
+
+    def test_late_job_is_refused_while_its_caller_can_still_return(self):
+        self.add_server()
+        self.submit(builders.job("a", tasks=2))
+        self.submit(builders.job("late", due=builders.at(10)))
+        self.assertEqual(
+            self.answers(self.scheduler.tick(builders.at(1100))), []
+        )
+        done = self.scheduler.tick(builders.at(1300))
+        self.assertIn((Outcome.NOT_RUN, "too late"), self.answers(done))
+
+    def test_job_that_started_is_never_refused_as_not_run(self):
+        self.add_server()
+        self.submit(builders.job(tasks=3))
+        done = self.scheduler.tick(builders.at(3100))
+        self.assertEqual(self.answers(done), [(Outcome.LOST, "expired")])
+
+    def test_stuck_run_is_stopped(self):
+        self.add_server()
+        (start,) = self.starts(self.submit(builders.job(estimate=100)))
+        self.assertEqual(
+            builders.of_kind(
+                self.scheduler.tick(builders.at(390)), effects.StopRun
+            ),
+            [],
+        )
+        done = self.scheduler.tick(builders.at(450))
+        (stop,) = builders.of_kind(done, effects.StopRun)
+        self.assertEqual(stop.run, start.run)
+
+    def test_abandoned_job_is_stopped(self):
+        self.add_server()
+        self.submit(builders.job(tasks=2))
+        done = self.scheduler.abandon("j", None, builders.at(20))
+        self.assertEqual(len(builders.of_kind(done, effects.StopRun)), 2)
+        self.assertEqual(self.scheduler.jobs, {})
+
+    def test_lost_link_ends_its_jobs(self):
+        self.add_server()
+        self.submit(builders.job(tasks=1), link=LINK)
+        done = self.scheduler.close_link(LINK, builders.at(20))
+        self.assertEqual(len(builders.of_kind(done, effects.StopRun)), 1)
+
+    def test_second_request_for_a_job_under_way_is_lost_not_run(self):
+        self.add_server()
+        self.submit(builders.job())
+        done = self.submit(builders.job(), link=LINK)
+        (sent,) = builders.of_kind(done, effects.Send)
+        self.assertEqual(sent.message.outcome, Outcome.LOST)
+
+    def test_job_asked_again_waits_for_the_end_of_its_former_run(self):
+        self.add_server()
+        (start,) = self.starts(self.submit(builders.job()))
+        self.scheduler.abandon("j", None, builders.at(10))
+        self.assertEqual(self.starts(self.submit(builders.job(), at=20)), [])
+        done = self.end(start, model.RunEnd.STOPPED, 70)
+        (again,) = self.starts(done)
+        self.assertEqual(again.run.task, start.run.task)
+
+    def test_job_asked_again_waits_for_a_run_at_another_host(self):
+        self.test_task_is_offered_where_there_is_room()
+        self.scheduler.abandon("j", None, builders.at(10))
+        self.add_server("server-2")
+        done = self.submit(builders.job(tasks=4), at=20)
+        self.assertNotIn(
+            "j.0.0.2", [each.run.task for each in self.starts(done)]
+        )
+        ended = messages.TaskEnded("j", 0, 2, 1, "gone")
+        done = self.scheduler.peer_task_ended(ended, LINK, builders.at(30))
+        self.assertIn("j.0.0.2", [each.run.task for each in self.starts(done)])
+
+    def test_task_is_offered_where_there_is_room(self):
+        self.add_server()
+        load = messages.PoolLoad(
+            "south", 1, builders.SERVICE, [builders.TASK_ROOM], 0.0
+        )
+        self.scheduler.peer_status(LINK, [load])
+        done = self.submit(builders.job(tasks=4))
+        offers = [
+            each.message
+            for each in builders.of_kind(done, effects.Send)
+            if isinstance(each.message, messages.OfferTask)
+        ]
+        self.assertEqual([each.index for each in offers], [2])
+
+    def test_refused_offer_waits_for_room_here(self):
+        self.test_task_is_offered_where_there_is_room()
+        refusal = messages.TaskEnded("j", 0, 2, 1, "not_run")
+        self.scheduler.peer_task_ended(refusal, LINK, builders.at(5))
+        record = self.scheduler.jobs["j"]
+        self.assertEqual([each.ref.index for each in record.waiting()], [2, 3])
+
+    def test_offer_is_refused_while_jobs_wait_here(self):
+        self.add_server()
+        self.submit(builders.job(tasks=3))
+        offer = messages.OfferTask(
+            "k",
+            0,
+            0,
+            1,
+            "q",
+            builders.SERVICE,
+            "spec",
+            builders.TASK_ROOM,
+            100.0,
+            None,
+            None,
+        )
+        done = self.scheduler.offered(offer, LINK, builders.at(5))
+        (sent,) = builders.of_kind(done, effects.Send)
+        self.assertEqual(sent.message.end, "not_run")
--- a/waxwingwalk/dispatch/model.py
+++ b/waxwingwalk/dispatch/model.py
@@ -182,6 +182,7 @@
     FAILED = "failed"
     NOT_RUN = "not_run"
     LOST = "lost"
+    CANCELLED = "cancelled"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/waxwingwalk/dispatch/run_keeper.py
+++ b/waxwingwalk/dispatch/run_keeper.py
@@ -7,6 +7,7 @@
 that that one started.
 """
 
+import collections
 from collections.abc import Iterator
 import dataclasses
 import datetime
@@ -65,6 +66,7 @@
     def __init__(self) -> None:
         self._backends: dict[model.Life, backends.Backend] = {}
         self._places: dict[model.RunKey, backends.Backend] = {}
+        self._tasks: collections.Counter[str] = collections.Counter()
         self._detector = outliers.LikelihoodDetector()
         self.ended: list[EndedTask] = []
         # Counts what may have changed the free room.
@@ -81,6 +83,10 @@
         """Return where a run is, if it was ordered here."""
         return self._places.get(key)
 
+    def has_run_of(self, task: str) -> bool:
+        """Tell whether a run of a task may still be under way here."""
+        return self._tasks[task] > 0
+
     # Which servers are ordered here.
 
     def take(
@@ -195,6 +201,7 @@
         backend.used = backend.used + order.room
         self.changes += 1
         self._places[order.key] = backend
+        self._tasks[order.ref.name] += 1
         return [
             effects.StartRun(
                 life=backend.life,
@@ -520,6 +527,9 @@
         """Free a run's room, and report its end if that was not done."""
         del backend.runs[run.order.key]
         self._places.pop(run.order.key, None)
+        self._tasks[run.order.ref.name] -= 1
+        if not self._tasks[run.order.ref.name]:
+            del self._tasks[run.order.ref.name]
         backend.used = backend.used - run.order.room
         self.changes += 1
         self._report(backend, run, end, now)
--- a/waxwingwalk/dispatch/scheduler.py
+++ b/waxwingwalk/dispatch/scheduler.py
@@ -61,6 +61,8 @@
         self._place = place
         self._jobs: dict[str, job_record.JobRecord] = {}
         self._offered: dict[model.RunKey, int] = {}
+        # Tasks of jobs that are over here and may still run at a peer.
+        self._leftovers: dict[str, int] = {}
         self._peers: dict[int, list[PeerPool]] = {}
         self._run_times = run_times.RunTimes()
 
@@ -192,6 +194,12 @@
                 done += self._finish(
                     record, model.JobOutcome.LOST, "peer lost", now
                 )
+        # The peer stops its runs too, before a caller returns with the job.
+        self._leftovers = {
+            task: peer
+            for task, peer in self._leftovers.items()
+            if peer != link
+        }
         for key, owner in list(self._offered.items()):
             if owner == link:
                 del self._offered[key]
@@ -207,6 +215,7 @@
                 key = model.RunKey(task.ref.name, task.run)
                 done += self._runs.stop(key, now)
             elif task.state is TaskState.OFFERED and task.link is not None:
+                self._leftovers[task.ref.name] = task.link
                 done.append(
                     effects.Send(
                         task.link,
@@ -336,12 +345,18 @@
             if self._order.yields(record, self._free_share(now), now):
                 continue
             for task in record.waiting():
+                if self._is_running(task.ref.name):
+                    continue
                 started = self._start(record, task, now)
                 if not started:
                     break
                 done += started
         return done
 
+    def _is_running(self, task: str) -> bool:
+        """Tell whether a run from a former request for the job is ending."""
+        return self._runs.has_run_of(task) or task in self._leftovers
+
     def _free_share(self, now: datetime.datetime) -> float:
         """Return the share of the usable processors that is free."""
         free = total = 0
@@ -512,7 +527,7 @@
         order = _order_of(message, link)
         is_busy = any(record.waiting() for record in self._jobs.values())
         backend = None
-        if not is_busy and order.key not in self._offered:
+        if not is_busy and not self._is_running(order.ref.name):
             due = now + order.estimate
             backend = self._place.choose(
                 [each for each in self._runs if each.takes(order, now)],
@@ -557,6 +572,7 @@
         """Take in the end of a task that a peer ran."""
         ref = model.TaskRef(message.job_id, message.step, message.index)
         end = run_keeper.TaskEnd(message.end)
+        self._leftovers.pop(ref.name, None)
         record = self._jobs.get(ref.job_id)
         if record is not None and end is run_keeper.TaskEnd.NOT_RUN:
             task = record.tasks.get((ref.step, ref.index))
--- a/waxwingwalk/host/engine.py
+++ b/waxwingwalk/host/engine.py
@@ -126,6 +126,23 @@
         )
         return answer
 
+    def is_waiting(self, job_id: str) -> bool:
+        """Tell whether a caller here waits for the answer to a job."""
+        return job_id in self._waiters
+
+    def cancel(self, job_id: str) -> bool:
+        """Stop a job of a caller here; tell whether there was one."""
+        waiter = self._waiters.get(job_id)
+        if waiter is None or waiter.done():
+            return False
+        self.apply(events.JobAbandoned(job_id))
+        waiter.set_result(
+            effects.AnswerJob(
+                job_id, model.JobOutcome.CANCELLED, "cancelled", None
+            )
+        )
+        return True
+
     def apply(self, event: events.Event) -> None:
         """Apply an event and carry out its effects."""
         for effect in self._reducer.apply(event, self._clock.now()):
--- a/waxwingwalk/platform/callers.py
+++ b/waxwingwalk/platform/callers.py
@@ -99,6 +99,10 @@
         match request.method:
             case "POST":
                 return await self._submit(request, queue, rest)
+            case "GET" if self._engine.is_waiting(rest):
+                return _json(200, {"state": "running"})
+            case "DELETE" if self._engine.cancel(rest):
+                return _json(200, {"state": "cancelled"})
             case "GET" | "DELETE":
                 return _refusal(ResultCode.JOB_NOT_STORED)
             case _:
@@ -246,6 +250,8 @@
             return _json(200, {"state": "done"})
         case outcomes.FAILED:
             return _json(200, {"state": "failed"})
+        case outcomes.CANCELLED:
+            return _json(200, {"state": "cancelled"})
         case outcomes.NOT_RUN:
             return _refusal(
                 ResultCode.DEADLINE_UNREACHABLE,
