--- /dev/null
+++ b/tests/dispatch/test_ownership.py
@@ -0,0 +1,183 @@
+import unittest
+
+from tests.dispatch import builders
+from waxwingwalk.dispatch import effects
+from waxwingwalk.dispatch import hosts as dispatch_hosts
+from waxwingwalk.dispatch import messages
+from waxwingwalk.dispatch import model
+from waxwingwalk.dispatch import ownership as dispatch_ownership
+from waxwingwalk.dispatch import pool_rows
+
+POOL = "north"
+
+
+def host(name, zone=POOL, incarnation="1", processors=1.0):
+    """Return a host's record."""
+    return model.HostRecord(name, incarnation, zone, processors)
+
+
+class OwnershipTests(unittest.TestCase):
+    def setUp(self):
+        self.me = host("b")
+        self.others = [host("a", processors=2.0), host("c", processors=0.5)]
+        self.hosts = dispatch_hosts.Hosts(self.me)
+        self.ownership = dispatch_ownership.Ownership(self.hosts)
+        self.ownership.add_pool(POOL)
+        for number, record in enumerate(self.others):
+            self.hosts.link_opened(number, record, builders.START)
+
+    def list_row(self, *order, version=10, at=0):
+        rows = {POOL: (version, pool_rows.PoolRow(tuple(order)))}
+        return self.ownership.rows_listed(rows, builders.at(at))
+
+    def say(self, link, *, leaving=False, fence=None):
+        loads = []
+        if fence is not None:
+            loads = [messages.PoolLoad(POOL, fence, "s", [], 0.0)]
+        status = messages.HostStatus(loads, leaving, 1)
+        self.hosts.by_link(link).status = status
+
+    def writes(self, done):
+        return builders.of_kind(done, effects.WritePool)
+
+    def test_first_row_is_written_by_the_strongest_host_only(self):
+        done = self.ownership.rows_listed({}, builders.START)
+        self.assertEqual(self.writes(done), [])
+        self.hosts.link_closed(0, builders.at(1))
+        self.hosts.link_failed("a", True, builders.at(2))
+        (write,) = self.writes(self.ownership.decide(builders.at(3)))
+        self.assertEqual(write.row.owner, self.me)
+        self.assertEqual(write.if_version, 0)
+
+    def test_nothing_is_decided_before_the_store_was_read(self):
+        self.hosts.link_failed("a", True, builders.at(2))
+        self.assertEqual(self.ownership.decide(builders.at(3)), [])
+
+    def test_owner_claims_with_the_fence_of_the_row(self):
+        self.list_row(self.me, *self.others)
+        claim = self.ownership.claims[POOL]
+        self.assertEqual(claim.fence, pool_rows.fence(10, 0))
+
+    def test_successor_claims_when_the_owner_is_refused(self):
+        self.list_row(self.others[0], self.me)
+        self.assertEqual(self.ownership.claims, {})
+        self.hosts.link_closed(0, builders.at(10))
+        self.ownership.decide(builders.at(11))
+        self.assertEqual(self.ownership.claims, {})
+        self.hosts.link_failed("a", True, builders.at(12))
+        self.ownership.decide(builders.at(13))
+        self.assertEqual(
+            self.ownership.claims[POOL].fence, pool_rows.fence(10, 1)
+        )
+
+    def test_silent_owner_is_dead_after_a_while(self):
+        self.list_row(self.others[0], self.me)
+        self.hosts.link_closed(0, builders.at(10))
+        self.ownership.decide(builders.at(500))
+        self.assertEqual(self.ownership.claims, {})
+        self.ownership.decide(builders.at(700))
+        self.assertIn(POOL, self.ownership.claims)
+
+    def test_isolated_successor_does_not_claim(self):
+        self.list_row(self.others[0], self.me)
+        self.hosts.link_closed(0, builders.at(10))
+        self.hosts.link_closed(1, builders.at(10))
+        self.ownership.decide(builders.at(2000))
+        self.assertEqual(self.ownership.claims, {})
+
+    def test_restarted_owner_is_not_the_owner(self):
+        self.list_row(self.others[0], self.me)
+        self.hosts.link_closed(0, builders.at(10))
+        newer = host("a", incarnation="2", processors=2.0)
+        self.hosts.link_opened(7, newer, builders.at(11))
+        self.ownership.decide(builders.at(12))
+        self.assertIn(POOL, self.ownership.claims)
+
+    def test_leaving_owner_is_succeeded_and_may_let_runs_end(self):
+        life = builders.report().life
+        self.list_row(self.others[0], self.me)
+        self.say(0, leaving=True)
+        self.ownership.decide(builders.at(10))
+        self.assertIn(POOL, self.ownership.claims)
+        self.assertFalse(self.ownership.may_take(POOL, life, builders.at(20)))
+        self.ownership.released(
+            messages.ReleaseBackend(POOL, life.backend_id, life.started_ms)
+        )
+        self.assertTrue(self.ownership.may_take(POOL, life, builders.at(30)))
+
+    def test_former_owner_that_lets_nothing_go_is_not_waited_for_long(self):
+        life = builders.report().life
+        self.list_row(self.others[0], self.me)
+        self.say(0, leaving=True)
+        self.ownership.decide(builders.at(10))
+        self.assertTrue(self.ownership.may_take(POOL, life, builders.at(3000)))
+
+    def test_claim_is_lost_to_a_higher_fence_in_use(self):
+        self.list_row(self.me, *self.others)
+        self.say(1, fence=pool_rows.fence(10, 0) + 1)
+        self.ownership.decide(builders.at(10))
+        self.assertEqual(self.ownership.claims, {})
+
+    def test_claim_is_lost_to_the_owner_of_a_newer_row(self):
+        self.list_row(self.me, *self.others)
+        self.list_row(self.others[0], self.me, version=11, at=10)
+        self.assertEqual(self.ownership.claims, {})
+
+    def test_row_is_kept_up_to_date_but_not_hammered(self):
+        self.list_row(self.me, self.others[0])
+        self.assertEqual(self.ownership.decide(builders.at(10)), [])
+        self.ownership.written(POOL, None, None, builders.at(20))
+        self.assertEqual(
+            len(self.writes(self.ownership.decide(builders.at(100)))), 0
+        )
+        self.assertEqual(
+            len(self.writes(self.ownership.decide(builders.at(800)))), 1
+        )
+
+    def test_host_of_another_zone_waits_and_looks_first(self):
+        self.me = host("b", zone="south")
+        self.hosts = dispatch_hosts.Hosts(self.me)
+        self.ownership = dispatch_ownership.Ownership(self.hosts)
+        self.hosts.link_opened(3, host("d", zone="south"), builders.START)
+        self.hosts.learn(host("a"), builders.START)
+        self.list_row(host("a"), self.me)
+        self.hosts.link_failed("a", True, builders.at(10))
+        self.ownership.decide(builders.at(20))
+        self.assertEqual(self.ownership.probes(builders.at(20)), [POOL])
+        self.ownership.decide(builders.at(2000))
+        self.assertEqual(self.ownership.claims, {})
+        self.ownership.probed(POOL, True)
+        self.ownership.decide(builders.at(2100))
+        self.assertIn(POOL, self.ownership.claims)
+
+    def test_zone_takes_its_pool_back(self):
+        stranger = host("x", zone="south")
+        self.hosts.link_opened(9, stranger, builders.START)
+        self.hosts.link_closed(0, builders.START)
+        self.hosts.link_failed("a", True, builders.START)
+        self.assertEqual(self.writes(self.list_row(stranger)), [])
+        (write,) = self.writes(self.ownership.decide(builders.at(600)))
+        self.assertEqual(write.row.owner, self.me)
+        self.assertEqual(write.if_version, 10)
+
+    def test_leaving_host_claims_nothing(self):
+        self.ownership.is_leaving = True
+        self.list_row(self.me, *self.others)
+        self.assertEqual(self.ownership.claims, {})
+
+
+class FenceTests(unittest.TestCase):
+    def test_fences_rise_with_version_rank_and_life(self):
+        fences = [
+            pool_rows.order_fence(pool_rows.fence(version, rank), life)
+            for version in (1, 2)
+            for rank in (0, 1)
+            for life in (0, 1)
+        ]
+        self.assertEqual(fences, sorted(set(fences)))
+
+    def test_new_life_of_a_server_gets_a_higher_fence(self):
+        claim = dispatch_ownership.Claim(POOL, 5, builders.START, None)
+        first = claim.next_order_fence("server-1")
+        self.assertGreater(claim.next_order_fence("server-1"), first)
+        self.assertEqual(claim.next_order_fence("server-2"), first)
--- /dev/null
+++ b/tests/emulator/test_days.py
@@ -0,0 +1,39 @@
+import unittest
+
+from tests.emulator import variants
+from waxwingwalk.emulator import scenario
+
+FAULTS = 8
+SEEDS = range(12)
+# The first seed at which each broken variant was caught.
+SEED_BY_VARIANT = {"draining_ignored": 2, "lapse_not_awaited": 13}
+
+
+class RandomDayTests(unittest.TestCase):
+    def test_no_promise_is_broken(self):
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                played = scenario.Day(seed, FAULTS).run()
+                self.assertEqual(played.breaches, ())
+                self.assertGreater(played.done, 0)
+
+    def test_day_without_faults_serves_every_caller_that_stays(self):
+        played = scenario.Day(0, faults=0).run()
+        answered = played.done + played.refused + played.lost
+        self.assertEqual(answered, played.jobs - played.left)
+        self.assertEqual(played.lost, 0)
+
+    def test_same_seed_plays_the_same_day(self):
+        first = scenario.Day(5, FAULTS).run()
+        self.assertEqual(first, scenario.Day(5, FAULTS).run())
+
+
+class JudgeTests(unittest.TestCase):
+    def test_broken_mechanisms_are_caught(self):
+        for variant in variants.ALL:
+            name = variant.__name__
+            with self.subTest(variant=name):
+                seed = SEED_BY_VARIANT.get(name, 0)
+                with variant():
+                    played = scenario.Day(seed, FAULTS).run()
+                self.assertNotEqual(played.breaches, ())
--- a/waxwingwalk/emulator/fleet.py
+++ b/waxwingwalk/emulator/fleet.py
@@ -325,7 +325,9 @@
         self.timeline.after(CALLER_RETRY, ask)
 
     def leave(self, caller: Caller) -> None:
-        """Have a caller give up its request."""
+        """Have a caller give up its request, if it still waits."""
+        if caller.answer is not None:
+            return
         caller.has_left = True
         host = caller.host
         if host is not None and host.is_up:
