--- /dev/null
+++ b/tests/host/test_logs.py
@@ -0,0 +1,67 @@
+import datetime
+import os
+import unittest
+
+import orjson
+
+from waxwingwalk.core import clock
+from waxwingwalk.host import logs
+
+
+class HostLogTests(unittest.TestCase):
+    def setUp(self):
+        self.reader, descriptor = os.pipe()
+        self.addCleanup(os.close, self.reader)
+        self.addCleanup(os.close, descriptor)
+        self.writer = logs.NonBlockingWriter(descriptor)
+        self.clock = clock.ManualClock()
+        self.log = logs.HostLog(self.clock, self.writer)
+
+    def lines(self):
+        self.log.flush()
+        content = os.read(self.reader, 10**7)
+        return [orjson.loads(line) for line in content.splitlines()]
+
+    def test_line_carries_its_event_and_fields(self):
+        self.log.info("job.queued", job="j", backlog_ms=1.5)
+        (line,) = self.lines()
+        self.assertEqual(line["event"], "job.queued")
+        self.assertEqual(line["job"], "j")
+        self.assertEqual(line["level"], "info")
+
+    def test_event_beyond_its_budget_is_counted_and_said(self):
+        for _ in range(logs.EVENT_LINES_PER_SECOND + 7):
+            self.log.info("task.placed")
+        self.log.info("job.ended")
+        events = [line["event"] for line in self.lines()]
+        self.assertEqual(
+            events.count("task.placed"), logs.EVENT_LINES_PER_SECOND
+        )
+        self.assertIn("job.ended", events)
+        self.assertEqual(self.log.suppressed, 7)
+        self.assertIn("log.suppressed", events)
+
+    def test_budget_is_for_a_second(self):
+        for _ in range(logs.EVENT_LINES_PER_SECOND + 7):
+            self.log.info("task.placed")
+        self.lines()
+        self.clock.advance(datetime.timedelta(seconds=1))
+        self.log.info("task.placed")
+        self.assertEqual(self.lines()[0]["event"], "task.placed")
+
+    def test_reader_that_does_not_read_costs_lines_and_no_time(self):
+        line = b"x" * 1000 + b"\n"
+        for _ in range(3 * logs.BUFFER_MAX // len(line)):
+            self.writer.write(line)
+            self.writer.flush()
+        self.assertGreater(self.writer.dropped, 0)
+
+    def test_interrupted_line_is_completed(self):
+        line = b"y" * 200_000 + b"\n"
+        self.writer.write(line)
+        self.writer.write(b"end\n")
+        read = b""
+        while not read.endswith(b"end\n"):
+            self.writer.flush()
+            read += os.read(self.reader, 10**6)
+        self.assertEqual(read, line + b"end\n")
--- /dev/null
+++ b/tests/platform/test_clients.py
@@ -0,0 +1,190 @@
+import unittest
+
+from aiohttp import test_utils
+from returns import result
+
+from tests.platform import stand_in
+from waxwingwalk.dispatch import effects
+from waxwingwalk.dispatch import model
+from waxwingwalk.host import metrics
+from waxwingwalk.platform import backends
+from waxwingwalk.platform import store as platform_store
+from waxwingwalk.store import rows as store_rows
+
+Failure = store_rows.StoreFailure
+Outcome = model.CallOutcome
+LIFE = model.Life("w-1", 1)
+RUN = model.RunKey("j.0.0.0", 1)
+
+
+class StoreClientTests(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.store = stand_in.Store()
+        self.server = test_utils.TestServer(self.store.application())
+        await self.server.start_server()
+        self.client = platform_store.PlatformStore(
+            f"127.0.0.1:{self.server.port}", metrics.HostMetrics()
+        )
+
+    async def asyncTearDown(self):
+        await self.client.close()
+        await self.server.close()
+
+    def write(self, value=b"x", *, if_version=0, key="k"):
+        return self.client.write(
+            [store_rows.RowWrite("t", key, value, if_version)]
+        )
+
+    async def test_row_is_written_once_under_its_condition(self):
+        first = (await self.write()).unwrap()
+        self.assertTrue(first.is_applied)
+        second = (await self.write(b"y")).unwrap()
+        self.assertFalse(second.is_applied)
+        self.assertEqual(second.current[0].value, b"x")
+
+    async def test_table_is_read_page_by_page(self):
+        for number in range(5):
+            self.store.put("t", f"k{number}", b"v")
+        read = (await self.client.read("t")).unwrap()
+        self.assertEqual(
+            [row.key for row in read.rows], ["k0", "k1", "k2", "k3", "k4"]
+        )
+        self.assertEqual(read.version, 5)
+
+    async def test_feed_tells_changes_and_removals(self):
+        await self.write()
+        await self.client.write([store_rows.RowWrite("t", "k", None, None)])
+        read = await self.client.changes("t", 0, model.ZERO)
+        (row,) = read.unwrap().rows
+        self.assertIsNone(row.value)
+
+    async def test_dropped_history_asks_for_a_full_read(self):
+        self.store.history_from = 10
+        read = await self.client.changes("t", 3, model.ZERO)
+        self.assertEqual(read, result.Failure(Failure.HISTORY_GONE))
+
+    async def test_failures_say_whether_anything_was_done(self):
+        cases = (
+            (429, Failure.REFUSED),
+            (503, Failure.REFUSED),
+            (403, Failure.REFUSED),
+            (500, Failure.UNKNOWN),
+            (502, Failure.UNKNOWN),
+        )
+        for status, failure in cases:
+            with self.subTest(status=status):
+                self.store.status = status
+                written = await self.write()
+                self.assertEqual(written, result.Failure(failure))
+
+    async def test_refused_connection_did_nothing(self):
+        await self.server.close()
+        self.assertEqual(await self.write(), result.Failure(Failure.REFUSED))
+
+    async def test_silent_store_may_have_done_it(self):
+        self.store.is_silent = True
+        read = await self.client._call(
+            "GET",
+            "/rows-get",
+            "read",
+            params={"table": "t"},
+            timeout=model.MILLISECOND * 50,
+        )
+        self.assertEqual(read, result.Failure(Failure.UNKNOWN))
+
+
+class BackendClientTests(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.worker = stand_in.Worker("w-1")
+        self.server = test_utils.TestServer(self.worker.application())
+        await self.server.start_server()
+        self.address = f"127.0.0.1:{self.server.port}"
+        self.client = backends.PlatformBackends(metrics.HostMetrics())
+
+    async def asyncTearDown(self):
+        await self.client.close()
+        await self.server.close()
+
+    def start(self, life=LIFE, fence=7):
+        return self.client.start(
+            effects.StartRun(life, self.address, fence, RUN, "spec", 99_000)
+        )
+
+    def hold(self, life=LIFE, wait=model.ZERO):
+        return self.client.hold(
+            effects.HoldRuns(life, self.address, 7, 0, None, wait)
+        )
+
+    async def test_start_carries_what_the_platform_asks_for(self):
+        started = await self.start()
+        self.assertEqual(started.outcome, Outcome.ACCEPTED)
+        self.assertIsNotNone(started.clock_ms)
+        self.assertEqual(
+            self.worker.starts,
+            [
+                {
+                    "task": "j.0.0.0",
+                    "run": 1,
+                    "spec": "spec",
+                    "deadline_ms": 99_000,
+                    "fence": 7,
+                }
+            ],
+        )
+
+    async def test_answers_to_a_start_are_told_apart(self):
+        def refusal(reason):
+            return (409, {"clock_ms": 1, "reason": reason})
+
+        cases = (
+            (refusal("fence"), Outcome.FENCED),
+            (refusal("old"), Outcome.OLD_RUN),
+            (refusal("late"), Outcome.EXPIRED),
+            (refusal("room"), Outcome.NO_ROOM),
+            (refusal("news"), Outcome.INVALID),
+            ((400, {}), Outcome.INVALID),
+            ((429, {}), Outcome.UNHEALTHY),
+            ((503, {}), Outcome.UNHEALTHY),
+            ((500, {}), Outcome.UNKNOWN),
+        )
+        for answer, outcome in cases:
+            with self.subTest(answer=answer):
+                self.worker.answers["/run-start"] = answer
+                started = await self.start()
+                self.assertEqual(started.outcome, outcome)
+
+    async def test_another_worker_at_the_address_is_another_life(self):
+        started = await self.start(model.Life("w-2", 1))
+        self.assertEqual(started.outcome, Outcome.OTHER_LIFE)
+
+    async def test_worker_born_again_under_its_id_is_another_life(self):
+        held = await self.hold(model.Life("w-1", 2))
+        self.assertEqual(held.outcome, Outcome.OTHER_LIFE)
+
+    async def test_lists_are_decoded(self):
+        await self.start()
+        held = await self.hold()
+        self.assertEqual(held.running, (RUN,))
+        held = await self.hold(wait=model.MILLISECOND * 500)
+        self.assertEqual(
+            held.ended, (model.EndedRun(1, RUN.task, 1, model.RunEnd.DONE),)
+        )
+
+    async def test_lists_that_cannot_be_read_say_nothing(self):
+        for content in ({}, {"clock_ms": "soon"}, [1]):
+            with self.subTest(content=content):
+                self.worker.answers["/hold"] = (200, content)
+                held = await self.hold()
+                self.assertEqual(held.outcome, Outcome.UNKNOWN)
+
+    async def test_refused_connection_sent_nothing(self):
+        await self.server.close()
+        started = await self.start()
+        self.assertEqual(started.outcome, Outcome.NOT_SENT)
+        self.assertFalse(await self.client.accepts_connections(self.address))
+
+    async def test_stop_is_answered(self):
+        await self.start()
+        order = effects.StopRun(LIFE, self.address, 7, RUN)
+        stopped = await self.client.stop(order)
+        self.assertEqual(stopped.outcome, Outcome.ACCEPTED)
--- a/waxwingwalk/dispatch/run_keeper.py
+++ b/waxwingwalk/dispatch/run_keeper.py
@@ -69,6 +69,8 @@
         self._tasks: collections.Counter[str] = collections.Counter()
         self._detector = outliers.LikelihoodDetector()
         self.ended: list[EndedTask] = []
+        # Log lines about what single runs have taught.
+        self.notes: effects.Effects = []
         # Counts what may have changed the free room.
         self.changes = 0
 
@@ -569,6 +571,17 @@
         elif end is TaskEnd.FAILED:
             if self._detector.task_failed(name, run.order.queue):
                 backend.set_aside_until = now + SET_ASIDE
+                self.notes.append(
+                    effects.Log(
+                        "backend.set_aside",
+                        {
+                            "backend": backend.life.backend_id,
+                            "seconds": SET_ASIDE.total_seconds(),
+                            "task": run.order.ref.name,
+                            "slowness": round(backend.pace.slowness, 2),
+                        },
+                    )
+                )
 
     # Time.
 
--- a/waxwingwalk/dispatch/scheduler.py
+++ b/waxwingwalk/dispatch/scheduler.py
@@ -312,7 +312,7 @@
         self, pool: str, service: str, now: datetime.datetime
     ) -> list[model.Room]:
         """Return free rooms that other hosts may use, the largest first."""
-        if any(record.waiting() for record in self._jobs.values()):
+        if self._is_short_of_room():
             return []
         rooms = [
             backend.free
@@ -335,24 +335,46 @@
 
     def dispatch(self, now: datetime.datetime) -> effects.Effects:
         """Start what can start, in the order of urgency."""
-        done: effects.Effects = []
         waiting = [
-            (self._order.key(record, now), record)
-            for record in self._jobs.values()
+            (self._order.key(record, now), number, record, tasks)
+            for number, record in enumerate(self._jobs.values())
+            if (tasks := record.waiting())
         ]
-        waiting.sort(key=lambda pair: pair[0])
-        for _, record in waiting:
-            if self._order.yields(record, self._free_share(now), now):
+        if not waiting:
+            return []
+        waiting.sort()
+        done: effects.Effects = []
+        free_share = self._free_share(now)
+        for _, _, record, tasks in waiting:
+            if self._order.yields(record, free_share, now):
                 continue
-            for task in record.waiting():
-                if self._is_running(task.ref.name):
-                    continue
-                started = self._start(record, task, now)
-                if not started:
-                    break
+            started = self._start_job(record, tasks, now)
+            if started:
                 done += started
+                free_share = self._free_share(now)
+        return done
+
+    def _start_job(
+        self,
+        record: job_record.JobRecord,
+        tasks: list[job_record.TaskRecord],
+        now: datetime.datetime,
+    ) -> effects.Effects:
+        """Start as many of a job's tasks as there is room for."""
+        done: effects.Effects = []
+        for task in tasks:
+            if self._is_running(task.ref.name):
+                continue
+            started = self._start(record, task, now)
+            if not started:
+                break
+            done += started
         return done
 
+    def _is_short_of_room(self) -> bool:
+        """Tell whether tasks of jobs that were given to this host wait."""
+        return any(record.waiting() for record in self._jobs.values())
+
     def _is_running(self, task: str) -> bool:
         """Tell whether a run from a former request for the job is ending."""
         return self._runs.has_run_of(task) or task in self._leftovers
@@ -448,7 +470,7 @@
     def take_ends(self, now: datetime.datetime) -> effects.Effects:
         """Act on the runs that ended since the last call."""
         ended, self._runs.ended = self._runs.ended, []
-        done: effects.Effects = []
+        done, self._runs.notes = self._runs.notes, []
         for each in ended:
             key = each.order.key
             if each.order.owner is not None:
@@ -525,7 +547,7 @@
     ) -> effects.Effects:
         """Run a peer's task if that can start at once."""
         order = _order_of(message, link)
-        is_busy = any(record.waiting() for record in self._jobs.values())
+        is_busy = self._is_short_of_room()
         backend = None
         if not is_busy and not self._is_running(order.ref.name):
             due = now + order.estimate
--- a/waxwingwalk/emulator/experiment.py
+++ b/waxwingwalk/emulator/experiment.py
@@ -7,6 +7,7 @@
 
 import dataclasses
 import datetime
+import functools
 import math
 import random
 
@@ -128,12 +129,8 @@
         hosts = list(self.fleet.hosts.values())
         for number, arrival in enumerate(self._arrivals):
             host = hosts[number % len(hosts)]
-            self.fleet.timeline.after(
-                arrival.at,
-                lambda number=number, arrival=arrival, host=host: (  # type: ignore[misc]
-                    self._submit(number, arrival, host)
-                ),
-            )
+            submit = functools.partial(self._submit, number, arrival, host)
+            self.fleet.timeline.after(arrival.at, submit)
         self.fleet.run(self._load.length + SETTLING)
         return self._tally()
 
