Added the commands explain and emulate, and a catalogue of log events

explain tells a job's history from the log files of several hosts and why it ended as it did, or sums up a run.

--- a/docs/generate_reference.py
+++ b/docs/generate_reference.py
@@ -14,6 +14,7 @@
 from waxwingwalk.client import model as client_model
 from waxwingwalk.core import results
 from waxwingwalk.entry import requests
+from waxwingwalk.host import log_catalogue
 from waxwingwalk.settings import global_settings
 
 REFERENCE = pathlib.Path(__file__).parent / "ref"
@@ -54,6 +55,24 @@
     return "\n".join([*lines, ""])
 
 
+def host_logs() -> str:
+    """Return the page on the logs of dispatch hosts."""
+    lines = [
+        "# Logs of dispatch hosts",
+        "",
+        "One JSON object a line on standard output, with `event`, `level` and",
+        "`timestamp`. Each event has a budget of lines a second; what is left",
+        "out is counted in `log.suppressed`. No payload is logged.",
+        "",
+        "| event | when | fields |",
+        "| --- | --- | --- |",
+    ]
+    for name, event in log_catalogue.EVENTS.items():
+        fields = ", ".join(f"`{field}`" for field in event.fields)
+        lines.append(f"| `{name}` | {event.when} | {fields} |")
+    return "\n".join([*lines, ""])
+
+
 def comments() -> dict[str, str]:
     """Return the comment above each setting."""
     text = pathlib.Path(global_settings.__file__).read_text()
@@ -179,6 +198,7 @@
 
 
 PAGES = {
+    "host-logs.md": host_logs,
     "result-codes.md": result_codes,
     "settings.md": settings,
     "callers.openapi.json": openapi,
--- a/waxwingwalk/emulator/scenario.py
+++ b/waxwingwalk/emulator/scenario.py
@@ -38,10 +38,19 @@
 
 
 class Day:
-    """One day of a fleet."""
+    """One day of a fleet, with random faults or with those planned.
 
-    def __init__(self, seed: int, faults: int = FAULTS_PER_DAY) -> None:
+    A planned fault is its time in seconds from the first job, and its kind.
+    """
+
+    def __init__(
+        self,
+        seed: int,
+        faults: int = FAULTS_PER_DAY,
+        planned: list[tuple[float, str]] | None = None,
+    ) -> None:
         self.seed = seed
+        self._planned = planned
         self.fleet = emulator_fleet.Fleet(seed)
         self.faults: list[str] = []
         self._random = random.Random(seed)
@@ -52,9 +61,7 @@
         """Play the day and return what came of it."""
         self._build()
         self.fleet.run(WARM_UP)
-        for _ in range(self._fault_count):
-            delay = LENGTH * self._random.random()
-            kind = self._random.choice(FAULTS)
+        for delay, kind in self._plan():
             self.fleet.timeline.after(delay, self._fault(kind))
         jobs = int(LENGTH / JOB_INTERVAL)
         for number in range(jobs):
@@ -63,6 +70,17 @@
         self.fleet.settle()
         return self._result()
 
+    def _plan(self) -> list[tuple[datetime.timedelta, str]]:
+        if self._planned is not None:
+            return [
+                (datetime.timedelta(seconds=at), kind)
+                for at, kind in self._planned
+            ]
+        return [
+            (LENGTH * self._random.random(), self._random.choice(FAULTS))
+            for _ in range(self._fault_count)
+        ]
+
     def _build(self) -> None:
         for zone in ZONES:
             for number in range(HOSTS_PER_ZONE):
--- a/waxwingwalk/management/__init__.py
+++ b/waxwingwalk/management/__init__.py
@@ -8,7 +8,9 @@
 from waxwingwalk.management.commands import backend
 from waxwingwalk.management.commands import check
 from waxwingwalk.management.commands import demo
+from waxwingwalk.management.commands import emulate
 from waxwingwalk.management.commands import entry
+from waxwingwalk.management.commands import explain
 from waxwingwalk.management.commands import hosts
 from waxwingwalk.management.commands import jobs
 from waxwingwalk.management.commands import platform
@@ -22,7 +24,10 @@
         backend.BackendCommand(),
         check.CheckCommand(),
         demo.DemoCommand(),
+        emulate.EmulateDaysCommand(),
+        emulate.EmulateLoadCommand(),
         entry.EntryCommand(),
+        explain.ExplainCommand(),
         hosts.BackendServerListCommand(),
         hosts.HostDrainCommand(),
         hosts.HostListCommand(),
--- /dev/null
+++ b/waxwingwalk/management/commands/explain.py
@@ -0,0 +1,79 @@
+"""``waxwingwalk explain``: what happened to a job, from log files."""
+
+from collections.abc import Iterator
+import pathlib
+
+import cleo.helpers
+
+from waxwingwalk.host import history
+from waxwingwalk.management import base
+
+
+class ExplainCommand(base.BaseCommand):
+    """Tells a job's history in order, or sums up a whole run."""
+
+    name = "explain"
+    description = "Tell from log files what happened to a job, or to all."
+    arguments = [
+        cleo.helpers.argument(
+            "job", "The job's id, or 'all' to sum up the whole run."
+        ),
+        cleo.helpers.argument(
+            "files", "Log files of dispatch hosts.", multiple=True
+        ),
+    ]
+
+    def handle(self) -> int:
+        try:
+            lines = list(self._lines())
+        except OSError as error:
+            return self.fail(f"{error.filename}: {error.strerror}")
+        entries = history.read(lines)
+        if not entries:
+            return self.fail("the files hold no log line of a dispatch host")
+        job_id = self.argument("job")
+        if job_id == "all":
+            self._print_summary(history.summarise(entries))
+            return base.EXIT_OK
+        told = history.of_job(job_id, entries)
+        if told is None:
+            return self.fail(f"no log line names the job {job_id!r}")
+        for entry in told.entries:
+            self.line(str(entry), style=None)
+        if told.context:
+            self.line("", style=None)
+            self.line("at that time:", style=None)
+            for entry in told.context:
+                self.line(f"  {entry}", style=None)
+        self.line("", style=None)
+        self.line(told.verdict, style=None)
+        return base.EXIT_OK
+
+    def _lines(self) -> Iterator[tuple[str, str]]:
+        for name in self.argument("files"):
+            path = pathlib.Path(name)
+            with path.open(errors="replace") as opened:
+                for line in opened:
+                    yield path.stem, line
+
+    def _print_summary(self, summary: history.Summary) -> None:
+        self.print_table(
+            ["outcome", "reason", "jobs"],
+            [
+                [outcome, reason, str(count)]
+                for outcome, reason, count in summary.answers
+            ],
+        )
+        self.line("", style=None)
+        self.print_table(
+            ["event", "lines"],
+            [[event, str(count)] for event, count in summary.events],
+        )
+        self.line("", style=None)
+        self.print_table(
+            ["latest jobs", "late ms", "why"],
+            [
+                [job_id, f"{late:.0f}", why]
+                for job_id, late, why in summary.slowest
+            ],
+        )
