Wrote log lines whole

The buffer went out in one write, a pipe took part of it, and whoever reads the pipe in pieces cut a line in two. Whole lines up to PIPE_BUF go in one write.

--- a/tests/host/test_logs.py
+++ b/tests/host/test_logs.py
@@ -1,6 +1,7 @@
 import datetime
 import os
 import unittest
+from unittest import mock
 
 import orjson
 
@@ -56,6 +57,17 @@
             self.writer.flush()
         self.assertGreater(self.writer.dropped, 0)
 
+    def test_lines_are_written_whole(self):
+        line = b"z" * 1500 + b"\n"
+        for _ in range(9):
+            self.writer.write(line)
+        with mock.patch("os.write", side_effect=os.write) as write:
+            self.writer.flush()
+        chunks = [call.args[1] for call in write.call_args_list]
+        self.assertTrue(all(each.endswith(b"\n") for each in chunks))
+        self.assertTrue(all(len(each) <= 4096 for each in chunks))
+        self.assertEqual(b"".join(chunks), line * 9)
+
     def test_interrupted_line_is_completed(self):
         line = b"y" * 200_000 + b"\n"
         self.writer.write(line)
--- a/waxwingwalk/host/logs.py
+++ b/waxwingwalk/host/logs.py
@@ -10,6 +10,7 @@
 import datetime
 import logging
 import os
+import select
 
 import orjson
 import structlog
@@ -43,21 +44,38 @@
         self._size += len(line)
 
     def flush(self) -> None:
-        """Write what the reader takes now."""
+        """Write what the reader takes now, whole lines at a time."""
         while self._waiting:
-            chunk = b"".join(self._waiting)
+            chunk = self._next_lines()
             try:
                 count = os.write(self._descriptor, chunk)
             except BlockingIOError:
-                count = 0
+                return
             except OSError:
                 # Nobody reads any more; there is nowhere to report that.
                 count = len(chunk)
-            self._waiting.clear()
-            self._size = len(chunk) - count
-            if self._size:
-                self._waiting.append(chunk[count:])
+            self._written(count)
+
+    def _next_lines(self) -> bytes:
+        """Return lines that a pipe takes as one, or else the next line."""
+        size = 0
+        lines = []
+        for line in self._waiting:
+            size += len(line)
+            if lines and size > select.PIPE_BUF:
+                break
+            lines.append(line)
+        return b"".join(lines)
+
+    def _written(self, count: int) -> None:
+        """Drop what was written; the rest of a cut line goes next."""
+        self._size -= count
+        while count:
+            line = self._waiting.popleft()
+            if len(line) > count:
+                self._waiting.appendleft(line[count:])
                 return
+            count -= len(line)
 
 
 class Budget:
