--- a/waxwingwalk/host/logs.py
+++ b/waxwingwalk/host/logs.py
@@ -59,7 +59,7 @@
     def _next_lines(self) -> bytes:
         """Return lines that a pipe takes as one, or else the next line."""
         size = 0
-        lines = []
+        lines: list[bytes] = []
         for line in self._waiting:
             size += len(line)
             if lines and size > select.PIPE_BUF:
