--- a/tests/emulator/test_days.py
+++ b/tests/emulator/test_days.py
@@ -19,7 +19,7 @@
 
     def test_day_without_faults_serves_every_caller_that_stays(self):
         played = scenario.Day(0, faults=0).run()
-        answered = played.done + played.refused + played.lost
+        answered = played.done + played.refused + played.failed
         self.assertEqual(answered, played.jobs - played.left)
         self.assertEqual(played.lost, 0)
 
--- a/waxwingwalk/emulator/scenario.py
+++ b/waxwingwalk/emulator/scenario.py
@@ -31,6 +31,7 @@
     done: int
     refused: int
     lost: int
+    failed: int
     left: int
     starts: int
     faults: tuple[str, ...]
@@ -232,6 +233,7 @@
             done=outcomes.count(kinds.DONE),
             refused=outcomes.count(kinds.NOT_RUN),
             lost=outcomes.count(kinds.LOST),
+            failed=outcomes.count(kinds.FAILED),
             left=sum(each.has_left for each in self.fleet.callers.values()),
             starts=self.fleet.judge.starts,
             faults=tuple(self.faults),
--- a/waxwingwalk/management/commands/emulate.py
+++ b/waxwingwalk/management/commands/emulate.py
@@ -64,8 +64,10 @@
                     f"{breach.detail}",
                     style="error",
                 )
-        headers = ["seed", "jobs", "done", "refused", "lost", "left"]
-        self.print_table([*headers, "starts", "faults", "broken"], rows)
+        headers = ["seed", "jobs", "done", "refused", "lost", "failed"]
+        self.print_table(
+            [*headers, "left", "starts", "faults", "broken"], rows
+        )
         return EXIT_BREACH if is_broken else base.EXIT_OK
 
     def _days(self) -> result.Result[list[scenario.Day], str]:
@@ -138,6 +140,7 @@
         played.done,
         played.refused,
         played.lost,
+        played.failed,
         played.left,
         played.starts,
     )
