--- a/tests/docs/test_host_logs.py
+++ b/tests/docs/test_host_logs.py
@@ -10,6 +10,8 @@
 
 PACKAGE = pathlib.Path(waxwingwalk.__file__).parent
 AREAS = ("dispatch", "host", "platform", "store")
+# RunKeeper._drop logs under the name that it is given.
+DROPPED_FIELDS = {"backend", "life", "fence", "reason"}
 LOG_METHODS = {"info", "warning", "error"}
 
 
@@ -27,10 +29,12 @@
 def note(call, found):
     """Take in a call that logs."""
     event = call.args[0]
-    if not isinstance(event, ast.Constant):
-        return
     name = getattr(call.func, "attr", getattr(call.func, "id", ""))
-    if name == "Log":
+    if name == "_drop":
+        found[call.args[2].value] |= DROPPED_FIELDS
+    elif not isinstance(event, ast.Constant):
+        return
+    elif name == "Log":
         found[event.value] |= {key.value for key in call.args[1].keys}
     elif name in LOG_METHODS:
         found[event.value] |= {each.arg for each in call.keywords}
--- a/waxwingwalk/dispatch/front.py
+++ b/waxwingwalk/dispatch/front.py
@@ -75,7 +75,7 @@
                 "job": job.job_id,
                 "queue": job.queue,
                 "scheduler": address,
-                "expires_in_ms": _milliseconds(job.expires - now),
+                "expires_in_ms": model.milliseconds(job.expires - now),
             },
         )
         if address == self._hosts.me.address:
@@ -177,8 +177,8 @@
         spec=job.spec,
         stretch=job.stretch,
         steps=job.steps,
-        due_in_ms=_milliseconds(job.due - now),
-        expires_in_ms=_milliseconds(job.expires - now),
+        due_in_ms=model.milliseconds(job.due - now),
+        expires_in_ms=model.milliseconds(job.expires - now),
     )
 
 
@@ -196,7 +196,3 @@
         due=now + message.due_in_ms * model.MILLISECOND,
         expires=now + message.expires_in_ms * model.MILLISECOND,
     )
-
-
-def _milliseconds(duration: datetime.timedelta) -> float:
-    return round(duration / model.MILLISECOND, 1)
--- a/waxwingwalk/dispatch/model.py
+++ b/waxwingwalk/dispatch/model.py
@@ -9,6 +9,11 @@
 ZERO = datetime.timedelta()
 
 
+def milliseconds(duration: datetime.timedelta) -> float:
+    """Return a duration in milliseconds, to a tenth, for logs and messages."""
+    return round(duration / MILLISECOND, 1)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Room:
     """Capacity of a backend server, or what a task asks of it.
--- a/waxwingwalk/dispatch/run_keeper.py
+++ b/waxwingwalk/dispatch/run_keeper.py
@@ -113,40 +113,36 @@
         self, life: model.Life, now: datetime.datetime, reason: str
     ) -> effects.Effects:
         """Order a backend server no more; what runs there may go on."""
-        backend = self._backends.pop(life, None)
-        if backend is None:
-            return []
-        for run in list(backend.runs.values()):
-            self._end(backend, run, TaskEnd.LOST, now)
-        self._detector.forget(str(life))
-        return [
-            effects.Log(
-                "backend.released",
-                {
-                    "backend": life.backend_id,
-                    "life": life.started_ms,
-                    "fence": backend.fence,
-                    "reason": reason,
-                },
-            )
-        ]
+        return self._drop(life, TaskEnd.LOST, "backend.released", reason, now)
 
     def life_over(
         self, life: model.Life, now: datetime.datetime, reason: str
     ) -> effects.Effects:
         """Forget a life that is over; what it ran is over too."""
+        return self._drop(life, TaskEnd.GONE, "backend.gone", reason, now)
+
+    def _drop(
+        self,
+        life: model.Life,
+        end: TaskEnd,
+        event: str,
+        reason: str,
+        now: datetime.datetime,
+    ) -> effects.Effects:
+        """Forget a backend server, with the same end for all its runs."""
         backend = self._backends.pop(life, None)
         if backend is None:
             return []
         for run in list(backend.runs.values()):
-            self._end(backend, run, TaskEnd.GONE, now)
+            self._end(backend, run, end, now)
         self._detector.forget(str(life))
         return [
             effects.Log(
-                "backend.gone",
+                event,
                 {
                     "backend": life.backend_id,
                     "life": life.started_ms,
+                    "fence": backend.fence,
                     "reason": reason,
                 },
             )
--- a/waxwingwalk/dispatch/scheduler.py
+++ b/waxwingwalk/dispatch/scheduler.py
@@ -92,9 +92,9 @@
                     "job": job.job_id,
                     "queue": job.queue,
                     "tasks": len(record.tasks),
-                    "work_ms": _milliseconds(record.work_left()),
-                    "due_in_ms": _milliseconds(job.due - now),
-                    "backlog_ms": _milliseconds(self.backlog(now)),
+                    "work_ms": model.milliseconds(record.work_left()),
+                    "due_in_ms": model.milliseconds(job.due - now),
+                    "backlog_ms": model.milliseconds(self.backlog(now)),
                 },
             ),
             *self.dispatch(now),
@@ -260,8 +260,8 @@
                 "queue": job.queue,
                 "outcome": outcome.value,
                 "reason": reason,
-                "age_ms": _milliseconds(now - record.arrived_at),
-                "late_ms": _milliseconds(now - job.due),
+                "age_ms": model.milliseconds(now - record.arrived_at),
+                "late_ms": model.milliseconds(now - job.due),
                 "runs": sum(task.run for task in record.tasks.values()),
             },
         )
@@ -278,7 +278,7 @@
                     reason,
                     None
                     if retry_after is None
-                    else _milliseconds(retry_after),
+                    else model.milliseconds(retry_after),
                 ),
             )
         return [log, answer]
@@ -439,8 +439,8 @@
                 "backend": backend.life.backend_id,
                 "slowness": round(backend.slowness(now), 2),
                 "free_before": backend.free.processors,
-                "waited_ms": _milliseconds(now - record.arrived_at),
-                "due_in_ms": _milliseconds(record.job.due - now),
+                "waited_ms": model.milliseconds(now - record.arrived_at),
+                "due_in_ms": model.milliseconds(record.job.due - now),
             },
         )
 
@@ -667,7 +667,7 @@
                                 "task": task.ref.name,
                                 "run": task.run,
                                 "backend": task.backend_id,
-                                "limit_ms": _milliseconds(limit),
+                                "limit_ms": model.milliseconds(limit),
                             },
                         )
                     )
@@ -706,8 +706,8 @@
         service=order.service,
         spec=order.spec,
         room=order.room,
-        estimate_ms=_milliseconds(order.estimate),
-        due_in_ms=_milliseconds(left),
+        estimate_ms=model.milliseconds(order.estimate),
+        due_in_ms=model.milliseconds(left),
         label=order.label,
         max_per_backend=order.max_per_backend,
     )
@@ -733,7 +733,3 @@
     return messages.TaskEnded(
         ref.job_id, ref.step, ref.index, ended.order.run, ended.end.value
     )
-
-
-def _milliseconds(duration: datetime.timedelta) -> float:
-    return round(duration / model.MILLISECOND, 1)
--- a/waxwingwalk/host/log_catalogue.py
+++ b/waxwingwalk/host/log_catalogue.py
@@ -107,7 +107,8 @@
         ("backend", "life", "fence", "reason"),
     ),
     "backend.gone": LogEvent(
-        "a life of the server is over", ("backend", "life", "reason")
+        "a life of the server is over",
+        ("backend", "life", "fence", "reason"),
     ),
     "job.refused": LogEvent(
         "a request is not valid, or asks for what is not served",
--- a/waxwingwalk/platform/callers.py
+++ b/waxwingwalk/platform/callers.py
@@ -139,8 +139,8 @@
             outcome=answer.outcome.value,
             reason=answer.reason,
             catalog_version=self._catalog_version,
-            elapsed_ms=_milliseconds(self._engine.clock.now() - arrived),
-            wait_ms=_milliseconds(wait),
+            elapsed_ms=model.milliseconds(self._engine.clock.now() - arrived),
+            wait_ms=model.milliseconds(wait),
         )
         return _answer(answer)
 
@@ -288,7 +288,3 @@
         body=orjson.dumps(content),
         content_type="application/json",
     )
-
-
-def _milliseconds(duration: datetime.timedelta) -> float:
-    return round(duration / model.MILLISECOND, 1)
