--- a/tests/platform/test_callers.py
+++ b/tests/platform/test_callers.py
@@ -137,6 +137,21 @@
             status, _, _ = await self.site.call(method, PATH)
             self.assertEqual(status, 410)
 
+    async def test_job_of_a_caller_that_leaves_is_stopped(self):
+        await self.site.start()
+        await self.served()
+        step = STEP | {"count": 60, "cpu": 16000}
+        waiting = asyncio.create_task(
+            self.site.call("POST", PATH, json=job(steps=[step]))
+        )
+        while not self.site.workers[0].running:
+            await asyncio.sleep(0.01)
+        waiting.cancel()
+        while "job.abandoned" not in self.site.logs[0]:
+            await asyncio.sleep(PAUSE_SECONDS)
+        while self.site.workers[0].running:
+            await asyncio.sleep(PAUSE_SECONDS)
+
     async def test_new_configuration_is_in_force_and_never_reverts(self):
         await self.site.start()
         await self.served()
--- /dev/null
+++ b/tests/store/test_follower.py
@@ -0,0 +1,102 @@
+import asyncio
+import datetime
+import unittest
+from unittest import mock
+
+from returns import result
+
+from waxwingwalk.store import follower
+from waxwingwalk.store import rows as store_rows
+
+Failure = store_rows.StoreFailure
+
+
+def rows(version, **values):
+    """Return rows of a table; None removes one."""
+    found = tuple(
+        store_rows.StoredRow(key, version, value)
+        for key, value in values.items()
+    )
+    return result.Success(store_rows.Rows(found, version))
+
+
+class ScriptedStore:
+    """Gives planned answers, then none."""
+
+    def __init__(self, *answers):
+        self.answers = list(answers)
+        self.calls = []
+        self.is_over = asyncio.Event()
+
+    async def _next(self, *call):
+        self.calls.append(call)
+        if not self.answers:
+            self.is_over.set()
+            await asyncio.Event().wait()
+        return self.answers.pop(0)
+
+    async def read(self, table):
+        """Read a whole table."""
+        return await self._next("read")
+
+    async def changes(self, table, after, wait):
+        """Return what changed."""
+        return await self._next("changes", after)
+
+
+class FollowerTests(unittest.IsolatedAsyncioTestCase):
+    async def follow(self, *answers):
+        """Follow until the answers are used up; return what was told."""
+        store = ScriptedStore(*answers)
+        told = []
+        log = mock.Mock()
+        following = follower.TableFollower(
+            store,
+            "t",
+            lambda found: told.append(
+                {key: row.value for key, row in found.items()}
+            ),
+            log,
+        )
+        with mock.patch.object(follower, "RETRY", datetime.timedelta()):
+            task = asyncio.create_task(following.run())
+            await store.is_over.wait()
+            task.cancel()
+        logged = [call.args[0] for call in log.info.call_args_list]
+        return store.calls, told, logged
+
+    async def test_table_is_read_once_then_followed(self):
+        calls, told, _ = await self.follow(
+            rows(3, a=b"1", b=b"2"), rows(5, a=None, c=b"3"), rows(9)
+        )
+        self.assertEqual(
+            calls,
+            [("read",), ("changes", 3), ("changes", 5), ("changes", 9)],
+        )
+        self.assertEqual(
+            told, [{"a": b"1", "b": b"2"}, {"b": b"2", "c": b"3"}]
+        )
+
+    async def test_gap_in_the_history_asks_for_the_whole_table(self):
+        gone = result.Failure(Failure.HISTORY_GONE)
+        calls, told, logged = await self.follow(
+            rows(3, a=b"1"), gone, rows(8, b=b"2")
+        )
+        self.assertEqual(
+            calls, [("read",), ("changes", 3), ("read",), ("changes", 8)]
+        )
+        self.assertEqual(told[-1], {"b": b"2"})
+        self.assertEqual(logged, ["store.history_gone"])
+
+    async def test_outage_is_said_once_and_followed_from_where_it_began(self):
+        down = result.Failure(Failure.REFUSED)
+        calls, told, logged = await self.follow(
+            rows(3, a=b"1"), down, down, rows(4, a=b"2")
+        )
+        self.assertEqual([call[-1] for call in calls[1:4]], [3, 3, 3])
+        self.assertEqual(told[-1], {"a": b"2"})
+        self.assertEqual(logged, ["store.lost", "store.regained"])
+
+    async def test_version_never_goes_back(self):
+        calls, _, _ = await self.follow(rows(7), rows(4, a=b"1"))
+        self.assertEqual(calls[-1], ("changes", 7))
