--- a/tests/dispatch/test_run_keeper.py
+++ b/tests/dispatch/test_run_keeper.py
@@ -234,7 +234,7 @@
     def test_draining_server_takes_no_new_runs(self):
         backend = self.take()
         draining = builders.report(willingness=model.Willingness.DRAINING)
-        self.runs.report(draining, builders.at(5))
+        self.runs.report(draining)
         self.assertFalse(backend.takes(builders.order(), builders.at(6)))
 
     def test_limit_per_server_counts_runs_of_the_step(self):
--- a/waxwingwalk/dispatch/backend.py
+++ b/waxwingwalk/dispatch/backend.py
@@ -101,7 +101,6 @@
         self.is_held = False
         self.looks = 0
         self.next_look_at = now
-        self.taken_at = now
         self.heard_at: datetime.datetime | None = None
         self.failed_looks = 0
         self.lease_ends_ms = 0
@@ -178,13 +177,12 @@
 
     def takes(self, order: TaskOrder, now: datetime.datetime) -> bool:
         """Tell whether a task may start here now."""
-        if not self.is_usable(now) or order.service != self.report.service:
-            return False
-        if order.label is not None and order.label not in self.report.labels:
-            return False
-        if not self.free.holds(order.room):
-            return False
-        return self._is_below_step_limit(order)
+        return (
+            self.is_usable(now)
+            and self.could_ever_take(order)
+            and self.free.holds(order.room)
+            and self._is_below_step_limit(order)
+        )
 
     def could_ever_take(self, order: TaskOrder) -> bool:
         """Tell whether a task would fit here with nothing else running."""
--- a/waxwingwalk/dispatch/front.py
+++ b/waxwingwalk/dispatch/front.py
@@ -26,7 +26,6 @@
     """A job that waits for its answer; ``link`` is None if scheduled here."""
 
     job: model.Job
-    submitted_at: datetime.datetime
     link: int | None = None
 
 
@@ -53,7 +52,7 @@
         self, job: model.Job, now: datetime.datetime
     ) -> effects.Effects:
         """Pass a caller's job to a scheduler."""
-        pending = PendingJob(job, now)
+        pending = PendingJob(job)
         self._pending[job.job_id] = pending
         return self._pass_on(pending, now)
 
@@ -90,7 +89,7 @@
         """Return the address of the scheduler with the shortest wait."""
         best: tuple[datetime.timedelta, str] | None = None
         for pool in self._ownership.pools:
-            address = self._ownership.owner_address(pool, now)
+            address = self._ownership.owner_address(pool)
             if address is None:
                 continue
             wait = self._backlog(address, now)
--- a/waxwingwalk/dispatch/hosts.py
+++ b/waxwingwalk/dispatch/hosts.py
@@ -16,7 +16,6 @@
     """Another dispatch host and the link that this one opened to it."""
 
     record: model.HostRecord
-    known_since: datetime.datetime
     link: int | None = None
     down_since: datetime.datetime | None = None
     is_refused: bool = False
@@ -54,7 +53,7 @@
             return
         peer = self._peers.get(record.address)
         if peer is None:
-            self._peers[record.address] = Peer(record, now, down_since=now)
+            self._peers[record.address] = Peer(record, down_since=now)
         elif record.incarnation > peer.record.incarnation:
             peer.record = record
             if peer.link is None:
--- a/waxwingwalk/dispatch/ownership.py
+++ b/waxwingwalk/dispatch/ownership.py
@@ -85,7 +85,7 @@
         """Note that a pool exists."""
         self._pools.setdefault(pool, _PoolState())
 
-    def owner_address(self, pool: str, now: datetime.datetime) -> str | None:
+    def owner_address(self, pool: str) -> str | None:
         """Return the address of the host that schedules a pool, if known."""
         best_fence, best = -1, None
         claim = self.claims.get(pool)
@@ -168,7 +168,7 @@
         self, pool: str, state: _PoolState, now: datetime.datetime
     ) -> effects.Effects:
         claim = self.claims.get(pool)
-        if claim is not None and self._is_outbid(pool, claim, state, now):
+        if claim is not None and self._is_outbid(claim, state):
             del self.claims[pool]
             return [
                 effects.Log("pool.lost", {"pool": pool, "fence": claim.fence})
@@ -181,19 +181,13 @@
             return self._found(pool, state, now)
         return self._succeed(pool, state, now)
 
-    def _is_outbid(
-        self,
-        pool: str,
-        claim: Claim,
-        state: _PoolState,
-        now: datetime.datetime,
-    ) -> bool:
+    def _is_outbid(self, claim: Claim, state: _PoolState) -> bool:
         """Tell whether another host has a better claim, and uses it."""
         for peer in self._hosts.all():
             if peer.link is None or peer.status is None:
                 continue
             for load in peer.status.loads:
-                if load.pool == pool and load.fence > claim.fence:
+                if load.pool == claim.pool and load.fence > claim.fence:
                     return True
         row = state.row
         if row is None or pool_rows.fence(state.version, 0) <= claim.fence:
@@ -304,7 +298,7 @@
         assert row is not None
         if rank and self._hosts.is_isolated():
             return []
-        former = self.owner_address(pool, now)
+        former = self.owner_address(pool)
         if former is None:
             former = next(
                 (
--- a/waxwingwalk/dispatch/placement.py
+++ b/waxwingwalk/dispatch/placement.py
@@ -52,10 +52,7 @@
     ) -> backends.Backend | None:
         if not candidates:
             return None
-        ranked = sorted(
-            candidates,
-            key=lambda each: (each.slowness(now), each.free.processors),
-        )
+        ranked = sorted(candidates, key=lambda each: _speed(each, now))
         left = due - now
         in_time = [
             each
@@ -80,11 +77,8 @@
         due: datetime.datetime,
         now: datetime.datetime,
     ) -> backends.Backend | None:
-        if not candidates:
-            return None
         return min(
-            candidates,
-            key=lambda each: (each.slowness(now), each.free.processors),
+            candidates, key=lambda each: _speed(each, now), default=None
         )
 
 
@@ -113,3 +107,10 @@
         if order.estimate * fastest <= left:
             return None
         return best
+
+
+def _speed(
+    backend: backends.Backend, now: datetime.datetime
+) -> tuple[float, int]:
+    """Rank a server: the fastest comes first, the fullest of equals."""
+    return (backend.slowness(now), backend.free.processors)
--- a/waxwingwalk/dispatch/reducer.py
+++ b/waxwingwalk/dispatch/reducer.py
@@ -203,7 +203,7 @@
         version = self.catalog.version
         done: effects.Effects = []
         for number, link in self._links.items():
-            if 0 <= link.catalog_version < version:
+            if link.catalog_version < version:
                 link.catalog_version = version
                 done.append(
                     effects.Send(
@@ -232,7 +232,7 @@
             if backend.report.zone not in claims:
                 done += self._let_go(backend, now)
             elif report is not None:
-                done += self.runs.report(report, now)
+                done += self.runs.report(report)
             elif life.backend_id in lives:
                 newer = lives[life.backend_id]
                 if newer.started_ms > life.started_ms:
--- a/waxwingwalk/dispatch/run_keeper.py
+++ b/waxwingwalk/dispatch/run_keeper.py
@@ -148,9 +148,7 @@
             )
         ]
 
-    def report(
-        self, report: model.BackendReport, now: datetime.datetime
-    ) -> effects.Effects:
+    def report(self, report: model.BackendReport) -> effects.Effects:
         """Take in what a backend server says of itself."""
         backend = self._backends[report.life]
         changed = backend.report.willingness is not report.willingness
@@ -176,11 +174,9 @@
         if backend.missing_since is None:
             backend.missing_since = now
         is_silent = backend.state is not backends.BackendState.READY
-        if not backend.runs or (
-            is_silent and now - backend.missing_since > MISSING_GRACE
-        ):
-            if now - backend.missing_since > MISSING_GRACE:
-                return self.life_over(life, now, "not listed")
+        is_over = now - backend.missing_since > MISSING_GRACE
+        if is_over and (is_silent or not backend.runs):
+            return self.life_over(life, now, "not listed")
         return []
 
     # Orders.
--- a/waxwingwalk/host/links.py
+++ b/waxwingwalk/host/links.py
@@ -75,7 +75,6 @@
         self._links: dict[int, _Link] = {}
         self._openers: dict[str, asyncio.Task[None]] = {}
         self._session: aiohttp.ClientSession | None = None
-        self.bytes_sent = 0
 
     def want(self, addresses: frozenset[str]) -> None:
         """Keep links to exactly these hosts."""
--- a/waxwingwalk/host/service.py
+++ b/waxwingwalk/host/service.py
@@ -83,7 +83,6 @@
         self._reload = reload
         self._runners: list[web.AppRunner] = []
         self._tasks: list[asyncio.Task[None]] = []
-        self._is_stopping = False
 
     async def start(self) -> None:
         """Open the listeners and start the loops."""
