Kept two of the platform's names out of the dispatch host

The boundary test exempted clock_ms and did not know retry_after_ms, both names of the platform. Ours are server_clock_ms and return_in_ms now; the exemption is gone and the list longer. A life that is lost is given up in one place.

--- a/tests/dispatch/builders.py
+++ b/tests/dispatch/builders.py
@@ -68,12 +68,12 @@
     return model.Job(job_id=job_id, **(values | fields))
 
 
-def held(reported, clock_ms=1000, *, running=(), ended=()):
+def held(reported, server_clock_ms=1000, *, running=(), ended=()):
     """Return a backend server's lists."""
     return events.RunsHeld(
         reported.life,
         model.CallOutcome.ACCEPTED,
-        clock_ms,
+        server_clock_ms,
         tuple(running),
         tuple(ended),
     )
--- a/tests/dispatch/test_run_keeper.py
+++ b/tests/dispatch/test_run_keeper.py
@@ -22,11 +22,11 @@
         self.hold(1)
         return self.runs.get(self.life)
 
-    def hold(self, at, *, clock_ms=1000, running=(), ended=()):
+    def hold(self, at, *, server_clock_ms=1000, running=(), ended=()):
         return self.runs.held(
             self.life,
             Outcome.ACCEPTED,
-            clock_ms,
+            server_clock_ms,
             tuple(running),
             tuple(ended),
             builders.at(at),
@@ -36,9 +36,9 @@
         backend = self.runs.get(self.life)
         return self.runs.start(order, backend, builders.at(at))
 
-    def answer_start(self, key, outcome, at=3, clock_ms=1002):
+    def answer_start(self, key, outcome, at=3, server_clock_ms=1002):
         return self.runs.started(
-            self.life, key, outcome, clock_ms, builders.at(at)
+            self.life, key, outcome, server_clock_ms, builders.at(at)
         )
 
     def ends(self):
--- a/tests/platform/test_boundary.py
+++ b/tests/platform/test_boundary.py
@@ -19,6 +19,7 @@
     "acked_upto",
     "deadline_ms",
     "clock_ms",
+    "retry_after_ms",
     "est_ms",
     "mem_mb",
     "slo_ms",
@@ -29,8 +30,6 @@
     "WAXWINGWALK_BOOT",
     "servers/",
 )
-# Our own name for the reading of a clock, in milliseconds.
-OURS = {"clock_ms"}
 
 
 def sources():
@@ -63,6 +62,6 @@
     def test_platform_names_stay_in_the_adapter(self):
         for path in sources():
             text = path.read_text()
-            for name in set(PLATFORM_NAMES) - OURS:
+            for name in PLATFORM_NAMES:
                 found = re.search(rf"(?<![\w-]){re.escape(name)}", text)
                 self.assertIsNone(found, f"{path} says {name}")
--- a/tests/platform/test_clients.py
+++ b/tests/platform/test_clients.py
@@ -118,7 +118,7 @@
     async def test_start_carries_what_the_platform_asks_for(self):
         started = await self.start()
         self.assertEqual(started.outcome, Outcome.ACCEPTED)
-        self.assertIsNotNone(started.clock_ms)
+        self.assertIsNotNone(started.server_clock_ms)
         self.assertEqual(
             self.worker.starts,
             [
--- a/waxwingwalk/dispatch/backend.py
+++ b/waxwingwalk/dispatch/backend.py
@@ -123,17 +123,17 @@
         """Room that nothing occupies, as far as is known."""
         return self.report.room - self.used
 
-    def read_clock(self, clock_ms: int, now: datetime.datetime) -> None:
+    def read_clock(self, server_clock_ms: int, now: datetime.datetime) -> None:
         """Note what the backend server's clock showed just before now."""
-        self._clock = (clock_ms, now)
+        self._clock = (server_clock_ms, now)
 
     def lease_end(self, now: datetime.datetime) -> int | None:
         """Return the end of a new lease on the server's clock, in ms."""
         if self._clock is None:
             return None
-        clock_ms, read_at = self._clock
+        server_clock_ms, read_at = self._clock
         elapsed = now - read_at
-        end = clock_ms + int((elapsed + LEASE) / model.MILLISECOND)
+        end = server_clock_ms + int((elapsed + LEASE) / model.MILLISECOND)
         self.lease_ends_ms = max(self.lease_ends_ms, end)
         return end
 
@@ -145,8 +145,8 @@
         """
         if self._clock is None or not self.lease_ends_ms:
             return now
-        clock_ms, read_at = self._clock
-        left = max(0, self.lease_ends_ms - clock_ms) * model.MILLISECOND
+        server_clock_ms, read_at = self._clock
+        left = max(0, self.lease_ends_ms - server_clock_ms) * model.MILLISECOND
         return read_at + left * (1 + 1.1 * CLOCK_DRIFT) + STOP_TIME
 
     def may_extend_lease(self, now: datetime.datetime) -> bool:
--- a/waxwingwalk/dispatch/events.py
+++ b/waxwingwalk/dispatch/events.py
@@ -116,7 +116,7 @@
     life: model.Life
     run: model.RunKey
     outcome: model.CallOutcome
-    clock_ms: int | None
+    server_clock_ms: int | None
 
 
 @dataclasses.dataclass(slots=True)
@@ -132,12 +132,12 @@
 class RunsHeld:
     """A backend server's lists arrived, or did not.
 
-    ``clock_ms`` was its clock when it answered.
+    ``server_clock_ms`` was its clock when it answered.
     """
 
     life: model.Life
     outcome: model.CallOutcome
-    clock_ms: int | None = None
+    server_clock_ms: int | None = None
     running: tuple[model.RunKey, ...] = ()
     ended: tuple[model.EndedRun, ...] = ()
 
--- a/waxwingwalk/dispatch/messages.py
+++ b/waxwingwalk/dispatch/messages.py
@@ -49,7 +49,7 @@
     job_id: str
     outcome: model.JobOutcome
     reason: str
-    retry_after_ms: float | None
+    return_in_ms: float | None
     kind: Literal["job_ended"] = "job_ended"
 
 
--- a/waxwingwalk/dispatch/reducer.py
+++ b/waxwingwalk/dispatch/reducer.py
@@ -417,8 +417,8 @@
         now: datetime.datetime,
     ) -> effects.Effects:
         retry_after = None
-        if message.retry_after_ms is not None:
-            retry_after = message.retry_after_ms * model.MILLISECOND
+        if message.return_in_ms is not None:
+            retry_after = message.return_in_ms * model.MILLISECOND
         return self.front.answered(
             message.job_id,
             link,
@@ -496,7 +496,7 @@
         self, event: events.RunStarted, now: datetime.datetime
     ) -> effects.Effects:
         return self.runs.started(
-            event.life, event.run, event.outcome, event.clock_ms, now
+            event.life, event.run, event.outcome, event.server_clock_ms, now
         )
 
     def _run_stopped(
@@ -510,7 +510,7 @@
         done = self.runs.held(
             event.life,
             event.outcome,
-            event.clock_ms,
+            event.server_clock_ms,
             event.running,
             event.ended,
             now,
--- a/waxwingwalk/dispatch/run_keeper.py
+++ b/waxwingwalk/dispatch/run_keeper.py
@@ -32,6 +32,12 @@
 MISSING_GRACE = datetime.timedelta(seconds=2.5)
 
 
+# Answers by which a life is lost to this host.
+LOST_OUTCOMES = frozenset(
+    {model.CallOutcome.FENCED, model.CallOutcome.OTHER_LIFE}
+)
+
+
 class TaskEnd(enum.Enum):
     """How a run ended for whoever ordered it.
 
@@ -281,7 +287,7 @@
         life: model.Life,
         key: model.RunKey,
         outcome: model.CallOutcome,
-        clock_ms: int | None,
+        server_clock_ms: int | None,
         now: datetime.datetime,
     ) -> effects.Effects:
         """Take in the answer to an order to start."""
@@ -289,8 +295,8 @@
         run = backend.runs.get(key) if backend is not None else None
         if backend is None or run is None:
             return []
-        if clock_ms is not None:
-            backend.read_clock(clock_ms, now)
+        if server_clock_ms is not None:
+            backend.read_clock(server_clock_ms, now)
             backend.heard_at = now
         outcomes = model.CallOutcome
         match outcome:
@@ -301,10 +307,8 @@
                 return []
             case outcomes.UNKNOWN:
                 return self._start_unanswered(backend, run, now)
-            case outcomes.FENCED:
-                return self._fenced(backend, now)
-            case outcomes.OTHER_LIFE:
-                return self.life_over(life, now, "other life")
+            case outcomes.FENCED | outcomes.OTHER_LIFE:
+                return self._lost(backend, outcome, now)
             case outcomes.UNHEALTHY | outcomes.NOT_SENT:
                 self._end(backend, run, TaskEnd.NOT_RUN, now)
                 return self._suspect(backend, now, outcome.value)
@@ -347,10 +351,8 @@
         backend = self._backends.get(life)
         if backend is None:
             return []
-        if outcome is model.CallOutcome.FENCED:
-            return self._fenced(backend, now)
-        if outcome is model.CallOutcome.OTHER_LIFE:
-            return self.life_over(life, now, "other life")
+        if outcome in LOST_OUTCOMES:
+            return self._lost(backend, outcome, now)
         if outcome is not model.CallOutcome.ACCEPTED:
             return self._suspect(backend, now, "stop unanswered")
         run = backend.runs.get(key)
@@ -364,7 +366,7 @@
         self,
         life: model.Life,
         outcome: model.CallOutcome,
-        clock_ms: int | None,
+        server_clock_ms: int | None,
         running: tuple[model.RunKey, ...],
         ended: tuple[model.EndedRun, ...],
         now: datetime.datetime,
@@ -374,13 +376,14 @@
         if backend is None:
             return []
         backend.is_held = False
-        if outcome is model.CallOutcome.FENCED:
-            return self._fenced(backend, now)
-        if outcome is model.CallOutcome.OTHER_LIFE:
-            return self.life_over(life, now, "other life")
-        if outcome is not model.CallOutcome.ACCEPTED or clock_ms is None:
+        if outcome in LOST_OUTCOMES:
+            return self._lost(backend, outcome, now)
+        if (
+            outcome is not model.CallOutcome.ACCEPTED
+            or server_clock_ms is None
+        ):
             return self._look_failed(backend, now, outcome)
-        backend.read_clock(clock_ms, now)
+        backend.read_clock(server_clock_ms, now)
         backend.heard_at = now
         backend.failed_looks = 0
         backend.next_look_at = now
@@ -491,6 +494,17 @@
             )
         ]
 
+    def _lost(
+        self,
+        backend: backends.Backend,
+        outcome: model.CallOutcome,
+        now: datetime.datetime,
+    ) -> effects.Effects:
+        """Give up a life that this host can order no more."""
+        if outcome is model.CallOutcome.OTHER_LIFE:
+            return self.life_over(backend.life, now, "other life")
+        return self._fenced(backend, now)
+
     def _fenced(
         self, backend: backends.Backend, now: datetime.datetime
     ) -> effects.Effects:
--- a/waxwingwalk/emulator/backend.py
+++ b/waxwingwalk/emulator/backend.py
@@ -84,7 +84,7 @@
         self._waiters: list[Callable[[], None]] = []
 
     @property
-    def clock_ms(self) -> int:
+    def server_clock_ms(self) -> int:
         """The server's own clock."""
         elapsed = self._timeline.now() - self._born_at
         return int(elapsed / model.MILLISECOND * CLOCK_RATE)
@@ -112,13 +112,15 @@
     def start(self, order: effects.StartRun) -> events.RunStarted:
         """Carry out an order to start."""
         outcome = self._start(order)
-        return events.RunStarted(order.life, order.run, outcome, self.clock_ms)
+        return events.RunStarted(
+            order.life, order.run, outcome, self.server_clock_ms
+        )
 
     def _start(self, order: effects.StartRun) -> Outcome:
         if order.fence < self._fence:
             return Outcome.FENCED
         self._fence = order.fence
-        if order.lease_ends_ms <= self.clock_ms:
+        if order.lease_ends_ms <= self.server_clock_ms:
             return Outcome.EXPIRED
         self._extend(order.lease_ends_ms)
         if order.run in self.runs:
@@ -187,7 +189,7 @@
         return events.RunsHeld(
             life,
             Outcome.ACCEPTED,
-            self.clock_ms,
+            self.server_clock_ms,
             tuple(self.runs),
             tuple(self._ended),
         )
@@ -195,13 +197,13 @@
     # Ends.
 
     def _extend(self, lease_ends_ms: int) -> None:
-        capped = min(lease_ends_ms, self.clock_ms + LEASE_MAX_MS)
+        capped = min(lease_ends_ms, self.server_clock_ms + LEASE_MAX_MS)
         self._lease_ends_ms = max(self._lease_ends_ms, capped)
-        left = (self._lease_ends_ms - self.clock_ms) / CLOCK_RATE
+        left = (self._lease_ends_ms - self.server_clock_ms) / CLOCK_RATE
         self._timeline.after((left + 1) * model.MILLISECOND, self._check_lease)
 
     def _check_lease(self) -> None:
-        if self.clock_ms >= self._lease_ends_ms:
+        if self.server_clock_ms >= self._lease_ends_ms:
             for running in list(self.runs.values()):
                 self._end(running, "lapsed")
 
