Waited in the daemon's tests until the daemon is ready

Cause of the two failures beside load (test_paused_daemon_..., listed in KNOWN-RED.txt, and test_second_signal_...): 'wait until it serves' waited only until a peer knew the daemon, and the job that came then was refused with 2013 NOT_READY. No assertion changed.

--- a/tests/management/test_daemon.py
+++ b/tests/management/test_daemon.py
@@ -60,6 +60,21 @@
         self.reader = asyncio.create_task(self.daemon.stdout.read())
         state = self.fleet.entries[0].engine.state
         await jobs.until(lambda: len(state.membership.live_addresses()) == 2)
+        async with asyncio.timeout(fleet.READY_TIMEOUT):
+            while not await self.is_ready(started["operators"]):
+                await asyncio.sleep(fleet.POLL_PAUSE)
+
+    async def is_ready(self, operators):
+        """Tell whether the daemon has settings and knows the server."""
+        async with self.fleet.session.get(
+            f"http://{self.callers}/ready"
+        ) as response:
+            if response.status != 200:
+                return False
+        async with self.fleet.session.get(
+            f"http://{operators}/v1/backend-servers"
+        ) as response:
+            return bool((await response.json())["backend_servers"])
 
     async def asyncTearDown(self):
         with contextlib.suppress(ProcessLookupError):
