Closed connections that were accepted while a listener closes

The known red test of the draining host had this cause: the HTTP library closes idle connections by interrupting their handlers. A handler that began to wait for a request after that (a connection accepted one or two iterations of the event loop before) was missed; its request was discarded unread, the connection stayed open until the limit of the drain, and after a cancelled clean-up for good. With the event loop of asyncio, a connection whose set-up came after the close of the server stayed open, unread, until a garbage collection.

Listeners are now a module of their own. They stop accepting, let accepted connections be set up and their first requests arrive, then close; whatever is left at the limit is closed.

--- /dev/null
+++ b/waxwingwalk/host/listeners.py
@@ -0,0 +1,84 @@
+"""HTTP listeners that answer what they have accepted before they close."""
+
+import asyncio
+import datetime
+import socket
+
+from aiohttp import web
+
+LISTEN_BACKLOG = 1024
+# Time for the first request of a connection that was accepted just before the
+# listener was closed to arrive.
+FIRST_REQUEST_TIME = datetime.timedelta(milliseconds=50)
+# An event loop needs fewer iterations than this from accepting a connection
+# until its handler waits for a request.
+ACCEPT_ITERATIONS = 8
+
+
+class Listener:
+    """An application that is served at an address.
+
+    ::
+
+        listener = Listener("10.1.0.13:8161", app)
+        await listener.open()
+        await listener.close(datetime.timedelta(seconds=2))
+    """
+
+    def __init__(self, address: str, app: web.Application) -> None:
+        self._address = address
+        self._runner = web.AppRunner(
+            app, access_log=None, handler_cancellation=True
+        )
+        self._socket: socket.socket | None = None
+
+    async def open(self) -> None:
+        """Accept connections from now on."""
+        host, _, port = self._address.rpartition(":")
+        self._socket = socket.create_server(
+            (host, int(port)), backlog=LISTEN_BACKLOG
+        )
+        await self._runner.setup()
+        await web.SockSite(self._runner, self._socket).start()
+
+    async def close(self, limit: datetime.timedelta) -> bool:
+        """Stop accepting connections, and answer the requests that were read.
+
+        Return whether all of them were answered within the limit. No
+        connection is open afterwards.
+        """
+        await self._stop_accepting()
+        await asyncio.sleep(FIRST_REQUEST_TIME.total_seconds())
+        # The clean-up closes idle connections by interrupting their handlers.
+        # A handler that starts to wait for a request only then is missed, and
+        # its connection stays open without being read. If the event loop was
+        # delayed, the time above has passed within one iteration.
+        await _run_iterations(ACCEPT_ITERATIONS)
+        server = self._runner.server
+        try:
+            async with asyncio.timeout(limit.total_seconds()):
+                await self._runner.cleanup()
+        except TimeoutError:
+            # The cancelled clean-up leaves its connections open.
+            if server is not None:
+                for connection in server.connections:
+                    connection.force_close()
+            return False
+        return True
+
+    async def _stop_accepting(self) -> None:
+        """Close the listening socket, once accepted connections are set up.
+
+        The event loop of asyncio leaves a connection open, and does not read
+        it, if the server closes between its acceptance and its set-up.
+        """
+        if self._socket is not None and self._socket.fileno() >= 0:
+            asyncio.get_running_loop().remove_reader(self._socket)
+        await _run_iterations(ACCEPT_ITERATIONS)
+        for site in self._runner.sites:
+            await site.stop()
+
+
+async def _run_iterations(count: int) -> None:
+    for _ in range(count):
+        await asyncio.sleep(0)
--- a/waxwingwalk/host/service.py
+++ b/waxwingwalk/host/service.py
@@ -8,11 +8,9 @@
 import datetime
 import gc
 import signal
-import socket
 from typing import Any
 from typing import Protocol
 
-from aiohttp import web
 import aiomisc
 from returns import result
 
@@ -20,6 +18,7 @@
 from waxwingwalk.host import config as host_config
 from waxwingwalk.host import engine as host_engine
 from waxwingwalk.host import links as host_links
+from waxwingwalk.host import listeners as host_listeners
 from waxwingwalk.host import records
 from waxwingwalk.host import registry as host_registry
 from waxwingwalk.store import follower
@@ -33,7 +32,6 @@
 # Allocations minus deallocations that trigger a collection of the youngest
 # generation.
 GC_THRESHOLD = 20_000
-LISTEN_BACKLOG = 1024
 # Interval of checks of the settings file, which may change without SIGHUP.
 SETTINGS_INTERVAL = datetime.timedelta(seconds=5)
 # Settings that take effect only at the next start.
@@ -79,8 +77,8 @@
         links: host_links.HostLinks,
         registry: host_registry.HostRegistry,
         store: RelocatableStore,
-        callers_listeners: Sequence[tuple[str, web.Application]],
-        listeners: Sequence[tuple[str, web.Application]],
+        callers_listeners: Sequence[host_listeners.Listener],
+        listeners: Sequence[host_listeners.Listener],
         followers: Sequence[follower.TableFollower],
         closables: Sequence[Closable],
         reload: ConfigLoader,
@@ -96,17 +94,12 @@
         self._followers = followers
         self._closables = closables
         self._reload = reload
-        self._callers_runners: list[web.AppRunner] = []
-        self._runners: list[web.AppRunner] = []
         self._tasks: list[asyncio.Task[None]] = []
 
     async def start(self) -> None:
         """Open the listeners and start the loops."""
-        for address, app in self._listeners:
-            self._runners.append(await _listen(address, app, ANSWER_TIME_MIN))
-        for address, app in self._callers_listeners:
-            runner = await _listen(address, app, self._config.grace)
-            self._callers_runners.append(runner)
+        for listener in (*self._listeners, *self._callers_listeners):
+            await listener.open()
         self._engine.log.info(
             "process.started",
             host=self._config.name,
@@ -244,11 +237,10 @@
         The links stay open for this, as the requests may have been forwarded
         to other hosts.
         """
-        cleanups = [runner.cleanup() for runner in self._callers_runners]
-        try:
-            async with asyncio.timeout(limit.total_seconds()):
-                await asyncio.gather(*cleanups)
-        except TimeoutError:
+        completed = await asyncio.gather(
+            *(each.close(limit) for each in self._callers_listeners)
+        )
+        if not all(completed):
             self._engine.log.info(
                 "drain.cut_off", jobs=len(self._engine.reducer.front.pending)
             )
@@ -258,26 +250,9 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self._links.close()
-        await asyncio.gather(*(each.cleanup() for each in self._runners))
+        await asyncio.gather(
+            *(each.close(ANSWER_TIME_MIN) for each in self._listeners)
+        )
         await self._engine.close()
         await asyncio.gather(*(each.close() for each in self._closables))
         self._engine.log.flush()
-
-
-async def _listen(
-    address: str, app: web.Application, shutdown_limit: datetime.timedelta
-) -> web.AppRunner:
-    runner = web.AppRunner(
-        app,
-        access_log=None,
-        shutdown_timeout=shutdown_limit.total_seconds(),
-        handler_cancellation=True,
-    )
-    await runner.setup()
-    await web.SockSite(runner, _bind(address)).start()
-    return runner
-
-
-def _bind(address: str) -> socket.socket:
-    host, _, port = address.rpartition(":")
-    return socket.create_server((host, int(port)), backlog=LISTEN_BACKLOG)
--- a/waxwingwalk/host/wiring.py
+++ b/waxwingwalk/host/wiring.py
@@ -16,6 +16,7 @@
 from waxwingwalk.host import config as host_config
 from waxwingwalk.host import engine as host_engine
 from waxwingwalk.host import links as host_links
+from waxwingwalk.host import listeners
 from waxwingwalk.host import logs
 from waxwingwalk.host import metrics
 from waxwingwalk.host import peers_api
@@ -77,10 +78,12 @@
         links=links,
         registry=registry,
         store=store,
-        callers_listeners=applications,
+        callers_listeners=[
+            listeners.Listener(address, app) for address, app in applications
+        ],
         listeners=[
-            (config.peers, peers.application()),
-            (config.metrics, peers.metrics_application()),
+            listeners.Listener(config.peers, peers.application()),
+            listeners.Listener(config.metrics, peers.metrics_application()),
         ],
         followers=followers,
         closables=[backends, store],
