Kept jobs through four hand-overs that lost them

- A server that did not answer while its pool was handed over was released at once, and its runs were given up as lost ('scheduler changed').
It is now released when they have ended or their leases have expired.
- A poll that was under way when a server was found fenced made it ready again.
- A job that was answered 'leaving' while no scheduler was known kept its old link, and was lost with it though nothing of it ran.
- In a zone that is cut off while its owner is dead, the last host claims the pool if it reaches the backend servers, after the delay of 1.5 s that hosts of other zones wait too.
Ruled out: to claim without a probe, since a host that is cut off itself would then fence servers that it cannot use.

--- a/tests/dispatch/test_ownership.py
+++ b/tests/dispatch/test_ownership.py
@@ -137,12 +137,32 @@
         self.ownership.decide(builders.at(700))
         self.assertIn(POOL, self.ownership.claims)
 
-    def test_isolated_successor_does_not_claim(self):
+    def isolate(self):
+        """Cut this host, the standby of its pool, off from all others."""
         self.list_row(self.others[0], self.local_host)
         self.hosts.link_closed(0, builders.at(10))
         self.hosts.link_closed(1, builders.at(10))
+
+    def test_isolated_successor_does_not_claim(self):
+        self.isolate()
         self.ownership.decide(builders.at(2000))
         self.assertEqual(self.ownership.claims, {})
+        self.ownership.probed(POOL, False)
+        self.ownership.decide(builders.at(4000))
+        self.assertEqual(self.ownership.claims, {})
+
+    def test_isolated_successor_claims_servers_that_it_reaches(self):
+        # A zone that is cut off while its owner is dead.
+        self.isolate()
+        self.ownership.decide(builders.at(700))
+        self.assertEqual(
+            self.ownership.pools_to_probe(builders.at(700)), [POOL]
+        )
+        self.ownership.probed(POOL, True)
+        self.ownership.decide(builders.at(1000))
+        self.assertEqual(self.ownership.claims, {})
+        self.ownership.decide(builders.at(2300))
+        self.assertIn(POOL, self.ownership.claims)
 
     def test_owner_loses_its_pool_when_it_restarts(self):
         self.list_row(self.others[0], self.local_host)
--- a/tests/dispatch/test_run_tracker.py
+++ b/tests/dispatch/test_run_tracker.py
@@ -181,6 +181,15 @@
         self.assertEqual(self.ends(), [End.LOST])
         self.assertEqual(self.run_tracker.tick(builders.at(500)), [])
 
+    def test_fenced_server_stays_fenced_after_a_poll_that_was_under_way(self):
+        backend = self.acquire()
+        order = builders.order()
+        self.start(order)
+        self.answer_start(order.key, Outcome.FENCED)
+        self.poll(10)
+        self.assertEqual(backend.state, backends.BackendState.FENCED)
+        self.assertFalse(backend.is_usable(builders.at(11)))
+
     def test_new_incarnation_ends_all_runs(self):
         self.acquire()
         order = builders.order()
--- a/waxwingwalk/dispatch/backend.py
+++ b/waxwingwalk/dispatch/backend.py
@@ -141,6 +141,11 @@
         """The capacity that no known run occupies."""
         return self._free
 
+    @property
+    def has_active_runs(self) -> bool:
+        """Whether a run ordered here may still complete."""
+        return any(not run.is_end_reported for run in self.runs.values())
+
     def update_report(self, report: model.BackendReport) -> None:
         """Replace the server's own report."""
         self.report = report
--- a/waxwingwalk/dispatch/front.py
+++ b/waxwingwalk/dispatch/front.py
@@ -31,8 +31,8 @@
 class PendingJob:
     """A job that waits for its answer.
 
-    ``link`` is the link to its scheduler, None if this host schedules it.
-    ``unrouted_since`` is set while no scheduler is known.
+    ``link`` is the link to its scheduler, None if this host schedules it or
+    no scheduler is known. ``unrouted_since`` is set while none is known.
     """
 
     job: model.Job
@@ -106,6 +106,8 @@
         self, pending: PendingJob, now: datetime.datetime
     ) -> effects.Effects:
         """Hold a job for SCHEDULER_WAIT_LIMIT at most, then refuse it."""
+        # No host has the job now, so no closed link can lose it.
+        pending.link = None
         if pending.unrouted_since is None:
             pending.unrouted_since = now
         if now - pending.unrouted_since < SCHEDULER_WAIT_LIMIT:
--- a/waxwingwalk/dispatch/ownership.py
+++ b/waxwingwalk/dispatch/ownership.py
@@ -330,17 +330,26 @@
     ) -> bool:
         """Return whether this host may take over a pool of another zone.
 
-        It may once the zone has been without a scheduler for a while, and
-        only if it is not isolated and the backend servers of the zone can be
-        reached: otherwise the zone may just be partitioned from this host.
-        The first call starts the delay and requests probes.
+        It may not while it is isolated or cannot reach the pool: the zone may
+        just be partitioned from this host.
+        """
+        is_reachable = self._is_pool_reachable(state, now)
+        return is_reachable and not self._hosts.is_isolated()
+
+    def _is_pool_reachable(
+        self, state: _PoolState, now: datetime.datetime
+    ) -> bool:
+        """Return whether a pool without a scheduler can be reached from here.
+
+        It has to be without one for a while. The first call starts the delay
+        and requests probes of the pool's backend servers.
         """
         if state.unowned_since is None:
             state.unowned_since = now
             state.is_reachable = False
         if now - state.unowned_since < FOREIGN_ZONE_DELAY:
             return False
-        return state.is_reachable and not self._hosts.is_isolated()
+        return state.is_reachable
 
     def pools_to_probe(self, now: datetime.datetime) -> list[str]:
         """Return the pools to probe now, and record that they are probed."""
@@ -365,7 +374,13 @@
     ) -> effects.Effects:
         row = state.row
         assert row is not None
-        if rank and self._hosts.is_isolated():
+        # An isolated host may be the only one that is left in a zone that is
+        # cut off, or be cut off itself, and then it reaches no server either.
+        if (
+            rank
+            and self._hosts.is_isolated()
+            and not self._is_pool_reachable(state, now)
+        ):
             return []
         former = self.owner_address(pool)
         if former is None:
--- a/waxwingwalk/dispatch/reducer.py
+++ b/waxwingwalk/dispatch/reducer.py
@@ -267,11 +267,12 @@
     ) -> effects.Effects:
         """Release a server to the new owner of its pool once it is idle.
 
-        A server that is not ready is released at once.
+        A server that does not answer is released when the leases of its runs
+        have expired, as the runs may complete until then.
         """
         self.run_tracker.begin_release(backend)
         pool = backend.report.zone
-        if backend.runs and backend.state is backends.BackendState.READY:
+        if backend.has_active_runs:
             return []
         done = self.run_tracker.release(
             backend.incarnation, now, "pool has a new owner"
--- a/waxwingwalk/dispatch/run_tracker.py
+++ b/waxwingwalk/dispatch/run_tracker.py
@@ -443,6 +443,9 @@
         if backend is None:
             return []
         backend.is_polling = False
+        if backend.state is backends.BackendState.FENCED:
+            # The poll was answered before the newer scheduler's first call.
+            return []
         if outcome in LOST_OUTCOMES:
             return self._handle_lost_backend(backend, outcome, now)
         if (
