Made a successor wait for an owner that left before it wrote its row

A host's status now names the pools that it gave up but still has servers of. A successor waits for such a host, whatever the row says; releases count from the moment the servers were given up, not only after the successor's claim; a host that has released all is not awaited any longer.

--- a/tests/dispatch/test_ownership.py
+++ b/tests/dispatch/test_ownership.py
@@ -30,12 +30,26 @@
         rows = {POOL: (version, pool_rows.PoolRow(tuple(order)))}
         return self.ownership.rows_listed(rows, builders.at(at))
 
-    def set_status(self, link, *, leaving=False, fence=None):
+    def set_status(self, link, *, leaving=False, fence=None, releasing=None):
         loads = []
         if fence is not None:
             loads = [messages.PoolLoad(POOL, fence, "s", [], 0.0)]
-        status = messages.HostStatus(loads, leaving, 1)
-        self.hosts.by_link(link).status = status
+        status = messages.HostStatus(loads, leaving, 1, releasing)
+        self.hosts.by_link(link).update_status(status)
+
+    def release(self, link, report):
+        """Receive the release of a server from a former owner."""
+        incarnation = report.incarnation
+        self.hosts.by_link(link).record_release(
+            messages.ReleaseBackend(
+                POOL, incarnation.backend_id, incarnation.started_ms
+            )
+        )
+
+    def may_acquire(self, report, at):
+        return self.ownership.may_acquire(
+            POOL, report.incarnation, builders.at(at)
+        )
 
     def writes(self, done):
         return builders.of_type(done, effects.WritePool)
@@ -173,31 +187,62 @@
         self.assertIn(POOL, self.ownership.claims)
 
     def test_leaving_owner_is_succeeded_and_may_let_its_runs_end(self):
-        incarnation = builders.report().incarnation
+        report = builders.report()
         self.list_row(self.others[0], self.local_host)
-        self.set_status(0, leaving=True)
+        self.set_status(0, leaving=True, releasing=[POOL])
         self.ownership.decide(builders.at(10))
         self.assertIn(POOL, self.ownership.claims)
-        self.assertFalse(
-            self.ownership.may_acquire(POOL, incarnation, builders.at(20))
-        )
-        self.ownership.released(
-            messages.ReleaseBackend(
-                POOL, incarnation.backend_id, incarnation.started_ms
-            )
-        )
-        self.assertTrue(
-            self.ownership.may_acquire(POOL, incarnation, builders.at(30))
-        )
+        self.assertFalse(self.may_acquire(report, 20))
+        self.release(0, report)
+        self.assertTrue(self.may_acquire(report, 30))
+
+    def test_leaving_owner_is_awaited_by_a_successor_outside_its_row(self):
+        # An owner that leaves before it has written its successors' names.
+        report = builders.report()
+        self.list_row(self.others[0])
+        self.set_status(0, fence=pool_rows.fence(10, 0))
+        self.set_status(0, leaving=True, releasing=[POOL])
+        (write,) = self.writes(self.ownership.decide(builders.at(10)))
+        self.ownership.written(POOL, 11, write.row, builders.at(20))
+        self.assertIn(POOL, self.ownership.claims)
+        self.assertFalse(self.may_acquire(report, 30))
+        self.release(0, report)
+        self.assertTrue(self.may_acquire(report, 40))
+
+    def test_release_before_the_claim_counts(self):
+        report = builders.report()
+        self.list_row(self.others[0])
+        self.set_status(0, leaving=True, releasing=[POOL])
+        self.release(0, report)
+        (write,) = self.writes(self.ownership.decide(builders.at(10)))
+        self.ownership.written(POOL, 11, write.row, builders.at(20))
+        self.assertTrue(self.may_acquire(report, 30))
+        self.assertFalse(self.may_acquire(builders.report("server-2"), 30))
+
+    def test_release_under_an_earlier_claim_does_not_count(self):
+        report = builders.report()
+        self.list_row(self.others[0], self.local_host)
+        self.release(0, report)
+        self.set_status(0, fence=pool_rows.fence(10, 0))
+        self.set_status(0, leaving=True, releasing=[POOL])
+        self.ownership.decide(builders.at(10))
+        self.assertFalse(self.may_acquire(report, 20))
+
+    def test_owner_that_has_released_all_its_servers_is_not_awaited(self):
+        report = builders.report()
+        self.list_row(self.others[0], self.local_host)
+        self.set_status(0, leaving=True, releasing=[POOL])
+        self.ownership.decide(builders.at(10))
+        self.set_status(0, leaving=True, releasing=[])
+        self.assertTrue(self.may_acquire(report, 20))
 
     def test_former_owner_that_releases_nothing_is_not_awaited_for_long(self):
-        incarnation = builders.report().incarnation
+        report = builders.report()
         self.list_row(self.others[0], self.local_host)
         self.set_status(0, leaving=True)
         self.ownership.decide(builders.at(10))
-        self.assertTrue(
-            self.ownership.may_acquire(POOL, incarnation, builders.at(3000))
-        )
+        self.assertFalse(self.may_acquire(report, 2400))
+        self.assertTrue(self.may_acquire(report, 3000))
 
     def test_claim_is_lost_to_a_higher_fence_in_use(self):
         self.list_row(self.local_host, *self.others)
--- a/tests/dispatch/test_reducer.py
+++ b/tests/dispatch/test_reducer.py
@@ -94,9 +94,7 @@
         self.assertEqual(self.answers(done), [])
         ended = model.EndedRun(1, run.task, run.run, model.RunEnd.DONE)
         done = self.apply(builders.polled(self.report, ended=[ended]), 310)
-        self.assertEqual(
-            self.answers(done), [(model.JobOutcome.DONE, "done")]
-        )
+        self.assertEqual(self.answers(done), [(model.JobOutcome.DONE, "done")])
 
     def test_unresponsive_server_is_released_once_its_leases_are_over(self):
         self.schedule_here()
--- a/waxwingwalk/dispatch/hosts.py
+++ b/waxwingwalk/dispatch/hosts.py
@@ -19,7 +19,9 @@
     when a link that should exist went missing, and ``is_connection_refused``
     is whether a connection was refused since then. ``is_considered_dead`` is
     set when the host was found to be gone, until it is heard from again; it
-    only matters while the host is not a link target.
+    only matters while the host is not a link target. ``released`` are the
+    backend servers, by pool, that the host has released since it last
+    scheduled the pool.
     """
 
     record: model.HostRecord
@@ -29,12 +31,46 @@
     down_since: datetime.datetime | None = None
     is_connection_refused: bool = False
     status: messages.HostStatus | None = None
+    released: dict[str, set[model.BackendIncarnation]] = dataclasses.field(
+        default_factory=dict
+    )
 
     @property
     def is_leaving(self) -> bool:
         """Whether the host has announced that it is shutting down."""
         return self.status is not None and self.status.is_leaving
 
+    def update_status(self, status: messages.HostStatus) -> None:
+        """Record the status that the host has sent."""
+        self.status = status
+        for load in status.loads:
+            self.released.pop(load.pool, None)
+
+    def record_release(self, message: messages.ReleaseBackend) -> None:
+        """Record that the host has released a backend server."""
+        incarnation = model.BackendIncarnation(
+            message.backend_id, message.started_ms
+        )
+        self.released.setdefault(message.pool, set()).add(incarnation)
+
+    def is_releasing(self, pool: str) -> bool:
+        """Return whether the host still has servers of a pool it gave up."""
+        if self.link is None or self.status is None:
+            return False
+        return pool in (self.status.releasing or ())
+
+    def has_released(
+        self, pool: str, incarnation: model.BackendIncarnation
+    ) -> bool:
+        """Return whether the host has released a backend server of a pool."""
+        if incarnation in self.released.get(pool, ()):
+            return True
+        if self.status is None or self.status.releasing is None:
+            return False
+        return pool not in self.status.releasing and all(
+            load.pool != pool for load in self.status.loads
+        )
+
 
 class Hosts:
     """The other dispatch hosts, by address."""
@@ -116,6 +152,7 @@
         peer.is_connection_refused = False
         peer.is_considered_dead = False
         peer.status = None
+        peer.released.clear()
         self._by_link[link] = peer
 
     def link_closed(self, link: int, now: datetime.datetime) -> None:
--- a/waxwingwalk/dispatch/messages.py
+++ b/waxwingwalk/dispatch/messages.py
@@ -124,11 +124,16 @@
 
 @dataclasses.dataclass(slots=True)
 class HostStatus:
-    """The status and keep-alive of the host that accepted the link."""
+    """The status and keep-alive of the host that accepted the link.
+
+    ``releasing`` are the pools that the sender no longer schedules, but of
+    which it still has backend servers; None if its version does not tell.
+    """
 
     loads: list[PoolLoad]
     is_leaving: bool
     catalog_version: int
+    releasing: list[str] | None = None
     kind: Literal["host_status"] = "host_status"
 
 
--- a/waxwingwalk/dispatch/ownership.py
+++ b/waxwingwalk/dispatch/ownership.py
@@ -51,9 +51,6 @@
     fence: int
     since: datetime.datetime
     former_owner: str | None
-    released: set[model.BackendIncarnation] = dataclasses.field(
-        default_factory=set
-    )
     incarnations: dict[str, int] = dataclasses.field(default_factory=dict)
 
     def next_order_fence(self, backend_id: str) -> int:
@@ -382,16 +379,7 @@
             and not self._is_pool_reachable(state, now)
         ):
             return []
-        former = self.owner_address(pool)
-        if former is None:
-            former = next(
-                (
-                    each.address
-                    for each in row.order[:rank]
-                    if self._hosts.is_linked(each)
-                ),
-                None,
-            )
+        former = self._find_former_owner(pool, row, rank)
         fence = pool_rows.fence(state.version, rank)
         self.claims[pool] = Claim(pool, fence, now, former)
         state.unowned_since = None
@@ -409,6 +397,29 @@
             *self._refresh_row(pool, state, now),
         ]
 
+    def _find_former_owner(
+        self, pool: str, row: pool_rows.PoolRow, rank: int
+    ) -> str | None:
+        """Return the address of a linked host that may still have servers.
+
+        A leaving host may have given the pool up before it wrote this host's
+        name into the row, so the row alone does not tell.
+        """
+        owner = self.owner_address(pool)
+        if owner is not None:
+            return owner
+        for peer in self._hosts.all():
+            if peer.is_releasing(pool):
+                return peer.record.address
+        return next(
+            (
+                record.address
+                for record in row.order[:rank]
+                if self._hosts.is_linked(record)
+            ),
+            None,
+        )
+
     def _refresh_row(
         self, pool: str, state: _PoolState, now: datetime.datetime
     ) -> effects.Effects:
@@ -474,22 +485,15 @@
         Its former owner, if alive, first lets the runs there end.
         """
         claim = self.claims[pool]
-        if claim.former_owner is None or incarnation in claim.released:
+        if claim.former_owner is None:
             return True
         peer = self._hosts.get(claim.former_owner)
         if peer is None or peer.link is None:
             return True
+        if peer.has_released(pool, incarnation):
+            return True
         return now - claim.since > HANDOVER_TIME
 
-    def released(self, message: messages.ReleaseBackend) -> None:
-        """Record that a former owner has released a backend server."""
-        claim = self.claims.get(message.pool)
-        if claim is not None:
-            incarnation = model.BackendIncarnation(
-                message.backend_id, message.started_ms
-            )
-            claim.released.add(incarnation)
-
 
 def _preference_key(
     pool: str, record: model.HostRecord
--- a/waxwingwalk/dispatch/reducer.py
+++ b/waxwingwalk/dispatch/reducer.py
@@ -467,13 +467,14 @@
         if peer is None:
             return []
         former = peer.status
-        peer.status = message
+        peer.update_status(message)
         self.scheduler.update_peer_status(link, message.loads)
         self._links[link].catalog_version = message.catalog_version
         done: effects.Effects = self._push_catalog()
         changed = (
             former is None
             or former.is_leaving != message.is_leaving
+            or former.releasing != message.releasing
             or [load.fence for load in former.loads]
             != [load.fence for load in message.loads]
         )
@@ -508,7 +509,10 @@
         link: int,
         now: datetime.datetime,
     ) -> effects.Effects:
-        self.ownership.released(message)
+        peer = self.hosts.by_link(link)
+        if peer is None:
+            return []
+        peer.record_release(message)
         return self._reconcile_backends(now)
 
     # Backend servers.
@@ -598,9 +602,24 @@
             ),
             self.drain_deadline is not None,
             version,
+            self._pools_in_release(),
         )
         return [effects.Send(number, status)]
 
+    def _pools_in_release(self) -> list[str]:
+        """Return the pools given up here whose servers are not yet released.
+
+        A fenced server has no runs of this host any more.
+        """
+        return sorted(
+            {
+                backend.report.zone
+                for backend in self.run_tracker
+                if backend.state is not backends.BackendState.FENCED
+            }
+            - self.ownership.claims.keys()
+        )
+
     def _is_linked_to_scheduler(self, link: links.Link) -> bool:
         """Return whether the host at the far end schedules a pool.
 
