Restarted tasks of a lost peer, and kept the logs of failed soaks

A job with a task at a host that was lost was answered as lost at once, though the task may start again once its run there has certainly ended (2 s: the peer notices within 0.6 s and stops it, or its lease expires). The job now waits if its caller does; with less time left it is answered at once as before, which is the case for callers that wait 1.5 s.

--- a/tests/dispatch/test_scheduler.py
+++ b/tests/dispatch/test_scheduler.py
@@ -313,6 +313,35 @@
         ]
         self.assertEqual([each.index for each in offers], [2])
 
+    def lose_peer_with_a_task(self, *, expires_at):
+        """Offer a task to a peer and lose the link; return the answers."""
+        self.add_server()
+        free = messages.FreeRoom(builders.TASK_RESOURCES, 1.0)
+        load = messages.PoolLoad("south", 1, builders.SERVICE, [free], 0.0)
+        self.scheduler.update_peer_status(LINK, [load])
+        job = builders.job(tasks=3, expires=builders.at(expires_at))
+        self.first_starts = self.starts(self.submit(job))
+        done = self.scheduler.close_link(LINK, builders.at(20))
+        return self.answers(done)
+
+    def test_task_of_a_lost_peer_starts_again_once_its_run_is_over(self):
+        self.assertEqual(self.lose_peer_with_a_task(expires_at=5000), [])
+        for start in self.first_starts:
+            self.end(start, model.RunEnd.DONE, 100)
+        over_at = 20 + dispatch_scheduler.PEER_RUN_END_LIMIT / (
+            builders.milliseconds(1)
+        )
+        done = self.scheduler.tick(builders.at(over_at - 1))
+        self.assertEqual(self.starts(done), [])
+        (again,) = self.starts(self.scheduler.tick(builders.at(over_at)))
+        self.assertEqual((again.run.task, again.run.run), ("j.0.0.2", 2))
+        done = self.end(again, model.RunEnd.DONE, 2200)
+        self.assertEqual(self.answers(done), [(Outcome.DONE, "done")])
+
+    def test_job_of_a_lost_peer_that_cannot_wait_is_lost_at_once(self):
+        answers = self.lose_peer_with_a_task(expires_at=1500)
+        self.assertEqual(answers, [(Outcome.LOST, "peer lost")])
+
     def test_declined_task_waits_for_local_capacity(self):
         self.test_task_is_offered_to_a_peer_with_free_capacity()
         refusal = messages.TaskEnded("j", 0, 2, 1, "not_run")
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -7,29 +7,23 @@
 
 import argparse
 import asyncio
-import pathlib
 import sys
-import tempfile
 import time
 
+from tests.soak import faults
 from tests.soak import soak
 
 
 async def _run(seed, options):
-    folder = pathlib.Path(options.folder) / f"seed-{seed}"
-    folder.mkdir(parents=True, exist_ok=True)
-    result = await soak.Soak(
+    result = await soak.run_and_keep(
         seed,
-        folder,
         options.seconds,
+        keep=options.keep,
+        kinds=faults.PLANNED if options.planned else None,
         hosts_per_zone=options.hosts,
         servers_per_zone=options.servers,
-    ).run()
+    )
     print(result, flush=True)
-    if not result.findings:
-        for path in folder.iterdir():
-            path.unlink()
-        folder.rmdir()
     return result
 
 
@@ -43,9 +37,14 @@
     parser.add_argument("--hosts", type=int, default=2, help="in each zone")
     parser.add_argument("--servers", type=int, default=3, help="in each zone")
     parser.add_argument(
-        "--folder",
-        default=tempfile.gettempdir() + "/waxwingwalk-soak",
-        help="where logs of soaks with findings stay",
+        "--planned",
+        action="store_true",
+        help="only routine work of operators, which breaks no request",
+    )
+    parser.add_argument(
+        "--keep",
+        default=soak.KEEP_FOLDER,
+        help="where the logs of soaks with findings stay",
     )
     options = parser.parse_args()
     first = last = int(time.time()) % 1_000_000
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -89,6 +89,8 @@
         self._random = random
         self._tasks = set()
         self._refused_jobs = []
+        # Descriptions of broken and lost requests.
+        self.failures = []
         self.counts = RequestCounts()
 
     def submit(self):
@@ -149,8 +151,9 @@
                 self.counts.unanswered += 1
                 caller.change_host()
                 return False
-            except (aiohttp.ClientError, OSError):
+            except (aiohttp.ClientError, OSError) as error:
                 self.counts.broken += 1
+                self._record_failure(job_id, caller, repr(error))
                 caller.change_host()
                 await asyncio.sleep(RETRY_SECONDS)
                 continue
@@ -159,6 +162,7 @@
                     self.counts.given_up += 1
                 else:
                     self.counts.lost += 1
+                    self._record_failure(job_id, caller, content)
                 await asyncio.sleep(RETRY_SECONDS)
                 continue
             if status == 200:
@@ -172,6 +176,9 @@
             self._refused_jobs.append(job_id)
         return False
 
+    def _record_failure(self, job_id, caller, what):
+        self.failures.append(f"job {job_id} at {caller.host.name}: {what}")
+
     def _record_answer(self, job_id, content):
         if content["state"] == "done":
             self.counts.done += 1
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -4,7 +4,9 @@
 import contextlib
 import dataclasses
 import os
+import pathlib
 import random
+import shutil
 import time
 
 from aiohttp import web
@@ -19,6 +21,8 @@
 from waxwingwalk.emulator import backend as emulated_backend
 from waxwingwalk.emulator import guarantees
 
+# Where the logs of soaks with findings stay; ignored by version control.
+KEEP_FOLDER = "build/soak"
 ZONES = ("north", "south")
 CAPACITY = model.Resources(processors=16_000, memory=65_536)
 SLOWNESSES = (0.6, 1.0, 1.6)
@@ -46,6 +50,8 @@
     faults: tuple
     findings: tuple
     counts: soak_callers.RequestCounts
+    # Requests that got no answer, or one that leaves open what has run.
+    failures: tuple
     starts: int
     recovered_in: float | None
 
@@ -57,6 +63,7 @@
             f"seed {self.seed}: {self.counts}; {self.starts} starts; "
             f"recovered {recovered}; {len(self.findings)} findings",
             *(f"  {at:5.1f} s {fault}" for at, fault in self.faults),
+            *(f"  failed {each}" for each in self.failures),
             *(f"  FOUND {each}" for each in self.findings),
         ]
         return "\n".join(lines)
@@ -295,6 +302,8 @@
         self._cluster = Cluster(seed, folder, **size)
         self._random = random.Random(seed)
         self._kinds = kinds
+        # Planned work alone must not break a request.
+        self._is_planned = set(kinds or faults.ALL) <= set(faults.PLANNED)
         self._faults = []
         self._fault_tasks = set()
 
@@ -313,6 +322,12 @@
             await self._terminate_hosts()
         finally:
             await cluster.stop()
+        counts = cluster.load.counts
+        if self._is_planned and (counts.broken or counts.lost):
+            cluster.findings.append(
+                f"planned work: {counts.broken} requests broken, "
+                f"{counts.lost} lost"
+            )
         return SoakResult(
             seed=self._seed,
             faults=tuple(self._faults),
@@ -321,6 +336,7 @@
                 *cluster.findings,
             ),
             counts=cluster.load.counts,
+            failures=tuple(cluster.load.failures),
             starts=cluster.checker.starts,
             recovered_in=recovered,
         )
@@ -373,3 +389,15 @@
             cluster.findings += [
                 f"{host.name}: {line}" for line in host.errors()[:3]
             ]
+
+
+async def run_and_keep(seed, seconds, *, keep=KEEP_FOLDER, **options):
+    """Run a soak; keep its logs and its result if anything was found."""
+    folder = pathlib.Path(keep) / f"seed-{seed}-{os.getpid()}-{time.time_ns()}"
+    folder.mkdir(parents=True)
+    result = await Soak(seed, folder, seconds, **options).run()
+    if result.findings:
+        (folder / "result.txt").write_text(f"{result}\n")
+    else:
+        shutil.rmtree(folder)
+    return result
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -1,5 +1,4 @@
 import asyncio
-import tempfile
 import unittest
 
 from tests.soak import faults
@@ -16,17 +15,16 @@
 class SoakTests(unittest.TestCase):
     def run_soak(self, seed, kinds=None):
         """Run a short soak and return its result."""
-        with tempfile.TemporaryDirectory(prefix="waxwingwalk-") as folder:
-            # The recovery time is not checked here, only in manual runs on an
-            # idle machine.
-            run = soak.Soak(
+        # The recovery time is not checked here, only in manual runs on an
+        # idle machine.
+        return asyncio.run(
+            soak.run_and_keep(
                 seed,
-                folder,
                 SECONDS,
                 kinds=kinds,
                 recovery_limit=soak.RECOVERY_TIMEOUT_SECONDS,
             )
-            return asyncio.run(run.run())
+        )
 
     def test_no_guarantee_is_violated(self):
         for seed in (100, *REGRESSIONS):
--- a/waxwingwalk/dispatch/job_record.py
+++ b/waxwingwalk/dispatch/job_record.py
@@ -38,6 +38,8 @@
     ``run`` is the number of its latest run, 0 before the first. ``link`` is
     the link over which it was last offered to another host; ``refused_by``
     are the links over which offers were declined since the last tick.
+    ``over_at`` is set if the host to which it is offered was lost: by then
+    its run has certainly ended.
     """
 
     ref: model.TaskRef
@@ -48,6 +50,7 @@
     link: int | None = None
     started_at: datetime.datetime | None = None
     refused_by: set[int] = dataclasses.field(default_factory=set)
+    over_at: datetime.datetime | None = None
 
 
 class JobRecord:
@@ -144,8 +147,27 @@
     def requeue(self, task: TaskRecord) -> None:
         """Set a task to waiting, so that it is run again."""
         task.state = TaskState.WAITING
+        task.over_at = None
         self._ready_tasks = None
 
+    def tasks_offered_over(self, link: int) -> list[TaskRecord]:
+        """Return the tasks that are currently offered over a link."""
+        return [
+            task
+            for task in self.tasks.values()
+            if task.state is TaskState.OFFERED and task.link == link
+        ]
+
+    def tasks_over_at_lost_peers(
+        self, now: datetime.datetime
+    ) -> list[TaskRecord]:
+        """Return the tasks whose runs at lost hosts have certainly ended."""
+        return [
+            task
+            for task in self.tasks.values()
+            if task.over_at is not None and now >= task.over_at
+        ]
+
     def mark_done(self, task: TaskRecord) -> None:
         """Record that a task has completed."""
         if task.state is not TaskState.DONE:
--- a/waxwingwalk/dispatch/ownership.py
+++ b/waxwingwalk/dispatch/ownership.py
@@ -18,7 +18,6 @@
 
 from waxwingwalk.dispatch import effects
 from waxwingwalk.dispatch import hosts as dispatch_hosts
-from waxwingwalk.dispatch import messages
 from waxwingwalk.dispatch import model
 from waxwingwalk.dispatch import pool_rows
 
--- a/waxwingwalk/dispatch/scheduler.py
+++ b/waxwingwalk/dispatch/scheduler.py
@@ -32,6 +32,10 @@
 MAX_LATE_WAIT_SHARE = 0.4
 # A job that arrives while this many jobs have no answer is refused.
 MAX_JOBS = 2000
+# All runs that a peer ordered for this host have ended this long after the
+# link to it was closed: the peer closes its end within links.BUSY_TIMEOUT and
+# stops the runs; if that fails too, their leases expire a second later.
+PEER_RUN_END_LIMIT = datetime.timedelta(seconds=2)
 
 # The estimate of the backlog is requested often. It is cached for this time,
 # which is short compared with the shortest tasks.
@@ -237,13 +241,9 @@
             if record.link == link:
                 done += self.abandon(record.job.job_id, link, now)
                 continue
-            if any(
-                task.state is TaskState.OFFERED and task.link == link
-                for task in record.tasks.values()
-            ):
-                done += self._end_job(
-                    record, model.JobOutcome.LOST, "peer lost", now
-                )
+            offered = record.tasks_offered_over(link)
+            if offered:
+                done += self._keep_or_lose(record, offered, now)
         # These tasks need not be tracked any more: the peer stops its runs as
         # well when the link closes, before a caller can retry the job.
         self._stopping_at_peers = {
@@ -257,6 +257,51 @@
                 done += self._run_tracker.stop(key, now)
         return done + self.dispatch(now)
 
+    def _keep_or_lose(
+        self,
+        record: job_record.JobRecord,
+        offered: list[job_record.TaskRecord],
+        now: datetime.datetime,
+    ) -> effects.Effects:
+        """Keep a job until its tasks at a lost peer may start again.
+
+        A job that has not enough time left for that is answered as lost now,
+        so that its caller can retry.
+        """
+        over_at = now + PEER_RUN_END_LIMIT
+        longest = max(record.estimates[task.ref.step] for task in offered)
+        if over_at + longest > record.job.expires:
+            return self._end_job(
+                record, model.JobOutcome.LOST, "peer lost", now
+            )
+        for task in offered:
+            task.link = None
+            task.over_at = over_at
+        return [
+            effects.Log(
+                "job.waits_for_peer",
+                {
+                    "job": record.job.job_id,
+                    "tasks": len(offered),
+                    "wait_ms": model.milliseconds(PEER_RUN_END_LIMIT),
+                },
+            )
+        ]
+
+    def _restart_tasks_of_lost_peers(
+        self, record: job_record.JobRecord, now: datetime.datetime
+    ) -> effects.Effects:
+        done: effects.Effects = []
+        for task in record.tasks_over_at_lost_peers(now):
+            done += self._record_task_end(
+                task.ref,
+                task.run,
+                dispatch_run_tracker.TaskEnd.GONE,
+                "lost peer",
+                now,
+            )
+        return done
+
     def _stop_tasks(
         self, record: job_record.JobRecord, now: datetime.datetime
     ) -> effects.Effects:
@@ -705,6 +750,7 @@
                 )
             else:
                 done += self._stop_stuck_runs(record, now)
+                done += self._restart_tasks_of_lost_peers(record, now)
                 for task in record.tasks.values():
                     task.refused_by.clear()
         return done + self.dispatch(now)
--- a/waxwingwalk/host/log_catalogue.py
+++ b/waxwingwalk/host/log_catalogue.py
@@ -159,6 +159,11 @@
         "host, if any, is notified",
         ("job",),
     ),
+    "job.waits_for_peer": LogEvent(
+        "the link to a host that runs tasks of the job was lost; they start "
+        "again once their runs there have certainly ended",
+        ("job", "tasks", "wait_ms"),
+    ),
     "job.abandoned": LogEvent(
         "the scheduler stops a job whose caller has left or cancelled it",
         ("job",),
