Confined malformed messages and unexpected errors to what they concern

Operators of similar systems reported that one malformed message or unexpected error took a whole process down. Looked for at the borders of the dispatch host, with tests that failed first:

- A malformed row in a backend server's lists raised an exception in the poll; the server then counted as polled for ever, was never polled again, and its runs were never ended.
Rows are validated; such a poll has an unknown outcome.
- Any unexpected exception in a call to a server or the store had the same effect.
The engine now applies the event of an unknown outcome.
- A message of unknown kind cost the whole frame, a task end with an unknown value closed the link with all its jobs.
Each now costs itself; an exception while a message is handled is logged, and the link stays open.

--- a/tests/dispatch/test_run_tracker.py
+++ b/tests/dispatch/test_run_tracker.py
@@ -7,7 +7,7 @@
 from waxwingwalk.dispatch import run_tracker
 
 Outcome = model.CallOutcome
-End = run_tracker.TaskEnd
+End = model.TaskEnd
 FENCE = 7
 
 
--- a/tests/dispatch/test_scheduler.py
+++ b/tests/dispatch/test_scheduler.py
@@ -289,7 +289,7 @@
         self.assertNotIn(
             "j.0.0.2", [each.run.task for each in self.starts(done)]
         )
-        ended = messages.TaskEnded("j", 0, 2, 1, "gone")
+        ended = messages.TaskEnded("j", 0, 2, 1, model.TaskEnd.GONE)
         done = self.scheduler.handle_peer_task_end(
             ended, LINK, builders.at(30)
         )
@@ -344,7 +344,7 @@
 
     def test_declined_task_waits_for_local_capacity(self):
         self.test_task_is_offered_to_a_peer_with_free_capacity()
-        refusal = messages.TaskEnded("j", 0, 2, 1, "not_run")
+        refusal = messages.TaskEnded("j", 0, 2, 1, model.TaskEnd.NOT_RUN)
         self.scheduler.handle_peer_task_end(refusal, LINK, builders.at(5))
         record = self.scheduler.jobs["j"]
         self.assertEqual(
@@ -370,4 +370,4 @@
         )
         done = self.scheduler.handle_offer(offer, LINK, builders.at(5))
         (sent,) = builders.of_type(done, effects.Send)
-        self.assertEqual(sent.message.end, "not_run")
+        self.assertIs(sent.message.end, model.TaskEnd.NOT_RUN)
--- /dev/null
+++ b/tests/host/test_engine.py
@@ -0,0 +1,76 @@
+import asyncio
+import unittest
+
+from tests.dispatch import builders
+from tests.platform import hosts
+from waxwingwalk.core import clock
+from waxwingwalk.dispatch import effects
+from waxwingwalk.dispatch import events
+from waxwingwalk.dispatch import model
+from waxwingwalk.dispatch import pool_rows
+from waxwingwalk.host import engine as host_engine
+from waxwingwalk.host import logs
+from waxwingwalk.host import metrics
+
+INCARNATION = builders.report().incarnation
+RUN = model.RunKey("j.0.0.0", 1)
+UNKNOWN = model.CallOutcome.UNKNOWN
+
+
+class RecordingReducer:
+    """Records events; the first one has the given effects."""
+
+    def __init__(self, done):
+        self.events = []
+        self._done = done
+
+    def apply(self, event, now):
+        """Record an event."""
+        self.events.append(event)
+        done, self._done = self._done, []
+        return done
+
+
+class FailingAdapter:
+    """A client whose calls raise an exception that nobody expects."""
+
+    async def _fail(self, order):
+        raise ZeroDivisionError("unexpected")
+
+    start = stop = poll = write_pool = _fail
+
+
+class EngineTests(unittest.IsolatedAsyncioTestCase):
+    async def test_failed_calls_have_an_outcome(self):
+        done = [
+            effects.StartRun(INCARNATION, "s:80", 1, RUN, "spec", 1),
+            effects.StopRun(INCARNATION, "s:80", 1, RUN),
+            effects.PollBackend(INCARNATION, "s:80", 1, 0, None, model.ZERO),
+            effects.WritePool("north", pool_rows.PoolRow(()), 1),
+        ]
+        reducer = RecordingReducer(done)
+        writer = hosts.MemoryWriter()
+        time = clock.ManualClock()
+        engine = host_engine.Engine(
+            reducer, time, logs.HostLog(time, writer), metrics.HostMetrics()
+        )
+        failing = FailingAdapter()
+        engine.adapters = host_engine.Adapters(failing, None, failing, None)
+        engine.apply(events.Ticked())
+        async with asyncio.timeout(1):
+            while len(reducer.events) < 1 + len(done):
+                await asyncio.sleep(0)
+        self.assertEqual(
+            reducer.events[1:],
+            [
+                events.RunStarted(INCARNATION, RUN, UNKNOWN, None),
+                events.RunStopped(INCARNATION, RUN, UNKNOWN),
+                events.BackendPolled(INCARNATION, UNKNOWN),
+                events.PoolWritten("north", None, None),
+            ],
+        )
+        self.assertIn("internal.error", writer)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/host/test_links.py
+++ b/tests/host/test_links.py
@@ -2,6 +2,7 @@
 import datetime
 import unittest
 
+import aiohttp
 from aiohttp import test_utils
 from aiohttp import web
 
@@ -11,15 +12,19 @@
 from waxwingwalk.dispatch import model
 from waxwingwalk.host import links as host_links
 from waxwingwalk.host import logs
+from waxwingwalk.host import records
 
 
-class NoWriter:
-    """Drops log lines."""
+class MemoryWriter:
+    """Keeps log lines in memory."""
 
-    dropped = 0
+    def __init__(self):
+        self.dropped = 0
+        self.content = ""
 
     def write(self, line):
-        """Do nothing."""
+        """Keep a line."""
+        self.content += line.decode()
 
     def flush(self):
         """Do nothing."""
@@ -31,6 +36,9 @@
     def __init__(self):
         self.events = []
         self.clock = clock.ManualClock()
+        self.log = MemoryWriter()
+        # The job whose messages cannot be handled.
+        self.fail_on = None
         self.links = None
         self.server = None
 
@@ -41,11 +49,17 @@
         self.server = test_utils.TestServer(app)
         await self.server.start_server(shutdown_timeout=0.1)
         record = model.HostRecord(self.address, "1", "north")
-        log = logs.HostLog(clock.ManualClock(), NoWriter())
+        log = logs.HostLog(clock.ManualClock(), self.log)
         self.links = host_links.HostLinks(
-            record, self.events.append, log, self.clock
+            record, self._notify, log, self.clock
         )
 
+    def _notify(self, event):
+        message = getattr(event, "message", None)
+        if self.fail_on and getattr(message, "job_id", None) == self.fail_on:
+            raise RuntimeError("not handled")
+        self.events.append(event)
+
     async def _accept(self, request):
         return await self.links.accept(request)
 
@@ -97,6 +111,53 @@
         (received,) = await self.near.wait_for(events.MessageReceived)
         self.assertEqual(received.message, answer)
 
+    async def send_raw(self, *frames):
+        """Open a link to the far end and send raw frames over it."""
+        session = aiohttp.ClientSession()
+        self.addAsyncCleanup(session.close)
+        record = model.HostRecord("127.0.0.1:9", "1", "north")
+        header = records.encode(record).decode()
+        socket = await session.ws_connect(
+            f"http://{self.far.address}{host_links.PATH}",
+            headers={host_links.RECORD_HEADER: header},
+        )
+        for frame in frames:
+            await socket.send_str(frame)
+
+    async def received_kinds(self, count):
+        received = await self.far.wait_for(events.MessageReceived, count)
+        return [each.message.kind for each in received]
+
+    async def test_malformed_message_costs_only_itself(self):
+        good = '{"kind":"abandon_job","job_id":"j"}'
+        bad = (
+            '{"kind":"news"}',
+            '{"kind":"abandon_job"}',
+            '{"kind":"task_ended","job_id":"j","step":0,"index":0,"run":1,'
+            '"end":"vanished"}',
+            "[]",
+            "7",
+        )
+        for each in bad:
+            await self.send_raw(f'{{"sent_ms":1,"messages":[{each},{good}]}}')
+        kinds = await self.received_kinds(len(bad))
+        self.assertEqual(kinds, ["abandon_job"] * len(bad))
+
+    async def test_malformed_frame_leaves_the_link_open(self):
+        good = '{"sent_ms":2,"messages":[{"kind":"abandon_job","job_id":"j"}]}'
+        bad = ("", "[", "[]", '{"messages":[]}', '{"sent_ms":1,"messages":1}')
+        await self.send_raw(*bad, good)
+        self.assertEqual(await self.received_kinds(1), ["abandon_job"])
+
+    async def test_failed_handling_of_a_message_leaves_the_link_open(self):
+        self.far.fail_on = "bad"
+        for job_id in ("bad", "good"):
+            message = messages.AbandonJob(job_id)
+            self.near.links.send(self.ours.link, message)
+        (received,) = await self.far.wait_for(events.MessageReceived)
+        self.assertEqual(received.message.job_id, "good")
+        self.assertIn("internal.error", self.far.log.content)
+
     async def test_closed_link_is_reported_at_both_ends_and_reopened(self):
         self.far.links.close_link(self.theirs.link)
         await self.far.wait_for(events.LinkClosed)
--- a/tests/platform/test_clients.py
+++ b/tests/platform/test_clients.py
@@ -173,7 +173,17 @@
         )
 
     async def test_malformed_lists_have_an_unknown_outcome(self):
-        for content in ({}, {"clock_ms": "soon"}, [1]):
+        rows = (
+            {"running": [[]]},
+            {"running": [["j.0.0.0", "first"]]},
+            {"running": [["j.0.0.0", None, "", 0]]},
+            {"running": [7]},
+            {"ended": [[1, "j.0.0.0", 1]]},
+            {"ended": [["x", "j.0.0.0", 1, "done", ""]]},
+            {"ended": [[1, "j.0.0.0", {}, "done", ""]]},
+        )
+        contents = [{"clock_ms": 1} | each for each in rows]
+        for content in ({}, {"clock_ms": "soon"}, [1], *contents):
             with self.subTest(content=content):
                 self.worker.planned_replies["/hold"] = (200, content)
                 polled = await self.poll()
--- a/waxwingwalk/dispatch/messages.py
+++ b/waxwingwalk/dispatch/messages.py
@@ -7,6 +7,7 @@
 
 import dataclasses
 from typing import Annotated
+from typing import Any
 from typing import Literal
 
 import pydantic
@@ -85,16 +86,13 @@
 
 @dataclasses.dataclass(slots=True)
 class TaskEnded:
-    """How an offered task ended, or that the offer was declined.
-
-    ``end`` is a value of run_tracker.TaskEnd, NOT_RUN if it was declined.
-    """
+    """How an offered task ended, NOT_RUN if the offer was declined."""
 
     job_id: str
     step: int
     index: int
     run: int
-    end: str
+    end: model.TaskEnd
     kind: Literal["task_ended"] = "task_ended"
 
 
@@ -190,4 +188,36 @@
     messages: list[Annotated[Message, pydantic.Field(discriminator="kind")]]
 
 
+@dataclasses.dataclass(slots=True)
+class _RawFrame:
+    """A frame whose messages are not decoded."""
+
+    sent_ms: float
+    messages: list[Any]
+
+
 decoder: pydantic.TypeAdapter[Frame] = pydantic.TypeAdapter(Frame)
+
+_frame_decoder: pydantic.TypeAdapter[_RawFrame] = pydantic.TypeAdapter(
+    _RawFrame
+)
+_message_decoder: pydantic.TypeAdapter[Message] = pydantic.TypeAdapter(
+    Annotated[Message, pydantic.Field(discriminator="kind")]
+)
+
+
+def decode_separately(content: str) -> tuple[Frame, list[str]]:
+    """Return a frame without the messages that are malformed, and the errors.
+
+    Raise ``pydantic.ValidationError`` if the content is not a frame. This is
+    for frames that ``decoder`` does not take, as it is much slower.
+    """
+    raw = _frame_decoder.validate_json(content)
+    frame = Frame(raw.sent_ms, [])
+    errors = []
+    for each in raw.messages:
+        try:
+            frame.messages.append(_message_decoder.validate_python(each))
+        except pydantic.ValidationError as error:
+            errors.append(str(error))
+    return frame, errors
--- a/waxwingwalk/dispatch/model.py
+++ b/waxwingwalk/dispatch/model.py
@@ -240,6 +240,21 @@
     LAPSED = "lapsed"
 
 
+class TaskEnd(enum.Enum):
+    """How a run ended, as reported to the scheduler that ordered it.
+
+    NOT_RUN was never started. GONE may have been started, but is over. After
+    either of them the task may run again. LOST may still be running under
+    another scheduler.
+    """
+
+    DONE = "done"
+    FAILED = "failed"
+    NOT_RUN = "not_run"
+    GONE = "gone"
+    LOST = "lost"
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class EndedRun:
     """An entry of a backend server's list of ended runs."""
--- a/waxwingwalk/dispatch/run_tracker.py
+++ b/waxwingwalk/dispatch/run_tracker.py
@@ -11,7 +11,6 @@
 from collections.abc import Iterator
 import dataclasses
 import datetime
-import enum
 
 from waxwingwalk.dispatch import backend as backends
 from waxwingwalk.dispatch import effects
@@ -44,21 +43,6 @@
 )
 
 
-class TaskEnd(enum.Enum):
-    """How a run ended, as reported to the scheduler that ordered it.
-
-    NOT_RUN was never started. GONE may have been started, but is over. After
-    either of them the task may run again. LOST may still be running under
-    another scheduler.
-    """
-
-    DONE = "done"
-    FAILED = "failed"
-    NOT_RUN = "not_run"
-    GONE = "gone"
-    LOST = "lost"
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class EndedTask:
     """The end of a run that was ordered here.
@@ -67,7 +51,7 @@
     """
 
     order: backends.TaskOrder
-    end: TaskEnd
+    end: model.TaskEnd
     backend_id: str
     elapsed: datetime.timedelta
     slowness: float = 1.0
@@ -163,7 +147,7 @@
     ) -> effects.Effects:
         """Stop scheduling a backend server; its runs may continue."""
         return self._remove_backend(
-            incarnation, TaskEnd.LOST, "backend.released", reason, now
+            incarnation, model.TaskEnd.LOST, "backend.released", reason, now
         )
 
     def begin_release(self, backend: backends.Backend) -> None:
@@ -179,13 +163,13 @@
     ) -> effects.Effects:
         """Remove an incarnation that is over; its runs are over too."""
         return self._remove_backend(
-            incarnation, TaskEnd.GONE, "backend.gone", reason, now
+            incarnation, model.TaskEnd.GONE, "backend.gone", reason, now
         )
 
     def _remove_backend(
         self,
         incarnation: model.BackendIncarnation,
-        end: TaskEnd,
+        end: model.TaskEnd,
         event: str,
         reason: str,
         now: datetime.datetime,
@@ -377,10 +361,10 @@
             case outcomes.FENCED | outcomes.OTHER_INCARNATION:
                 return self._handle_lost_backend(backend, outcome, now)
             case outcomes.UNHEALTHY | outcomes.NOT_SENT:
-                self._end_run(backend, run, TaskEnd.NOT_RUN, now)
+                self._end_run(backend, run, model.TaskEnd.NOT_RUN, now)
                 return self._mark_suspect(backend, now, outcome.value)
             case _:
-                self._end_run(backend, run, TaskEnd.NOT_RUN, now)
+                self._end_run(backend, run, model.TaskEnd.NOT_RUN, now)
                 return [
                     effects.Log(
                         "run.refused",
@@ -495,7 +479,7 @@
                 if key in present:
                     run.settled_by_poll = None
                 else:
-                    self._end_run(backend, run, TaskEnd.NOT_RUN, now)
+                    self._end_run(backend, run, model.TaskEnd.NOT_RUN, now)
 
     def _verify(
         self,
@@ -589,7 +573,7 @@
         backend.state = backends.BackendState.FENCED
         self._usable_at = None
         for run in list(backend.runs.values()):
-            self._end_run(backend, run, TaskEnd.LOST, now)
+            self._end_run(backend, run, model.TaskEnd.LOST, now)
         backend.foreign_runs.clear()
         return [
             effects.Log(
@@ -605,7 +589,7 @@
         self,
         backend: backends.Backend,
         run: backends.Run,
-        end: TaskEnd,
+        end: model.TaskEnd,
         now: datetime.datetime,
     ) -> None:
         """Free a run's resources, and report its end if not yet reported."""
@@ -618,7 +602,7 @@
         self,
         backend: backends.Backend,
         run: backends.Run,
-        end: TaskEnd,
+        end: model.TaskEnd,
         now: datetime.datetime,
     ) -> None:
         if run.is_end_reported:
@@ -644,16 +628,16 @@
         self,
         backend: backends.Backend,
         run: backends.Run,
-        end: TaskEnd,
+        end: model.TaskEnd,
         elapsed: datetime.timedelta,
         now: datetime.datetime,
     ) -> None:
         name = str(backend.incarnation)
-        if end is TaskEnd.DONE:
+        if end is model.TaskEnd.DONE:
             backend.learn_slowness(elapsed, run.order.estimate)
             self._detector.task_done(name, run.order.queue)
             backend.ejected_until = None
-        elif end is TaskEnd.FAILED:
+        elif end is model.TaskEnd.FAILED:
             if self._detector.task_failed(name, run.order.queue):
                 backend.ejected_until = now + EJECTION_TIME
                 self._usable_at = None
@@ -698,7 +682,7 @@
             return
         for run in backend.runs.values():
             run.stop_requested_at = run.stop_requested_at or now
-            self._report_end(backend, run, TaskEnd.GONE, now)
+            self._report_end(backend, run, model.TaskEnd.GONE, now)
 
 
 def _is_stop_due(run: backends.Run, now: datetime.datetime) -> bool:
@@ -717,9 +701,9 @@
     backend.next_poll_at = now
 
 
-def _task_end(end: model.RunEnd) -> TaskEnd:
+def _task_end(end: model.RunEnd) -> model.TaskEnd:
     if end is model.RunEnd.DONE:
-        return TaskEnd.DONE
+        return model.TaskEnd.DONE
     if end is model.RunEnd.FAILED:
-        return TaskEnd.FAILED
-    return TaskEnd.GONE
+        return model.TaskEnd.FAILED
+    return model.TaskEnd.GONE
--- a/waxwingwalk/dispatch/scheduler.py
+++ b/waxwingwalk/dispatch/scheduler.py
@@ -171,10 +171,7 @@
         """Learn a completed task's run time on a server of ordinary speed."""
         order = ended.order
         record = self._jobs.get(order.ref.job_id)
-        if (
-            record is None
-            or ended.end is not dispatch_run_tracker.TaskEnd.DONE
-        ):
+        if record is None or ended.end is not model.TaskEnd.DONE:
             return
         step = order.ref.step
         observed = ended.elapsed / ended.slowness
@@ -296,7 +293,7 @@
             done += self._record_task_end(
                 task.ref,
                 task.run,
-                dispatch_run_tracker.TaskEnd.GONE,
+                model.TaskEnd.GONE,
                 "lost peer",
                 now,
             )
@@ -615,7 +612,7 @@
         self,
         ref: model.TaskRef,
         run: int,
-        end: dispatch_run_tracker.TaskEnd,
+        end: model.TaskEnd,
         where: str,
         now: datetime.datetime,
     ) -> effects.Effects:
@@ -639,7 +636,7 @@
                 },
             )
         ]
-        ends = dispatch_run_tracker.TaskEnd
+        ends = model.TaskEnd
         match end:
             case ends.DONE:
                 record.mark_done(task)
@@ -681,7 +678,7 @@
             backend = self._choose_backend(order, due, now)
         if backend is None:
             refused = dispatch_run_tracker.EndedTask(
-                order, dispatch_run_tracker.TaskEnd.NOT_RUN, "", model.ZERO
+                order, model.TaskEnd.NOT_RUN, "", model.ZERO
             )
             return [effects.Send(link, _task_ended_message(refused))]
         self._peer_runs[order.key] = link
@@ -715,10 +712,10 @@
     ) -> effects.Effects:
         """Record the end of a task at a peer, or that it was declined."""
         ref = model.TaskRef(message.job_id, message.step, message.index)
-        end = dispatch_run_tracker.TaskEnd(message.end)
+        end = message.end
         self._stopping_at_peers.pop(ref.name, None)
         record = self._jobs.get(ref.job_id)
-        if record is not None and end is dispatch_run_tracker.TaskEnd.NOT_RUN:
+        if record is not None and end is model.TaskEnd.NOT_RUN:
             task = record.tasks.get((ref.step, ref.index))
             if task is not None and task.run == message.run:
                 task.refused_by.add(link)
@@ -885,5 +882,5 @@
 ) -> messages.TaskEnded:
     ref = ended.order.ref
     return messages.TaskEnded(
-        ref.job_id, ref.step, ref.index, ended.order.run, ended.end.value
+        ref.job_id, ref.step, ref.index, ended.order.run, ended.end
     )
--- a/waxwingwalk/host/engine.py
+++ b/waxwingwalk/host/engine.py
@@ -16,6 +16,9 @@
 from waxwingwalk.host import logs
 from waxwingwalk.host import metrics
 
+# The outcome of a call that raised an exception: it may have been sent.
+UNKNOWN = model.CallOutcome.UNKNOWN
+
 
 class BackendClient(Protocol):
     """The client of backend servers, as the engine uses it."""
@@ -161,13 +164,22 @@
             case effects.Send():
                 adapters.links.send(effect.link, effect.message)
             case effects.StartRun():
-                self._spawn(
-                    self._apply_result(adapters.backends.start(effect))
+                self._call(
+                    adapters.backends.start(effect),
+                    events.RunStarted(
+                        effect.incarnation, effect.run, UNKNOWN, None
+                    ),
                 )
             case effects.StopRun():
-                self._spawn(self._apply_result(adapters.backends.stop(effect)))
+                self._call(
+                    adapters.backends.stop(effect),
+                    events.RunStopped(effect.incarnation, effect.run, UNKNOWN),
+                )
             case effects.PollBackend():
-                self._spawn(self._apply_result(adapters.backends.poll(effect)))
+                self._call(
+                    adapters.backends.poll(effect),
+                    events.BackendPolled(effect.incarnation, UNKNOWN),
+                )
             case effects.AnswerJob():
                 waiter = self._waiters.get(effect.job_id)
                 if waiter is not None and not waiter.done():
@@ -184,8 +196,9 @@
             case effects.CloseLink():
                 adapters.links.close_link(effect.link)
             case effects.WritePool():
-                self._spawn(
-                    self._apply_result(adapters.pools.write_pool(effect))
+                self._call(
+                    adapters.pools.write_pool(effect),
+                    events.PoolWritten(effect.pool, None, None),
                 )
             case effects.ProbeBackends():
                 self._spawn(self._probe(effect, adapters.backends))
@@ -201,10 +214,29 @@
         """Apply an event in a task, after the effects of the current one."""
         self.apply(event)
 
-    async def _apply_result(
-        self, call: Coroutine[Any, Any, events.Event]
+    def _call(
+        self,
+        call: Coroutine[Any, Any, events.Event],
+        if_failed: events.Event,
+    ) -> None:
+        """Run a client's call in a task, and apply the event it returns.
+
+        If the call raises an exception, ``if_failed`` is applied, so that the
+        reducer does not wait for its outcome for ever.
+        """
+        self._spawn(self._apply_outcome(call, if_failed))
+
+    async def _apply_outcome(
+        self,
+        call: Coroutine[Any, Any, events.Event],
+        if_failed: events.Event,
     ) -> None:
-        self.apply(await call)
+        try:
+            event = await call
+        except Exception as error:
+            self.report_failure(type(if_failed).__name__, error)
+            event = if_failed
+        self.apply(event)
 
     async def _probe(
         self, effect: effects.ProbeBackends, backends: BackendClient
--- a/waxwingwalk/host/links.py
+++ b/waxwingwalk/host/links.py
@@ -45,6 +45,8 @@
 # time; the real drift is far smaller.
 CLOCK_DRIFT = 0.001
 
+# Maximum length of a validation error in a log line, in characters.
+ERROR_MAX = 500
 # Maximum time to wait for the other end to confirm the close of a link.
 CLOSE_TIMEOUT = datetime.timedelta(milliseconds=100)
 
@@ -245,11 +247,8 @@
     def _receive(self, number: int, frame: aiohttp.WSMessage) -> None:
         if frame.type is not aiohttp.WSMsgType.TEXT:
             return
-        try:
-            received = messages.decoder.validate_json(frame.data)
-        except pydantic.ValidationError as error:
-            # A host of another version may send messages unknown to this one.
-            self._log.error("link.not_understood", error=str(error)[:500])
+        received = self._decode(frame.data)
+        if received is None:
             return
         link = self._links.get(number)
         if link is None:
@@ -264,7 +263,36 @@
             self.close_link(number)
             return
         for message in received.messages:
-            self._notify(events.MessageReceived(number, message))
+            try:
+                self._notify(events.MessageReceived(number, message))
+            except Exception as error:
+                # Other messages of the link are not affected.
+                self._log.error(
+                    "internal.error",
+                    where=f"message {message.kind}",
+                    error=f"{type(error).__name__}: {error}",
+                    exc_info=error,
+                )
+
+    def _decode(self, content: str) -> messages.Frame | None:
+        """Return a frame without its malformed messages, if it is one.
+
+        A host of another version may send messages unknown to this one.
+        """
+        try:
+            return messages.decoder.validate_json(content)
+        except pydantic.ValidationError as error:
+            first = str(error)
+        frame = None
+        errors = [first]
+        with contextlib.suppress(pydantic.ValidationError):
+            frame, errors = messages.decode_separately(content)
+        self._log.error(
+            "link.not_understood",
+            error=errors[0][:ERROR_MAX],
+            messages=len(errors),
+        )
+        return frame
 
 
 def _decode_greeting(frame: aiohttp.WSMessage) -> model.HostRecord | None:
--- a/waxwingwalk/host/log_catalogue.py
+++ b/waxwingwalk/host/log_catalogue.py
@@ -73,7 +73,9 @@
     ),
     "link.broken": LogEvent("a link failed", ("host", "error")),
     "link.not_understood": LogEvent(
-        "a host sent a message that this version does not know", ("error",)
+        "a host sent messages that this version does not know, or a malformed "
+        "frame; ``error`` is the first error, ``messages`` how many there are",
+        ("error", "messages"),
     ),
     "catalog.adopted": LogEvent(
         "a version of the configuration took effect",
--- a/waxwingwalk/platform/backends.py
+++ b/waxwingwalk/platform/backends.py
@@ -3,6 +3,7 @@
 import asyncio
 import datetime
 import time
+from typing import Annotated
 from typing import Any
 from typing import TypeVar
 
@@ -46,13 +47,26 @@
     reason: str = ""
 
 
+def _first_columns(count: int) -> pydantic.BeforeValidator:
+    """Return a validator that drops the columns of a row after the first."""
+
+    def cut(row: Any) -> Any:
+        return row[:count] if isinstance(row, list) else row
+
+    return pydantic.BeforeValidator(cut)
+
+
+# Task and run; checkpoint, percent and load follow.
+_RunningRow = Annotated[tuple[str, int], _first_columns(2)]
+# Serial number, task, run and how the run ended; a checkpoint follows.
+_EndedRow = Annotated[tuple[int, str, int, str], _first_columns(4)]
+
+
 class _RunLists(pydantic.BaseModel):
     clock_ms: int
     born: int | None = None
-    # Each row: task, run, checkpoint, percent, load.
-    running: list[list[Any]] = []
-    # Each row: serial number, task, run, how the run ended, checkpoint.
-    ended: list[list[Any]] = []
+    running: list[_RunningRow] = []
+    ended: list[_EndedRow] = []
 
 
 class PlatformBackends:
@@ -212,15 +226,12 @@
         incarnation,
         Outcome.ACCEPTED,
         lists.clock_ms,
-        tuple(model.RunKey(str(row[0]), int(row[1])) for row in lists.running),
+        tuple(model.RunKey(task, run) for task, run in lists.running),
         tuple(
             model.EndedRun(
-                int(row[0]),
-                str(row[1]),
-                int(row[2]),
-                RUN_ENDS.get(str(row[3]), model.RunEnd.STOPPED),
+                serial, task, run, RUN_ENDS.get(end, model.RunEnd.STOPPED)
             )
-            for row in lists.ended
+            for serial, task, run, end in lists.ended
         ),
     )
 
