--- a/waxwingwalk/routing/placement.py
+++ b/waxwingwalk/routing/placement.py
@@ -168,10 +168,15 @@
 
     def _rebuild(self, backend: backends.Backend, *, is_idle: bool) -> None:
         """Update an entry that is not the first of the heap."""
-        kept = [each for each in self._heap if each[2] is not backend]
-        if is_idle:
-            cost = self._placement.cost(self._service, backend)
-            kept.append((cost, len(self._heap), backend))
+        kept = []
+        for entry in self._heap:
+            _, serial, other = entry
+            if other is not backend:
+                kept.append(entry)
+            elif is_idle:
+                # Serials stay unique, so that equal costs are no problem.
+                cost = self._placement.cost(self._service, backend)
+                kept.append((cost, serial, backend))
         heapq.heapify(kept)
         self._heap = kept
 
