Left the host's own delay out of its judgements of others

A host that is short of processor time reads replies late. These judgements now use observed time, which stands still from the moment that a tick is overdue. Leases, deadlines of callers and the age of frames stay on the clock.

--- a/tests/dispatch/test_reducer.py
+++ b/tests/dispatch/test_reducer.py
@@ -3,91 +3,21 @@
 import unittest
 
 from tests.dispatch import builders
-from waxwingwalk.dispatch import effects
+from tests.dispatch import reducer_case
 from waxwingwalk.dispatch import events
 from waxwingwalk.dispatch import messages
 from waxwingwalk.dispatch import model
-from waxwingwalk.dispatch import pool_rows
-from waxwingwalk.dispatch import reducer as dispatch_reducer
 from waxwingwalk.dispatch import scheduler as dispatch_scheduler
 
-ZONE = "north"
-LOCAL = model.HostRecord("local", "1", ZONE, processors=2.0)
-PEER = model.HostRecord("peer", "1", ZONE)
-OUTBOUND, INBOUND = 1, 2
-ROW_VERSION = 10
-TICK = 25
-Outcome = model.CallOutcome
+UNKNOWN = model.CallOutcome.UNKNOWN
 
 
-class ReducerTests(unittest.TestCase):
-    def setUp(self):
-        self.report = builders.report()
-        self.build(LOCAL)
-
-    def build(self, local_host):
-        """Build the reducer of a host that is linked to the peer."""
-        self.reducer = dispatch_reducer.Reducer(local_host, builders.START)
-        self.apply(events.LinkOpened(OUTBOUND, PEER, True), 0)
-        self.apply(events.LinkOpened(INBOUND, PEER, False), 0)
-        self.apply(events.BackendsListed((self.report,)), 0)
-
-    def apply(self, event, at):
-        return self.reducer.apply(event, builders.at(at))
-
-    def receive(self, message, at, link=OUTBOUND):
-        return self.apply(events.MessageReceived(link, message), at)
-
-    def list_row(self, *order):
-        row = pool_rows.PoolRow(order)
-        self.apply(events.PoolsListed({ZONE: (ROW_VERSION, row)}), 0)
-
-    def schedule_here(self):
-        """Make this host the owner of the pool, with its server ready."""
-        self.list_row(LOCAL, PEER)
-        self.apply(builders.polled(self.report), 1)
-
-    def schedule_at_peer(self):
-        """Make the peer the owner of the pool."""
-        self.list_row(PEER)
-        fence = pool_rows.fence(ROW_VERSION, 0)
-        load = messages.PoolLoad(ZONE, fence, builders.SERVICE, [], 0.0)
-        self.receive(messages.HostStatus([load], False, 0), 1)
-
-    def tick_until(self, end, start):
-        done = []
-        for at in range(start, end, TICK):
-            done += self.apply(events.Ticked(), at)
-        return done
-
-    def logged(self, end, start):
-        """Return the names of the log events of ticks."""
-        done = self.tick_until(end, start)
-        return [each.event for each in builders.of_type(done, effects.Log)]
-
-    def answers(self, done):
-        return [
-            (each.outcome, each.reason)
-            for each in builders.of_type(done, effects.AnswerJob)
-        ]
-
-    def start_job(self):
-        """Start a job here; return its run."""
-        done = self.apply(events.JobSubmitted(builders.job()), 2)
-        (start,) = builders.of_type(done, effects.StartRun)
-        self.apply(
-            events.RunStarted(
-                self.report.incarnation, start.run, Outcome.ACCEPTED, 1003
-            ),
-            3,
-        )
-        return start.run
-
+class HandOverTests(reducer_case.ReducerTestCase):
     def test_run_on_an_unresponsive_server_survives_a_drain(self):
         self.schedule_here()
         run = self.start_job()
         incarnation = self.report.incarnation
-        self.apply(events.BackendPolled(incarnation, Outcome.UNKNOWN), 20)
+        self.apply(events.BackendPolled(incarnation, UNKNOWN), 20)
         limit = builders.milliseconds(5000)
         done = self.apply(events.DrainRequested(limit), 30)
         done += self.tick_until(300, start=50)
@@ -100,7 +30,7 @@
         self.schedule_here()
         self.start_job()
         incarnation = self.report.incarnation
-        self.apply(events.BackendPolled(incarnation, Outcome.UNKNOWN), 20)
+        self.apply(events.BackendPolled(incarnation, UNKNOWN), 20)
         limit = builders.milliseconds(5000)
         self.apply(events.DrainRequested(limit), 30)
         self.assertNotIn("backend.released", self.logged(1000, start=50))
@@ -118,7 +48,7 @@
             None,
         )
         done = self.receive(leaving, 4)
-        done += self.apply(events.LinkClosed(OUTBOUND), 5)
+        done += self.apply(events.LinkClosed(reducer_case.OUTBOUND), 5)
         self.assertEqual(self.answers(done), [])
         done = self.tick_until(300, start=25)
         self.assertEqual(
--- a/waxwingwalk/dispatch/backend.py
+++ b/waxwingwalk/dispatch/backend.py
@@ -6,6 +6,7 @@
 
 from waxwingwalk.core import clock
 from waxwingwalk.dispatch import model
+from waxwingwalk.dispatch import observed_time
 from waxwingwalk.dispatch import speeds
 
 # The lease that is requested. The platform shortens leases of more than one
@@ -65,7 +66,10 @@
 
 @dataclasses.dataclass(slots=True)
 class Run:
-    """A run that occupies resources until it is known to have ended."""
+    """A run that occupies resources until it is known to have ended.
+
+    ``ordered_at`` and ``accepted_at`` are in observed time.
+    """
 
     order: TaskOrder
     ordered_at: datetime.datetime
@@ -102,8 +106,13 @@
     """
 
     def __init__(
-        self, report: model.BackendReport, fence: int, now: datetime.datetime
+        self,
+        report: model.BackendReport,
+        fence: int,
+        now: datetime.datetime,
+        observed: observed_time.ObservedTime | None = None,
     ) -> None:
+        self._observed = observed or observed_time.ObservedTime()
         self.report = report
         self.fence = fence
         self.state = BackendState.UNVERIFIED
@@ -271,9 +280,10 @@
 
     def _measure_slowness(self, now: datetime.datetime) -> float:
         slowest = self.learned_slowness.slowness
+        observed_now = self._observed.at(now)
         for run in self.runs.values():
             if run.accepted_at is not None and run.stop_requested_at is None:
-                elapsed = now - run.accepted_at
+                elapsed = observed_now - run.accepted_at
                 slowest = max(
                     slowest,
                     speeds.overdue_slowness(elapsed, run.order.estimate),
--- /dev/null
+++ b/waxwingwalk/dispatch/observed_time.py
@@ -0,0 +1,49 @@
+"""Time as far as this host was able to observe others.
+
+Load pattern: a host that is short of processor time, or was paused, reads
+replies and messages late. Measured on the clock, backend servers look slow or
+stuck to it and peers look silent, and the remedies (stopping and repeating
+runs, closing links) add to its load. Such judgements therefore measure time on
+a clock that stands still while the host is behind.
+
+Permissions, such as leases, and the deadlines of callers are not judgements:
+they run on whether this host observes them or not.
+"""
+
+import datetime
+
+# A timer of an event loop that has time to spare fires at most this late.
+TIMER_TOLERANCE = datetime.timedelta(milliseconds=10)
+
+
+class ObservedTime:
+    """A clock that stands still from the moment that a tick is overdue.
+
+    ::
+
+        observed = ObservedTime()
+        observed.ticked(now, interval)
+        since = observed.at(now)
+        ...
+        silence = observed.at(later) - since
+
+    Its times may be compared only with each other.
+    """
+
+    def __init__(self) -> None:
+        self._delay = datetime.timedelta()
+        self._next_tick_at: datetime.datetime | None = None
+
+    def ticked(
+        self, now: datetime.datetime, interval: datetime.timedelta
+    ) -> None:
+        """Record a tick, and the interval until the next one."""
+        if self._next_tick_at is not None and now > self._next_tick_at:
+            self._delay += now - self._next_tick_at
+        self._next_tick_at = now + interval + TIMER_TOLERANCE
+
+    def at(self, now: datetime.datetime) -> datetime.datetime:
+        """Return the observed time at a time of the host's clock."""
+        if self._next_tick_at is not None:
+            now = min(now, self._next_tick_at)
+        return now - self._delay
--- a/waxwingwalk/dispatch/reducer.py
+++ b/waxwingwalk/dispatch/reducer.py
@@ -23,6 +23,7 @@
 from waxwingwalk.dispatch import links
 from waxwingwalk.dispatch import messages
 from waxwingwalk.dispatch import model
+from waxwingwalk.dispatch import observed_time
 from waxwingwalk.dispatch import ordering
 from waxwingwalk.dispatch import ownership as dispatch_ownership
 from waxwingwalk.dispatch import placement as dispatch_placement
@@ -30,6 +31,10 @@
 from waxwingwalk.dispatch import run_tracker
 from waxwingwalk.dispatch import scheduler as dispatch_scheduler
 
+TICK_INTERVAL = datetime.timedelta(milliseconds=25)
+# The tick interval of an idle host. It must be short compared with the silence
+# of 0.6 s that closes a link once work has begun on it.
+IDLE_TICK_INTERVAL = datetime.timedelta(milliseconds=100)
 # The minimum interval between announcements of a changed load to peers.
 LOAD_ANNOUNCEMENT_INTERVAL = datetime.timedelta(milliseconds=20)
 # The interval at which the ownership of pools is evaluated, in addition to
@@ -55,11 +60,13 @@
         self.catalog_document = ""
         self.hosts = dispatch_hosts.Hosts(local_host)
         self.ownership = dispatch_ownership.Ownership(self.hosts)
-        self.run_tracker = run_tracker.RunTracker()
+        self._observed = observed_time.ObservedTime()
+        self.run_tracker = run_tracker.RunTracker(self._observed)
         self.scheduler = dispatch_scheduler.Scheduler(
             self.run_tracker,
             job_order or ordering.PriorityThenSlack(),
             placement or dispatch_placement.FastestInTime(),
+            self._observed,
         )
         self.front = dispatch_front.Front(
             self.hosts, self.ownership, self.scheduler
@@ -119,6 +126,11 @@
             or self.drain_deadline
         )
 
+    @property
+    def tick_interval(self) -> datetime.timedelta:
+        """The interval at which Ticked has to be applied."""
+        return IDLE_TICK_INTERVAL if self.is_idle else TICK_INTERVAL
+
     @property
     def is_ready(self) -> bool:
         """Whether the host can accept jobs of callers."""
@@ -257,7 +269,9 @@
                 or pool_rows.claim_fence(acquired.fence) >= claim.fence
             ):
                 continue
-            if self.ownership.may_acquire(report.zone, incarnation, now):
+            if self.ownership.may_acquire(
+                report.zone, incarnation, self._observed.at(now)
+            ):
                 fence = claim.next_order_fence(incarnation.backend_id)
                 done += self.run_tracker.acquire(report, fence, now)
         return done
@@ -291,7 +305,7 @@
         self, event: events.HostsListed, now: datetime.datetime
     ) -> effects.Effects:
         for record in event.hosts:
-            self.hosts.update_record(record, now)
+            self.hosts.update_record(record, self._observed.at(now))
         return self._update_link_targets(now)
 
     def _update_link_targets(self, now: datetime.datetime) -> effects.Effects:
@@ -299,9 +313,9 @@
         if len(peers) < FULL_MESH_MAX_HOSTS:
             targets = {peer.record.address for peer in peers}
         else:
-            targets = self.ownership.needed_hosts(now)
+            targets = self.ownership.needed_hosts(self._observed.at(now))
         targets.discard(self.local_host.address)
-        self.hosts.set_link_targets(targets, now)
+        self.hosts.set_link_targets(targets, self._observed.at(now))
         if targets == self._link_targets:
             return []
         self._link_targets = frozenset(targets)
@@ -310,7 +324,7 @@
     def _update_pools(
         self, event: events.PoolsListed, now: datetime.datetime
     ) -> effects.Effects:
-        done = self.ownership.rows_listed(event.rows, now)
+        done = self.ownership.rows_listed(event.rows, self._observed.at(now))
         return [
             *done,
             *self._reconcile_backends(now),
@@ -321,7 +335,7 @@
         self, event: events.PoolWritten, now: datetime.datetime
     ) -> effects.Effects:
         done = self.ownership.written(
-            event.pool, event.version, event.row, now
+            event.pool, event.version, event.row, self._observed.at(now)
         )
         return [*done, *self._reconcile_backends(now)]
 
@@ -337,12 +351,14 @@
         self, event: events.LinkOpened, now: datetime.datetime
     ) -> effects.Effects:
         self._links[event.link] = links.Link(
-            event.host, event.is_outbound, now
+            event.host, event.is_outbound, now, self._observed.at(now)
         )
         if event.is_outbound:
-            self.hosts.link_opened(event.link, event.host, now)
+            self.hosts.link_opened(
+                event.link, event.host, self._observed.at(now)
+            )
         else:
-            self.hosts.inbound_link_opened(event.host, now)
+            self.hosts.inbound_link_opened(event.host, self._observed.at(now))
         return [
             effects.Log(
                 "link.opened",
@@ -358,7 +374,9 @@
     def _fail_link(
         self, event: events.LinkFailed, now: datetime.datetime
     ) -> effects.Effects:
-        self.hosts.link_failed(event.address, event.refused, now)
+        self.hosts.link_failed(
+            event.address, event.refused, self._observed.at(now)
+        )
         return self._reevaluate_ownership(now)
 
     def _close_link(
@@ -367,7 +385,7 @@
         link = self._links.pop(event.link, None)
         if link is None:
             return []
-        self.hosts.link_closed(event.link, now)
+        self.hosts.link_closed(event.link, self._observed.at(now))
         done: effects.Effects = [
             effects.Log(
                 "link.closed",
@@ -375,7 +393,7 @@
                     "host": link.host.address,
                     "is_ours": link.is_outbound,
                     "heard_seconds_ago": (
-                        now - link.last_heard_at
+                        self._observed.at(now) - link.last_heard_at
                     ).total_seconds(),
                 },
             )
@@ -388,7 +406,7 @@
         return [*done, *self._reevaluate_ownership(now)]
 
     def _reevaluate_ownership(self, now: datetime.datetime) -> effects.Effects:
-        done = self.ownership.decide(now)
+        done = self.ownership.decide(self._observed.at(now))
         return [*done, *self._reconcile_backends(now)]
 
     def _receive(
@@ -397,7 +415,7 @@
         link = self._links.get(event.link)
         if link is None:
             return []
-        link.last_heard_at = now
+        link.last_heard_at = self._observed.at(now)
         handler = self._message_handlers[type(event.message)]
         return handler(event.message, event.link, now)
 
@@ -559,6 +577,8 @@
         self, event: events.Ticked, now: datetime.datetime
     ) -> effects.Effects:
         done: effects.Effects = []
+        self._observed.ticked(now, self.tick_interval)
+        observed_now = self._observed.at(now)
         busy = self.front.links_in_use() | self.scheduler.links_in_use()
         watched = self.ownership.watched_hosts()
         for number, link in list(self._links.items()):
@@ -566,8 +586,8 @@
             if not is_busy:
                 link.busy_since = None
             elif link.busy_since is None:
-                link.busy_since = now
-            if link.is_timed_out(now):
+                link.busy_since = observed_now
+            if link.is_timed_out(observed_now):
                 done.append(effects.CloseLink(number, "silent"))
                 done += self._close_link(events.LinkClosed(number), now)
             elif link.is_keep_alive_due(now):
@@ -579,7 +599,7 @@
         self._ownership_evaluated_at = now
         done += self._reevaluate_ownership(now)
         done += self._update_link_targets(now)
-        for pool in self.ownership.pools_to_probe(now):
+        for pool in self.ownership.pools_to_probe(self._observed.at(now)):
             addresses = tuple(
                 report.address
                 for report in self._backend_reports.values()
--- a/waxwingwalk/dispatch/run_tracker.py
+++ b/waxwingwalk/dispatch/run_tracker.py
@@ -15,6 +15,7 @@
 from waxwingwalk.dispatch import backend as backends
 from waxwingwalk.dispatch import effects
 from waxwingwalk.dispatch import model
+from waxwingwalk.dispatch import observed_time
 from waxwingwalk.routing import outliers
 
 # A poll waits at the server for up to this time until a run ends. Leases are
@@ -60,7 +61,10 @@
 class RunTracker:
     """Orders runs, tracks them until they end, and accounts for capacity."""
 
-    def __init__(self) -> None:
+    def __init__(
+        self, observed: observed_time.ObservedTime | None = None
+    ) -> None:
+        self._observed = observed or observed_time.ObservedTime()
         self._backends: dict[model.BackendIncarnation, backends.Backend] = {}
         self._backend_by_run: dict[model.RunKey, backends.Backend] = {}
         self._active_run_counts: collections.Counter[str] = (
@@ -124,7 +128,7 @@
         self, report: model.BackendReport, fence: int, now: datetime.datetime
     ) -> effects.Effects:
         """Start to schedule a backend server."""
-        backend = backends.Backend(report, fence, now)
+        backend = backends.Backend(report, fence, now, self._observed)
         self._backends[report.incarnation] = backend
         self._usable_at = None
         return [
@@ -244,7 +248,7 @@
         lease_end = backend.extend_lease(now)
         if lease_end is None:
             raise ValueError(f"no clock reading from {backend!r} yet")
-        backend.add_run(backends.Run(order, now))
+        backend.add_run(backends.Run(order, self._observed.at(now)))
         self.changes += 1
         self._backend_by_run[order.key] = backend
         self._active_run_counts[order.ref.name] += 1
@@ -354,7 +358,7 @@
             case outcomes.ACCEPTED:
                 if run.state is backends.RunState.ORDERED:
                     run.state = backends.RunState.RUNNING
-                    run.accepted_at = now
+                    run.accepted_at = self._observed.at(now)
                 return []
             case outcomes.UNKNOWN:
                 return self._handle_unanswered_start(backend, run, now)
@@ -611,7 +615,8 @@
         self._active_run_counts[run.order.ref.name] -= 1
         if not self._active_run_counts[run.order.ref.name]:
             del self._active_run_counts[run.order.ref.name]
-        elapsed = now - (run.accepted_at or run.ordered_at)
+        since = run.accepted_at or run.ordered_at
+        elapsed = self._observed.at(now) - since
         slowness = backend.learned_slowness.slowness
         self._learn(backend, run, end, elapsed, now)
         self.ended.append(
--- a/waxwingwalk/dispatch/scheduler.py
+++ b/waxwingwalk/dispatch/scheduler.py
@@ -9,6 +9,7 @@
 from waxwingwalk.dispatch import job_record
 from waxwingwalk.dispatch import messages
 from waxwingwalk.dispatch import model
+from waxwingwalk.dispatch import observed_time
 from waxwingwalk.dispatch import ordering
 from waxwingwalk.dispatch import placement as dispatch_placement
 from waxwingwalk.dispatch import run_times
@@ -78,7 +79,9 @@
         run_tracker: dispatch_run_tracker.RunTracker,
         job_order: ordering.JobOrder,
         placement: dispatch_placement.Placement,
+        observed: observed_time.ObservedTime | None = None,
     ) -> None:
+        self._observed = observed or observed_time.ObservedTime()
         self._run_tracker = run_tracker
         self._job_order = job_order
         self._placement = placement
@@ -506,7 +509,10 @@
         if backend is None:
             return self._offer_to_peer(record, task, order, now)
         record.mark_placed(
-            task, order.run, backend.incarnation.backend_id, now
+            task,
+            order.run,
+            backend.incarnation.backend_id,
+            self._observed.at(now),
         )
         return [
             self._placement_log(record, order, backend, now),
@@ -794,12 +800,13 @@
     ) -> effects.Effects:
         """Stop runs that take far too long; their tasks then start again."""
         done: effects.Effects = []
+        observed_now = self._observed.at(now)
         for task in record.tasks.values():
             if task.state is not TaskState.PLACED or task.started_at is None:
                 continue
             estimate = record.estimates[task.ref.step]
             limit = max(MIN_STUCK_TIME, STUCK_FACTOR * estimate)
-            if now - task.started_at > limit:
+            if observed_now - task.started_at > limit:
                 key = model.RunKey(task.ref.name, task.run)
                 stopped = self._run_tracker.stop(key, now)
                 if stopped:
--- a/waxwingwalk/emulator/fleet.py
+++ b/waxwingwalk/emulator/fleet.py
@@ -22,7 +22,6 @@
 from waxwingwalk.emulator import guarantees
 from waxwingwalk.emulator import timeline as emulator_timeline
 
-TICK_INTERVAL = datetime.timedelta(milliseconds=25)
 LINK_DELAY = datetime.timedelta(milliseconds=1)
 STORE_DELAY = datetime.timedelta(milliseconds=12)
 CALL_TIMEOUT = datetime.timedelta(milliseconds=350)
@@ -391,7 +390,8 @@
             self.kill_host(host)
             return
         self.timeline.call_later(
-            TICK_INTERVAL, lambda: self._tick(host, incarnation)
+            dispatch_reducer.TICK_INTERVAL,
+            lambda: self._tick(host, incarnation),
         )
 
     def _read_store(self, host: Host, incarnation: int) -> None:
--- a/waxwingwalk/host/service.py
+++ b/waxwingwalk/host/service.py
@@ -24,10 +24,6 @@
 from waxwingwalk.store import follower
 from waxwingwalk.store import rows as store_rows
 
-TICK_INTERVAL = datetime.timedelta(milliseconds=25)
-# The tick interval of an idle host. It must be short compared with the silence
-# of 0.6 s that closes a link once work has begun on it.
-IDLE_TICK_INTERVAL = datetime.timedelta(milliseconds=100)
 LOG_FLUSH_INTERVAL = datetime.timedelta(milliseconds=100)
 # Allocations minus deallocations that trigger a collection of the youngest
 # generation.
@@ -166,9 +162,7 @@
     async def _run_ticks(self) -> None:
         flushed_at = self._engine.clock.now()
         while True:
-            interval = TICK_INTERVAL
-            if self._engine.reducer.is_idle:
-                interval = IDLE_TICK_INTERVAL
+            interval = self._engine.reducer.tick_interval
             due = self._engine.clock.now() + interval
             await asyncio.sleep(interval.total_seconds())
             now = self._engine.clock.now()
