Extended call limits by the delay of the event loop

When the event loop is behind, the limit of a call can pass although its reply waits unread in the socket; the call then had an unknown outcome, the server became suspect, and the run was stopped. The limit is now extended by the loop's delay, at most once over.

--- a/waxwingwalk/platform/backends.py
+++ b/waxwingwalk/platform/backends.py
@@ -15,11 +15,16 @@
 from waxwingwalk.dispatch import events
 from waxwingwalk.dispatch import model
 from waxwingwalk.host import metrics
+from waxwingwalk.host import timeouts
 
 # Within a zone a call is answered in a few milliseconds. The rest allows for a
 # pause of this process or of the server.
 CALL_TIMEOUT = datetime.timedelta(milliseconds=350)
 CONNECT_TIMEOUT = datetime.timedelta(milliseconds=200)
+# The total time of a call has a limit of its own.
+CLIENT_TIMEOUT = aiohttp.ClientTimeout(
+    total=None, sock_connect=CONNECT_TIMEOUT.total_seconds()
+)
 # Maximum connections to one server, of which polls use one. A server accepts
 # 64 connections from all hosts together.
 CONNECTIONS_MAX = 6
@@ -177,18 +182,17 @@
         body: dict[str, Any],
         timeout: datetime.timedelta,
     ) -> tuple[Outcome, bytes]:
-        limits = aiohttp.ClientTimeout(
-            total=timeout.total_seconds(),
-            sock_connect=CONNECT_TIMEOUT.total_seconds(),
-        )
         try:
-            async with self._session.post(
-                url,
-                data=orjson.dumps(body),
-                headers={"Expect-Instance": incarnation.backend_id},
-                timeout=limits,
-                allow_redirects=False,
-            ) as response:
+            async with (
+                timeouts.PatientTimeout(timeout),
+                self._session.post(
+                    url,
+                    data=orjson.dumps(body),
+                    headers={"Expect-Instance": incarnation.backend_id},
+                    timeout=CLIENT_TIMEOUT,
+                    allow_redirects=False,
+                ) as response,
+            ):
                 content = await response.read()
                 return _outcome(response.status, content), content
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
