Added counts up outside the metrics library

Increments of the library's counters took 6% of a busy scheduler's profile (trial: 12 s, 25 jobs a second), as long as the decisions that they count.

--- a/waxwingwalk/host/metrics.py
+++ b/waxwingwalk/host/metrics.py
@@ -1,9 +1,10 @@
 """Metrics of a dispatch host, in the text format of Prometheus."""
 
+import collections
 from collections.abc import Sequence
 import datetime
 
-from aioprometheus import collectors
+from aioprometheus import collectors as prometheus
 from aioprometheus import renderer
 
 from waxwingwalk.dispatch import effects
@@ -27,21 +28,63 @@
 )
 
 
+class BufferedCounter:
+    """A counter with labels that is added up outside the metrics library.
+
+    Increments of the library take as long as the decisions that they count.
+    """
+
+    def __init__(self, counter: prometheus.Counter, *names: str) -> None:
+        self._counter = counter
+        self._names = names
+        self._counts: collections.Counter[tuple[str, ...]] = (
+            collections.Counter()
+        )
+
+    def increment(self, *values: str) -> None:
+        """Count one, with the values of the labels in their order."""
+        self._counts[values] += 1
+
+    def flush(self) -> None:
+        """Add what was counted to the library's counter."""
+        for values, count in self._counts.items():
+            labels = dict(zip(self._names, values, strict=True))
+            self._counter.add(labels, count)
+        self._counts.clear()
+
+
 class HostMetrics:
     """Counters and histograms of one dispatch host."""
 
     def __init__(self) -> None:
-        self._registry = collectors.Registry()
-        self._jobs = self._counter("jobs", "Jobs by outcome and reason.")
-        self._decisions = self._counter("decisions", "Decisions by kind.")
+        self._registry = prometheus.Registry()
+        self._buffered_counters: list[BufferedCounter] = []
+        self._jobs = self._counter(
+            "jobs",
+            "Jobs by outcome and reason.",
+            "queue",
+            "outcome",
+            "reason",
+        )
+        self._decisions = self._counter(
+            "decisions", "Decisions by kind.", "event"
+        )
         self._backend_calls = self._counter(
-            "backend_calls", "Calls to backend servers by kind and outcome."
+            "backend_calls",
+            "Calls to backend servers by kind and outcome.",
+            "kind",
+            "outcome",
         )
         self._store_calls = self._counter(
-            "store_calls", "Calls to the store by kind and result."
+            "store_calls",
+            "Calls to the store by kind and result.",
+            "kind",
+            "result",
         )
-        self._suppressed = self._counter(
-            "log_lines_suppressed", "Log lines left out."
+        self._suppressed = prometheus.Counter(
+            f"{PREFIX}_log_lines_suppressed_total",
+            "Log lines left out.",
+            registry=self._registry,
         )
         self._job_seconds = self._histogram(
             "job_seconds", "Time from a job's arrival to its answer."
@@ -56,7 +99,7 @@
             "event_loop_lag_seconds", "How late timers of the process fire."
         )
         self._gauges = {
-            name: collectors.Gauge(
+            name: prometheus.Gauge(
                 f"{PREFIX}_{name}", text, registry=self._registry
             )
             for name, text in (
@@ -69,19 +112,24 @@
                 ("catalog_version", "The version of the catalog in force."),
             )
         }
-        self._slowness = collectors.Gauge(
+        self._slowness = prometheus.Gauge(
             f"{PREFIX}_backend_slowness",
             "Learned run time over estimated, by backend server.",
             registry=self._registry,
         )
 
-    def _counter(self, name: str, text: str) -> collectors.Counter:
-        return collectors.Counter(
-            f"{PREFIX}_{name}_total", text, registry=self._registry
+    def _counter(self, name: str, text: str, *labels: str) -> BufferedCounter:
+        counter = BufferedCounter(
+            prometheus.Counter(
+                f"{PREFIX}_{name}_total", text, registry=self._registry
+            ),
+            *labels,
         )
+        self._buffered_counters.append(counter)
+        return counter
 
-    def _histogram(self, name: str, text: str) -> collectors.Histogram:
-        return collectors.Histogram(
+    def _histogram(self, name: str, text: str) -> prometheus.Histogram:
+        return prometheus.Histogram(
             f"{PREFIX}_{name}",
             text,
             registry=self._registry,
@@ -95,36 +143,29 @@
         elapsed: datetime.timedelta,
     ) -> None:
         """Count the answer to a caller's job."""
-        labels = {
-            "queue": queue,
-            "outcome": answer.outcome.value,
-            "reason": answer.reason,
-        }
-        self._jobs.inc(labels)
+        self._jobs.increment(queue, answer.outcome.value, answer.reason)
         self._job_seconds.add({"queue": queue}, elapsed.total_seconds())
 
     def record_job_abandoned(self, queue: str) -> None:
         """Count a job whose caller left."""
-        self._jobs.inc(
-            {"queue": queue, "outcome": "abandoned", "reason": "caller left"}
-        )
+        self._jobs.increment(queue, "abandoned", "caller left")
 
     def record_decision(self, event: str) -> None:
         """Count a decision."""
-        self._decisions.inc({"event": event})
+        self._decisions.increment(event)
 
     def record_backend_call(
         self, kind: str, outcome: str, elapsed: datetime.timedelta
     ) -> None:
         """Count a call to a backend server."""
-        self._backend_calls.inc({"kind": kind, "outcome": outcome})
+        self._backend_calls.increment(kind, outcome)
         self._backend_call_seconds.add({"kind": kind}, elapsed.total_seconds())
 
     def record_store_call(
         self, kind: str, outcome: str, elapsed: datetime.timedelta
     ) -> None:
         """Count a call to the store."""
-        self._store_calls.inc({"kind": kind, "result": outcome})
+        self._store_calls.increment(kind, outcome)
         self._store_call_seconds.add({"kind": kind}, elapsed.total_seconds())
 
     def record_event_loop_lag(self, lag: datetime.timedelta) -> None:
@@ -156,5 +197,7 @@
             labels = {"backend": backend.incarnation.backend_id}
             self._slowness.set(labels, backend.slowness(now))
         self._suppressed.set({}, suppressed)
+        for counter in self._buffered_counters:
+            counter.flush()
         content, headers = renderer.render(self._registry, accept_headers)
         return content, headers
