Refused at arrival what a host that is behind cannot serve

Times in messages between hosts are relative to the sending. A receiver that was behind took them as relative to its reading, so that jobs whose callers were nearly gone looked fresh. The delay beyond that of the fastest frame is deducted.

--- a/tests/host/test_links.py
+++ b/tests/host/test_links.py
@@ -184,6 +184,25 @@
         ]
         self.assertEqual(received, [])
 
+    async def test_delay_of_a_message_counts_against_its_times(self):
+        # A receiver that is behind reads a job late. The job's times are
+        # relative to its sending.
+        step = model.Step(1, model.Resources(1, 2), model.MILLISECOND)
+        for number, delay_ms in enumerate((0, 200, 0)):
+            delay = delay_ms * model.MILLISECOND
+            self.far.clock.advance(delay)
+            job = messages.SubmitJob(
+                "j", "q", "s", 0, 3, "spec", 1.6, (step,), 300.0, 1500.0
+            )
+            self.near.links.send(self.ours.link, job)
+            received = await self.far.wait_for(
+                events.MessageReceived, number + 1
+            )
+            message = received[-1].message
+            self.assertAlmostEqual(message.due_in_ms, 300 - delay_ms, 0)
+            self.assertAlmostEqual(message.expires_in_ms, 1500 - delay_ms, 0)
+            self.near.clock.advance(delay)
+
     async def test_clock_drift_does_not_close_a_link(self):
         for number in range(20):
             self.near.clock.advance(datetime.timedelta(seconds=100))
--- a/waxwingwalk/dispatch/messages.py
+++ b/waxwingwalk/dispatch/messages.py
@@ -176,6 +176,15 @@
 )
 
 
+def deduct_delay(message: Message, delay_ms: float) -> None:
+    """Make times that were relative to the sending relative to now."""
+    if isinstance(message, SubmitJob):
+        message.due_in_ms -= delay_ms
+        message.expires_in_ms -= delay_ms
+    elif isinstance(message, OfferTask):
+        message.due_in_ms -= delay_ms
+
+
 @dataclasses.dataclass(slots=True)
 class Frame:
     """Messages that were sent together.
--- a/waxwingwalk/dispatch/scheduler.py
+++ b/waxwingwalk/dispatch/scheduler.py
@@ -38,6 +38,10 @@
 # stops the runs; if that fails too, their leases expire a second later.
 PEER_RUN_END_LIMIT = datetime.timedelta(seconds=2)
 
+# The steps of a job that wait for this host, each for as long as it lags: to
+# order the run, to process its end and to send the answer.
+STEPS_THAT_LAG = 3
+
 # The estimate of the backlog is requested often. It is cached for this time,
 # which is short compared with the shortest tasks.
 BACKLOG_CACHE_TIME = datetime.timedelta(milliseconds=5)
@@ -382,13 +386,19 @@
     # Load.
 
     def backlog(self, now: datetime.datetime) -> datetime.timedelta:
-        """Return how long the queued work will keep the servers busy."""
+        """Return how long a new job will wait, for servers and this host.
+
+        The queued work keeps the servers busy, and a host that is short of
+        processor time processes each step of a job late.
+        """
+        own_delay = STEPS_THAT_LAG * self._observed.lag
         if now >= self._backlog_valid_until:
             self._backlog_valid_until = now + BACKLOG_CACHE_TIME
             self._update_backlog(now)
         if not self._service_rate:
-            return model.ZERO
-        return self._queued_work / self._service_rate * model.MILLISECOND
+            return own_delay
+        wait = self._queued_work / self._service_rate * model.MILLISECOND
+        return wait + own_delay
 
     def _update_backlog(self, now: datetime.datetime) -> None:
         self._service_rate = sum(
--- a/waxwingwalk/host/links.py
+++ b/waxwingwalk/host/links.py
@@ -67,6 +67,7 @@
         self._opened_at = time.now()
         self._drift = datetime.timedelta()
         self._received_at = self._opened_at
+        self._least_delay = datetime.timedelta.max
         self.close_requested = asyncio.Event()
         self.queue: collections.deque[messages.Message] = collections.deque()
         self.wake = asyncio.Event()
@@ -94,8 +95,17 @@
         if delay < datetime.timedelta():
             # The clocks have drifted by less than was assumed.
             self._drift += delay
+        self._least_delay = min(self._least_delay, delay)
         return delay
 
+    def excess_delay(self, delay: datetime.timedelta) -> datetime.timedelta:
+        """Return how much longer a frame took than the fastest one.
+
+        The two ends do not open at the same time, so the time that the fastest
+        frame took is not known.
+        """
+        return delay - self._least_delay
+
 
 class HostLinks:
     """All links of one dispatch host."""
@@ -262,7 +272,9 @@
             )
             self.close_link(number)
             return
+        late_ms = link.excess_delay(delay) / model.MILLISECOND
         for message in received.messages:
+            messages.deduct_delay(message, late_ms)
             try:
                 self._notify(events.MessageReceived(number, message))
             except Exception as error:
