--- /dev/null
+++ b/waxwingwalk/dispatch/peer_tasks.py
@@ -0,0 +1,89 @@
+"""Tasks that a scheduler offers to another one: capacity and messages."""
+
+import dataclasses
+import datetime
+
+from waxwingwalk.dispatch import backend as backends
+from waxwingwalk.dispatch import messages
+from waxwingwalk.dispatch import model
+from waxwingwalk.dispatch import run_tracker
+
+
+@dataclasses.dataclass(slots=True)
+class PeerPool:
+    """The free capacity of a peer's pool for a service, as last advertised.
+
+    ``free`` is reduced by each task that is offered to the peer.
+    """
+
+    link: int
+    service: str
+    free: list[messages.FreeRoom]
+
+
+def reserve_capacity(
+    pool: PeerPool, order: backends.TaskOrder, time_left: datetime.timedelta
+) -> messages.FreeRoom | None:
+    """Deduct a task from a peer's advertised capacity, if it fits.
+
+    Return the free capacity before the deduction, or None. A task that would
+    be on time on a server of ordinary speed is offered only if it is also on
+    time on the peer's server. A task that requires a label is never offered,
+    because peers do not advertise labels.
+    """
+    if pool.service != order.service or order.label is not None:
+        return None
+    is_late = order.estimate > time_left
+    for number, free in enumerate(pool.free):
+        is_in_time = order.estimate * free.slowness <= time_left
+        if free.room.holds(order.resources) and (is_in_time or is_late):
+            remaining = free.room - order.resources
+            pool.free[number] = messages.FreeRoom(remaining, free.slowness)
+            return free
+    return None
+
+
+def offer_message(
+    order: backends.TaskOrder, time_left: datetime.timedelta
+) -> messages.OfferTask:
+    """Return the message that offers a task; ``time_left`` is until due."""
+    return messages.OfferTask(
+        job_id=order.ref.job_id,
+        step=order.ref.step,
+        index=order.ref.index,
+        run=order.run,
+        queue=order.queue,
+        service=order.service,
+        spec=order.spec,
+        room=order.resources,
+        estimate_ms=model.milliseconds(order.estimate),
+        due_in_ms=model.milliseconds(time_left),
+        label=order.label,
+        max_per_backend=order.max_per_backend,
+    )
+
+
+def order_from_offer(
+    message: messages.OfferTask, link: int
+) -> backends.TaskOrder:
+    """Return the order for a task that was offered over a link."""
+    return backends.TaskOrder(
+        ref=model.TaskRef(message.job_id, message.step, message.index),
+        run=message.run,
+        queue=message.queue,
+        service=message.service,
+        spec=message.spec,
+        resources=message.room,
+        estimate=message.estimate_ms * model.MILLISECOND,
+        label=message.label,
+        max_per_backend=message.max_per_backend,
+        requester_link=link,
+    )
+
+
+def ended_message(ended: run_tracker.EndedTask) -> messages.TaskEnded:
+    """Return the message that reports the end of an offered task."""
+    ref = ended.order.ref
+    return messages.TaskEnded(
+        ref.job_id, ref.step, ref.index, ended.order.run, ended.end
+    )
--- a/waxwingwalk/dispatch/scheduler.py
+++ b/waxwingwalk/dispatch/scheduler.py
@@ -11,6 +11,7 @@
 from waxwingwalk.dispatch import model
 from waxwingwalk.dispatch import observed_time
 from waxwingwalk.dispatch import ordering
+from waxwingwalk.dispatch import peer_tasks
 from waxwingwalk.dispatch import placement as dispatch_placement
 from waxwingwalk.dispatch import run_times
 from waxwingwalk.dispatch import run_tracker as dispatch_run_tracker
@@ -58,18 +59,6 @@
 TaskState = job_record.TaskState
 
 
-@dataclasses.dataclass(slots=True)
-class PeerPool:
-    """The free capacity of a peer's pool for a service, as last advertised.
-
-    ``free`` is reduced by each task that is offered to the peer.
-    """
-
-    link: int
-    service: str
-    free: list[messages.FreeRoom]
-
-
 class Scheduler:
     """Schedules the jobs that were submitted to this host.
 
@@ -94,7 +83,7 @@
         self._peer_runs: dict[model.RunKey, int] = {}
         # Tasks of ended jobs that may still run at a peer, with its link.
         self._stopping_at_peers: dict[str, int] = {}
-        self._peers: dict[int, list[PeerPool]] = {}
+        self._peers: dict[int, list[peer_tasks.PeerPool]] = {}
         self._run_time_estimator = run_times.RunTimeEstimator()
         # The queued work in core-microseconds, and the rate at which usable
         # servers process it: thousandths of a core, divided by the slowness of
@@ -439,7 +428,8 @@
     ) -> None:
         """Record the free capacity that a peer advertises."""
         self._peers[link] = [
-            PeerPool(link, load.service, list(load.free)) for load in loads
+            peer_tasks.PeerPool(link, load.service, list(load.free))
+            for load in loads
         ]
 
     # Tasks.
@@ -582,7 +572,7 @@
             if link in task.refused_by:
                 continue
             for pool in pools:
-                free = _reserve_peer_capacity(pool, order, time_left)
+                free = peer_tasks.reserve_capacity(pool, order, time_left)
                 if free is None:
                     continue
                 record.mark_offered(task, order.run, link)
@@ -598,7 +588,9 @@
                             "slowness": free.slowness,
                         },
                     ),
-                    effects.Send(link, _offer_message(order, time_left)),
+                    effects.Send(
+                        link, peer_tasks.offer_message(order, time_left)
+                    ),
                 ]
         return []
 
@@ -614,7 +606,9 @@
             if each.order.requester_link is not None:
                 link = self._peer_runs.pop(key, None)
                 if link is not None:
-                    done.append(effects.Send(link, _task_ended_message(each)))
+                    done.append(
+                        effects.Send(link, peer_tasks.ended_message(each))
+                    )
                 continue
             self._learn_run_time(each)
             done += self._record_task_end(
@@ -684,7 +678,7 @@
         now: datetime.datetime,
     ) -> effects.Effects:
         """Start a peer's task at once, or decline it."""
-        order = _task_order_from_offer(message, link)
+        order = peer_tasks.order_from_offer(message, link)
         has_ready_tasks = self._has_ready_tasks()
         backend = None
         if not has_ready_tasks and not self._has_unfinished_run(
@@ -696,7 +690,7 @@
             refused = dispatch_run_tracker.EndedTask(
                 order, model.TaskEnd.NOT_RUN, "", model.ZERO
             )
-            return [effects.Send(link, _task_ended_message(refused))]
+            return [effects.Send(link, peer_tasks.ended_message(refused))]
         self._peer_runs[order.key] = link
         return [
             effects.Log(
@@ -834,70 +828,3 @@
                     )
                 done += stopped
         return done
-
-
-def _reserve_peer_capacity(
-    pool: PeerPool, order: backends.TaskOrder, time_left: datetime.timedelta
-) -> messages.FreeRoom | None:
-    """Deduct a task from a peer's advertised capacity, if it fits.
-
-    Return the free capacity before the deduction, or None. A task that would
-    be on time on a server of ordinary speed is offered only if it is also on
-    time on the peer's server. A task that requires a label is never offered,
-    because peers do not advertise labels.
-    """
-    if pool.service != order.service or order.label is not None:
-        return None
-    is_late = order.estimate > time_left
-    for number, free in enumerate(pool.free):
-        is_in_time = order.estimate * free.slowness <= time_left
-        if free.room.holds(order.resources) and (is_in_time or is_late):
-            remaining = free.room - order.resources
-            pool.free[number] = messages.FreeRoom(remaining, free.slowness)
-            return free
-    return None
-
-
-def _offer_message(
-    order: backends.TaskOrder, time_left: datetime.timedelta
-) -> messages.OfferTask:
-    return messages.OfferTask(
-        job_id=order.ref.job_id,
-        step=order.ref.step,
-        index=order.ref.index,
-        run=order.run,
-        queue=order.queue,
-        service=order.service,
-        spec=order.spec,
-        room=order.resources,
-        estimate_ms=model.milliseconds(order.estimate),
-        due_in_ms=model.milliseconds(time_left),
-        label=order.label,
-        max_per_backend=order.max_per_backend,
-    )
-
-
-def _task_order_from_offer(
-    message: messages.OfferTask, link: int
-) -> backends.TaskOrder:
-    return backends.TaskOrder(
-        ref=model.TaskRef(message.job_id, message.step, message.index),
-        run=message.run,
-        queue=message.queue,
-        service=message.service,
-        spec=message.spec,
-        resources=message.room,
-        estimate=message.estimate_ms * model.MILLISECOND,
-        label=message.label,
-        max_per_backend=message.max_per_backend,
-        requester_link=link,
-    )
-
-
-def _task_ended_message(
-    ended: dispatch_run_tracker.EndedTask,
-) -> messages.TaskEnded:
-    ref = ended.order.ref
-    return messages.TaskEnded(
-        ref.job_id, ref.step, ref.index, ended.order.run, ended.end
-    )
