Bounded the work of hosts that grows with the hosts and schedulers

- Every host sorted all hosts for each pool ten times a second to see whether it might reclaim the pool.
Now only the hosts of a pool's zone do, while a host of another zone owns it.
- Announcements of free capacity grew with the square of the number of schedulers: up to 50 a second to each.
A host now sends at most 150 a second in all, which is what it sends to three others as before.
- A host that lags advertises no free capacity.

--- a/tests/dispatch/test_observed_time.py
+++ b/tests/dispatch/test_observed_time.py
@@ -158,6 +158,16 @@
         done = self.submit_when_each_tick_is_late(estimate=900)
         self.assertEqual(len(builders.of_type(done, effects.StartRun)), 1)
 
+    def test_host_that_stays_behind_advertises_no_capacity(self):
+        self.schedule_here()
+        scheduler = self.reducer.scheduler
+        args = (reducer_case.ZONE, builders.SERVICE)
+        self.assertTrue(scheduler.advertised_capacity(*args, builders.at(5)))
+        for at in range(0, 2001, 200):
+            self.apply(events.Ticked(), at)
+        now = builders.at(2010)
+        self.assertEqual(scheduler.advertised_capacity(*args, now), [])
+
     def test_host_that_stalled_once_accepts_jobs(self):
         self.schedule_here()
         self.stall()
--- a/waxwingwalk/dispatch/ownership.py
+++ b/waxwingwalk/dispatch/ownership.py
@@ -13,6 +13,7 @@
 
 import dataclasses
 import datetime
+import functools
 
 import xxhash
 
@@ -34,6 +35,9 @@
 # Number of hosts at the start of a row that are the owner of the pool and its
 # standby, which is the first successor.
 OWNER_AND_STANDBY = 2
+# Pairs of a pool and a host whose place in the order is kept. The owner of a
+# pool sorts all hosts ten times a second.
+SPREAD_CACHE_SIZE = 4096
 
 
 @dataclasses.dataclass(slots=True)
@@ -307,12 +311,12 @@
     ) -> effects.Effects:
         """Reclaim the pool of this host's zone from another zone's host."""
         local_host = self._hosts.local_host
+        if owner.zone == pool or local_host.zone != pool:
+            # The usual case, which does not need the order of all hosts.
+            state.foreign_owner_since = None
+            return []
         order = self._preferred_order(pool, now)
-        if (
-            owner.zone == pool
-            or local_host.zone != pool
-            or order[0] != local_host
-        ):
+        if order[0] != local_host:
             state.foreign_owner_since = None
             return []
         if state.foreign_owner_since is None:
@@ -497,5 +501,11 @@
 def _preference_key(
     pool: str, record: model.HostRecord
 ) -> tuple[bool, float, int]:
-    spread = xxhash.xxh64_intdigest(f"{pool}/{record.address}".encode())
+    spread = _spread(pool, record.address)
     return (record.zone != pool, -record.processors, spread)
+
+
+@functools.lru_cache(maxsize=SPREAD_CACHE_SIZE)
+def _spread(pool: str, address: str) -> int:
+    """Return a number that orders hosts differently for each pool."""
+    return xxhash.xxh64_intdigest(f"{pool}/{address}".encode())
--- a/waxwingwalk/dispatch/reducer.py
+++ b/waxwingwalk/dispatch/reducer.py
@@ -37,6 +37,9 @@
 IDLE_TICK_INTERVAL = datetime.timedelta(milliseconds=100)
 # The minimum interval between announcements of a changed load to peers.
 LOAD_ANNOUNCEMENT_INTERVAL = datetime.timedelta(milliseconds=20)
+# The announcements that a host sends, and so about those that it receives, are
+# limited as the schedulers of a region grow in number.
+MAX_ANNOUNCEMENTS_PER_SECOND = 150
 # The interval at which the ownership of pools is evaluated, in addition to
 # evaluations at each event that may change it.
 OWNERSHIP_INTERVAL = datetime.timedelta(milliseconds=100)
@@ -707,7 +710,17 @@
         """
         if self.run_tracker.changes == self._announced_changes:
             return []
-        if now - self._load_announced_at < LOAD_ANNOUNCEMENT_INTERVAL:
+        elapsed = now - self._load_announced_at
+        if elapsed < LOAD_ANNOUNCEMENT_INTERVAL:
+            return []
+        receivers = [
+            number
+            for number, link in self._links.items()
+            if not link.is_outbound and self._is_linked_to_scheduler(link)
+        ]
+        if elapsed.total_seconds() < (
+            len(receivers) / MAX_ANNOUNCEMENTS_PER_SECOND
+        ):
             return []
         self._announced_changes, self._load_announced_at = (
             self.run_tracker.changes,
@@ -716,9 +729,8 @@
         if not self.ownership.claims:
             return []
         done: effects.Effects = []
-        for number, link in self._links.items():
-            if not link.is_outbound and self._is_linked_to_scheduler(link):
-                done += self._send_keep_alive(number, now)
+        for number in receivers:
+            done += self._send_keep_alive(number, now)
         return done
 
     # Shutdown.
--- a/waxwingwalk/dispatch/scheduler.py
+++ b/waxwingwalk/dispatch/scheduler.py
@@ -43,6 +43,9 @@
 # order the run, to process its end and to send the answer.
 STEPS_THAT_LAG = 3
 
+# A host that lags more than this takes no tasks of peers.
+MAX_LAG_FOR_OFFERS = datetime.timedelta(milliseconds=20)
+
 # The estimate of the backlog is requested often. It is cached for this time,
 # which is short compared with the shortest tasks.
 BACKLOG_CACHE_TIME = datetime.timedelta(milliseconds=5)
@@ -409,9 +412,10 @@
     ) -> list[messages.FreeRoom]:
         """Return the free capacity of servers for peers, the fastest first.
 
-        There is none while tasks of this host's own jobs wait.
+        There is none while tasks of this host's own jobs wait, nor while this
+        host lags, as tasks of peers would be late too.
         """
-        if self._has_ready_tasks():
+        if self._has_ready_tasks() or self._observed.lag > MAX_LAG_FOR_OFFERS:
             return []
         free_capacity = [
             messages.FreeRoom(backend.free, round(backend.slowness(now), 2))
