Took back refusals and offers that depend on the host's lag

Tried: a host that was late at four ticks in a row added three times its lag to the wait by which it refuses, and advertised no capacity. The deduction of a message's delay from its times stays.

--- a/waxwingwalk/dispatch/observed_time.py
+++ b/waxwingwalk/dispatch/observed_time.py
@@ -10,13 +10,10 @@
 they run on whether this host observes them or not.
 """
 
-import collections
 import datetime
 
 # A timer of an event loop that has time to spare fires at most this late.
 TIMER_TOLERANCE = datetime.timedelta(milliseconds=10)
-# A host lags if this many ticks in a row were overdue. Fewer may be a pause.
-LAG_TICKS = 4
 
 
 class ObservedTime:
@@ -36,27 +33,15 @@
     def __init__(self) -> None:
         self._delay = datetime.timedelta()
         self._next_tick_at: datetime.datetime | None = None
-        self._last_delays: collections.deque[datetime.timedelta] = (
-            collections.deque(maxlen=LAG_TICKS)
-        )
 
     def ticked(
         self, now: datetime.datetime, interval: datetime.timedelta
     ) -> None:
         """Record a tick, and the interval until the next one."""
-        if self._next_tick_at is not None:
-            delay = max(now - self._next_tick_at, datetime.timedelta())
-            self._delay += delay
-            self._last_delays.append(delay)
+        if self._next_tick_at is not None and now > self._next_tick_at:
+            self._delay += now - self._next_tick_at
         self._next_tick_at = now + interval + TIMER_TOLERANCE
 
-    @property
-    def lag(self) -> datetime.timedelta:
-        """How late this host is all the time, zero after a single stall."""
-        if len(self._last_delays) < LAG_TICKS:
-            return datetime.timedelta()
-        return min(self._last_delays)
-
     def at(self, now: datetime.datetime) -> datetime.datetime:
         """Return the observed time at a time of the host's clock."""
         if self._next_tick_at is not None:
--- a/waxwingwalk/dispatch/scheduler.py
+++ b/waxwingwalk/dispatch/scheduler.py
@@ -39,12 +39,6 @@
 # stops the runs; if that fails too, their leases expire a second later.
 PEER_RUN_END_LIMIT = datetime.timedelta(seconds=2)
 
-# The steps of a job that wait for this host, each for as long as it lags: to
-# order the run, to process its end and to send the answer.
-STEPS_THAT_LAG = 3
-
-# A host that lags more than this takes no tasks of peers.
-MAX_LAG_FOR_OFFERS = datetime.timedelta(milliseconds=20)
 
 # The estimate of the backlog is requested often. It is cached for this time,
 # which is short compared with the shortest tasks.
@@ -378,19 +372,13 @@
     # Load.
 
     def backlog(self, now: datetime.datetime) -> datetime.timedelta:
-        """Return how long a new job will wait, for servers and this host.
-
-        The queued work keeps the servers busy, and a host that is short of
-        processor time processes each step of a job late.
-        """
-        own_delay = STEPS_THAT_LAG * self._observed.lag
+        """Return how long the queued work will keep the servers busy."""
         if now >= self._backlog_valid_until:
             self._backlog_valid_until = now + BACKLOG_CACHE_TIME
             self._update_backlog(now)
         if not self._service_rate:
-            return own_delay
-        wait = self._queued_work / self._service_rate * model.MILLISECOND
-        return wait + own_delay
+            return model.ZERO
+        return self._queued_work / self._service_rate * model.MILLISECOND
 
     def _update_backlog(self, now: datetime.datetime) -> None:
         self._service_rate = sum(
@@ -412,10 +400,9 @@
     ) -> list[messages.FreeRoom]:
         """Return the free capacity of servers for peers, the fastest first.
 
-        There is none while tasks of this host's own jobs wait, nor while this
-        host lags, as tasks of peers would be late too.
+        There is none while tasks of this host's own jobs wait.
         """
-        if self._has_ready_tasks() or self._observed.lag > MAX_LAG_FOR_OFFERS:
+        if self._has_ready_tasks():
             return []
         free_capacity = [
             messages.FreeRoom(backend.free, round(backend.slowness(now), 2))
