Kept the servers that suit a task until a server changes its state

For each try of each task a scheduler checked all its servers twice. The list of usable servers is now kept until the state of one changes or an ejection ends, and from it the servers that suit tasks of a kind; free processors are compared first.

--- a/waxwingwalk/core/clock.py
+++ b/waxwingwalk/core/clock.py
@@ -11,6 +11,7 @@
 ZERO = datetime.timedelta()
 # Earlier than any time that a clock returns.
 DISTANT_PAST = datetime.datetime.min.replace(tzinfo=datetime.UTC)
+DISTANT_FUTURE = datetime.datetime.max.replace(tzinfo=datetime.UTC)
 
 
 class Clock(Protocol):
--- a/waxwingwalk/dispatch/run_tracker.py
+++ b/waxwingwalk/dispatch/run_tracker.py
@@ -12,6 +12,7 @@
 import dataclasses
 import datetime
 
+from waxwingwalk.core import clock
 from waxwingwalk.dispatch import backend as backends
 from waxwingwalk.dispatch import effects
 from waxwingwalk.dispatch import model
@@ -77,14 +78,13 @@
         self.pending_logs: effects.Effects = []
         # Counts the changes that may affect the free capacity.
         self.changes = 0
-        # Caches: the usable servers at one time, reset when the state of a
-        # server changes, and the most processors that are free on one of them.
+        # Caches: the usable servers, until the state of a server changes
+        # (None) or an ejection ends, and the most processors free on one.
         self._usable: list[backends.Backend] = []
-        self._usable_at: datetime.datetime | None = None
+        self._usable_until: datetime.datetime | None = None
+        self._usable_version = 0
         self._max_free_processors = 0
-        self._max_free_processors_key: tuple[datetime.datetime, int] | None = (
-            None
-        )
+        self._max_free_processors_key: tuple[int, int] | None = None
 
     def __iter__(self) -> Iterator[backends.Backend]:
         return iter(self._backends.values())
@@ -97,18 +97,28 @@
 
     def usable(self, now: datetime.datetime) -> list[backends.Backend]:
         """Return the backend servers on which runs may be ordered now."""
-        if self._usable_at != now:
+        if self._usable_until is None or now >= self._usable_until:
             self._usable = [
                 each for each in self._backends.values() if each.is_usable(now)
             ]
-            self._usable_at = now
+            self._usable_until = min(
+                (
+                    each.ejected_until
+                    for each in self._backends.values()
+                    if each.ejected_until is not None
+                    and each.ejected_until > now
+                ),
+                default=clock.DISTANT_FUTURE,
+            )
+            self._usable_version += 1
         return self._usable
 
     def max_free_processors(self, now: datetime.datetime) -> int:
         """Return the largest number of free processors on a usable server."""
         usable = self.usable(now)
-        if self._max_free_processors_key != (now, self.changes):
-            self._max_free_processors_key = (now, self.changes)
+        key = (self._usable_version, self.changes)
+        if self._max_free_processors_key != key:
+            self._max_free_processors_key = key
             self._max_free_processors = max(
                 (each.free.processors for each in usable), default=0
             )
@@ -130,7 +140,7 @@
         """Start to schedule a backend server."""
         backend = backends.Backend(report, fence, now, self._observed)
         self._backends[report.incarnation] = backend
-        self._usable_at = None
+        self._usable_until = None
         return [
             effects.Log(
                 "backend.taken",
@@ -157,7 +167,7 @@
     def begin_release(self, backend: backends.Backend) -> None:
         """Order no new runs on a server that is to be released."""
         backend.is_releasing = True
-        self._usable_at = None
+        self._usable_until = None
 
     def end_incarnation(
         self,
@@ -180,7 +190,7 @@
     ) -> effects.Effects:
         """Remove a backend server, with the same end for all its runs."""
         backend = self._backends.pop(incarnation, None)
-        self._usable_at = None
+        self._usable_until = None
         if backend is None:
             return []
         for run in list(backend.runs.values()):
@@ -206,7 +216,7 @@
         )
         backend.update_report(report)
         backend.missing_since = None
-        self._usable_at = None
+        self._usable_until = None
         if not changed:
             return []
         return [
@@ -229,7 +239,7 @@
         backend = self._backends[incarnation]
         if backend.missing_since is None:
             backend.missing_since = now
-            self._usable_at = None
+            self._usable_until = None
         is_not_ready = backend.state is not backends.BackendState.READY
         is_grace_over = now - backend.missing_since > MISSING_GRACE
         if is_grace_over and (is_not_ready or not backend.runs):
@@ -521,7 +531,7 @@
                 )
             )
             backend.state = backends.BackendState.READY
-            self._usable_at = None
+            self._usable_until = None
             self.changes += 1
         return done
 
@@ -542,7 +552,7 @@
         if backend.state is not backends.BackendState.READY:
             return []
         backend.state = backends.BackendState.SUSPECT
-        self._usable_at = None
+        self._usable_until = None
         self.changes += 1
         heard = backend.last_heard_at
         age = None if heard is None else (now - heard).total_seconds()
@@ -575,7 +585,7 @@
         if backend.state is backends.BackendState.FENCED:
             return []
         backend.state = backends.BackendState.FENCED
-        self._usable_at = None
+        self._usable_until = None
         for run in list(backend.runs.values()):
             self._end_run(backend, run, model.TaskEnd.LOST, now)
         backend.foreign_runs.clear()
@@ -641,11 +651,13 @@
         if end is model.TaskEnd.DONE:
             backend.learn_slowness(elapsed, run.order.estimate)
             self._detector.task_done(name, run.order.queue)
-            backend.ejected_until = None
+            if backend.ejected_until is not None:
+                backend.ejected_until = None
+                self._usable_until = None
         elif end is model.TaskEnd.FAILED:
             if self._detector.task_failed(name, run.order.queue):
                 backend.ejected_until = now + EJECTION_TIME
-                self._usable_at = None
+                self._usable_until = None
                 self.pending_logs.append(
                     effects.Log(
                         "backend.set_aside",
--- a/waxwingwalk/dispatch/scheduler.py
+++ b/waxwingwalk/dispatch/scheduler.py
@@ -56,6 +56,10 @@
 TaskState = job_record.TaskState
 
 
+# Service, required label and resources of a task.
+_TaskKind = tuple[str, str | None, model.Resources]
+
+
 class Scheduler:
     """Schedules the jobs that were submitted to this host.
 
@@ -88,6 +92,9 @@
         self._queued_work = 0.0
         self._service_rate = 0.0
         self._backlog_valid_until = clock.DISTANT_PAST
+        # The usable servers that suit tasks of a kind, for one list of those.
+        self._suitable: dict[_TaskKind, list[backends.Backend]] = {}
+        self._suitable_of: list[backends.Backend] = []
         self._dispatched_at = clock.DISTANT_PAST
         self._is_queue_long = False
 
@@ -521,13 +528,37 @@
             now
         ):
             return None
-        usable = [
+        suitable = self._suitable_backends(order, now)
+        processors = order.resources.processors
+        candidates = [
             each
-            for each in self._run_tracker.usable(now)
-            if each.can_fit_when_idle(order)
+            for each in suitable
+            # Checked first because it is cheap and rules out most servers.
+            if each.free.processors >= processors and each.can_fit_now(order)
         ]
-        candidates = [each for each in usable if each.can_fit_now(order)]
-        return self._placement.choose(candidates, usable, order, due, now)
+        if not candidates:
+            return None
+        return self._placement.choose(candidates, suitable, order, due, now)
+
+    def _suitable_backends(
+        self, order: backends.TaskOrder, now: datetime.datetime
+    ) -> list[backends.Backend]:
+        """Return the usable servers on which a task would fit if idle.
+
+        The lists are kept as long as the usable servers are the same.
+        """
+        usable = self._run_tracker.usable(now)
+        if usable is not self._suitable_of:
+            self._suitable_of = usable
+            self._suitable.clear()
+        kind = (order.service, order.label, order.resources)
+        suitable = self._suitable.get(kind)
+        if suitable is None:
+            suitable = [
+                each for each in usable if each.can_fit_when_idle(order)
+            ]
+            self._suitable[kind] = suitable
+        return suitable
 
     def _placement_log(
         self,
