--- a/waxwingwalk/host/timeouts.py
+++ b/waxwingwalk/host/timeouts.py
@@ -4,8 +4,7 @@
 import datetime
 import types
 
-# A timer that fires later than this shows that the event loop is behind.
-TIMER_TOLERANCE = datetime.timedelta(milliseconds=10)
+from waxwingwalk.dispatch import observed_time
 
 
 class PatientTimeout:
@@ -39,7 +38,8 @@
         now = self._loop.time()
         delay = now - self._due
         extension = min(delay, self._limit - self._extension)
-        if delay < TIMER_TOLERANCE.total_seconds() or extension <= 0.0:
+        tolerance = observed_time.TIMER_TOLERANCE.total_seconds()
+        if delay < tolerance or extension <= 0.0:
             self._timeout.reschedule(now)
             return
         self._extension += extension
