Let a woken host start nothing for links that have expired

Its requester closed the link after 0.6 s, answered its caller as lost, and the caller's next request ran elsewhere. The woken host handled a poll before the close of the link and started the job's next task; 23 ms later it read the close.

Links are on the clock again, and are checked before any event if the last check is older than 200 ms.

--- a/waxwingwalk/dispatch/links.py
+++ b/waxwingwalk/dispatch/links.py
@@ -20,7 +20,8 @@
 class Link:
     """An open link: its far end, and when that was last heard from.
 
-    ``last_heard_at`` and ``busy_since`` are in observed time.
+    A host that was paused was silent itself, and the far end has closed the
+    link. Silence is therefore measured on the clock, not in observed time.
     """
 
     def __init__(
@@ -28,21 +29,19 @@
         host: model.HostRecord,
         is_outbound: bool,
         now: datetime.datetime,
-        observed_now: datetime.datetime,
     ) -> None:
         self.host = host
         self.is_outbound = is_outbound
-        self.last_heard_at = observed_now
+        self.last_heard_at = now
         self.keep_alive_sent_at = now - IDLE_KEEP_ALIVE_INTERVAL
         self.busy_since: datetime.datetime | None = None
         self.catalog_version = 0
 
-    def is_timed_out(self, observed_now: datetime.datetime) -> bool:
+    def is_timed_out(self, now: datetime.datetime) -> bool:
         """Return whether the far end has missed its keep-alives."""
         if self.busy_since is None:
-            return observed_now - self.last_heard_at > IDLE_TIMEOUT
-        since = max(self.last_heard_at, self.busy_since)
-        return observed_now - since > BUSY_TIMEOUT
+            return now - self.last_heard_at > IDLE_TIMEOUT
+        return now - max(self.last_heard_at, self.busy_since) > BUSY_TIMEOUT
 
     def is_keep_alive_due(self, now: datetime.datetime) -> bool:
         """Return whether a keep-alive should be sent to the far end."""
--- a/waxwingwalk/dispatch/reducer.py
+++ b/waxwingwalk/dispatch/reducer.py
@@ -40,6 +40,10 @@
 # The announcements that a host sends, and so about those that it receives, are
 # limited as the schedulers of a region grow in number.
 MAX_ANNOUNCEMENTS_PER_SECOND = 150
+# Links are checked at each tick, and before any other event if the last check
+# is older than this. Ticks are at most half as far apart, and a link expires
+# after three times as long.
+LINK_CHECK_DELAY_MAX = datetime.timedelta(milliseconds=200)
 # The interval at which the ownership of pools is evaluated, in addition to
 # evaluations at each event that may change it.
 OWNERSHIP_INTERVAL = datetime.timedelta(milliseconds=100)
@@ -82,6 +86,7 @@
         self._announced_claims: dict[str, int] = {}
         self._announced_changes = 0
         self._load_announced_at = now
+        self._links_checked_at = now
         self._ownership_evaluated_at = now
         self._link_targets: frozenset[str] = frozenset()
         self._is_exiting = False
@@ -143,7 +148,12 @@
         self, event: events.Event, now: datetime.datetime
     ) -> effects.Effects:
         """Apply an event; return the effects to carry out."""
-        done = self._handlers[type(event)](event, now)
+        done: effects.Effects = []
+        if now - self._links_checked_at > LINK_CHECK_DELAY_MAX:
+            # This host was paused or is behind. What arrived meanwhile must
+            # not start work for the far ends of links that have expired.
+            done += self._check_links(now)
+        done += self._handlers[type(event)](event, now)
         done += self.front.route_waiting(now)
         done += self.scheduler.process_ended_runs(now)
         done += self._answer_local(done, now)
@@ -354,7 +364,7 @@
         self, event: events.LinkOpened, now: datetime.datetime
     ) -> effects.Effects:
         self._links[event.link] = links.Link(
-            event.host, event.is_outbound, now, self._observed.at(now)
+            event.host, event.is_outbound, now
         )
         if event.is_outbound:
             self.hosts.link_opened(
@@ -396,7 +406,7 @@
                     "host": link.host.address,
                     "is_ours": link.is_outbound,
                     "heard_seconds_ago": (
-                        self._observed.at(now) - link.last_heard_at
+                        now - link.last_heard_at
                     ).total_seconds(),
                 },
             )
@@ -418,7 +428,7 @@
         link = self._links.get(event.link)
         if link is None:
             return []
-        link.last_heard_at = self._observed.at(now)
+        link.last_heard_at = now
         handler = self._message_handlers[type(event.message)]
         return handler(event.message, event.link, now)
 
@@ -579,22 +589,8 @@
     def _tick(
         self, event: events.Ticked, now: datetime.datetime
     ) -> effects.Effects:
-        done: effects.Effects = []
         self._observed.ticked(now, self.tick_interval)
-        observed_now = self._observed.at(now)
-        busy = self.front.links_in_use() | self.scheduler.links_in_use()
-        watched = self.ownership.watched_hosts()
-        for number, link in list(self._links.items()):
-            is_busy = number in busy or link.host.address in watched
-            if not is_busy:
-                link.busy_since = None
-            elif link.busy_since is None:
-                link.busy_since = observed_now
-            if link.is_timed_out(observed_now):
-                done.append(effects.CloseLink(number, "silent"))
-                done += self._close_link(events.LinkClosed(number), now)
-            elif link.is_keep_alive_due(now):
-                done += self._send_keep_alive(number, now)
+        done = self._check_links(now)
         done += self.run_tracker.tick(now)
         done += self.scheduler.tick(now)
         if now - self._ownership_evaluated_at < OWNERSHIP_INTERVAL:
@@ -611,6 +607,25 @@
             done.append(effects.ProbeBackends(pool, addresses[:3]))
         return [*done, *self._check_drain(now)]
 
+    def _check_links(self, now: datetime.datetime) -> effects.Effects:
+        """Close the links that have been silent; send due keep-alives."""
+        self._links_checked_at = now
+        done: effects.Effects = []
+        busy = self.front.links_in_use() | self.scheduler.links_in_use()
+        watched = self.ownership.watched_hosts()
+        for number, link in list(self._links.items()):
+            is_busy = number in busy or link.host.address in watched
+            if not is_busy:
+                link.busy_since = None
+            elif link.busy_since is None:
+                link.busy_since = now
+            if link.is_timed_out(now):
+                done.append(effects.CloseLink(number, "silent"))
+                done += self._close_link(events.LinkClosed(number), now)
+            elif link.is_keep_alive_due(now):
+                done += self._send_keep_alive(number, now)
+        return done
+
     def _send_keep_alive(
         self, number: int, now: datetime.datetime
     ) -> effects.Effects:
