Started a stuck task again on another server

A task now avoids the servers on which it was stuck, and waits for another one or is offered to a peer, unless no other server suits. Two of the three tests failed before.

--- a/tests/dispatch/test_scheduler.py
+++ b/tests/dispatch/test_scheduler.py
@@ -252,6 +252,35 @@
         (stop,) = builders.of_type(done, effects.StopRun)
         self.assertEqual(stop.run, start.run)
 
+    def restart_stuck_task(self):
+        """Start a task, stop it as stuck; return its two starts."""
+        (first,) = self.starts(self.submit(builders.job(estimate=100)))
+        self.scheduler.tick(builders.at(500))
+        again = self.starts(self.end(first, model.RunEnd.STOPPED, 520))
+        return first, again
+
+    def test_stuck_task_starts_again_on_another_server(self):
+        # Incident inc-ab55: a task was started three times on a server on
+        # which tasks stood still, as no other was as free.
+        self.add_server("server-1")
+        self.add_server("server-2")
+        first, (again,) = self.restart_stuck_task()
+        self.assertNotEqual(again.incarnation, first.incarnation)
+
+    def test_stuck_task_waits_for_another_server(self):
+        self.add_server("server-1")
+        other = self.add_server("server-2")
+        self.run_tracker.get(other).used = builders.CAPACITY
+        self.run_tracker.get(other).update_report(builders.report("server-2"))
+        first, again = self.restart_stuck_task()
+        self.assertEqual(first.incarnation.backend_id, "server-1")
+        self.assertEqual(again, [])
+
+    def test_stuck_task_starts_again_on_the_only_server(self):
+        self.add_server()
+        first, (again,) = self.restart_stuck_task()
+        self.assertEqual(again.incarnation, first.incarnation)
+
     def test_abandoned_job_is_stopped(self):
         self.add_server()
         self.submit(builders.job(tasks=2))
--- a/waxwingwalk/dispatch/job_record.py
+++ b/waxwingwalk/dispatch/job_record.py
@@ -38,6 +38,7 @@
     ``run`` is the number of its latest run, 0 before the first. ``link`` is
     the link over which it was last offered to another host; ``refused_by``
     are the links over which offers were declined since the last tick.
+    ``stuck_on`` are the ids of the servers on which a run of it was stuck.
     ``started_at`` is when its latest run was placed, in observed time.
     ``over_at`` is set if the host to which it is offered was lost: by then
     its run has certainly ended.
@@ -51,6 +52,7 @@
     link: int | None = None
     started_at: datetime.datetime | None = None
     refused_by: set[int] = dataclasses.field(default_factory=set)
+    stuck_on: set[str] = dataclasses.field(default_factory=set)
     over_at: datetime.datetime | None = None
 
 
--- a/waxwingwalk/dispatch/scheduler.py
+++ b/waxwingwalk/dispatch/scheduler.py
@@ -1,5 +1,6 @@
 """The scheduler: places the tasks of jobs on backend servers."""
 
+from collections.abc import Collection
 import dataclasses
 import datetime
 
@@ -503,7 +504,9 @@
     ) -> effects.Effects:
         """Start a task here or offer it to a peer; no effects if it waits."""
         order = record.task_order(task, task.run + 1)
-        backend = self._choose_backend(order, record.job.due, now)
+        backend = self._choose_backend(
+            order, record.job.due, now, task.stuck_on
+        )
         if backend is None:
             return self._offer_to_peer(record, task, order, now)
         record.mark_placed(
@@ -522,13 +525,24 @@
         order: backends.TaskOrder,
         due: datetime.datetime,
         now: datetime.datetime,
+        avoided: Collection[str] = (),
     ) -> backends.Backend | None:
-        """Return the server to start a task on, None if it waits."""
+        """Return the server to start a task on, None if it waits.
+
+        Servers whose ids are avoided are left out, unless no other suits.
+        """
         if order.resources.processors > self._run_tracker.max_free_processors(
             now
         ):
             return None
         suitable = self._suitable_backends(order, now)
+        if avoided:
+            others = [
+                each
+                for each in suitable
+                if each.incarnation.backend_id not in avoided
+            ]
+            suitable = others or suitable
         processors = order.resources.processors
         candidates = [
             each
@@ -836,6 +850,8 @@
                 key = model.RunKey(task.ref.name, task.run)
                 stopped = self._run_tracker.stop(key, now)
                 if stopped:
+                    if task.backend_id is not None:
+                        task.stuck_on.add(task.backend_id)
                     done.append(
                         effects.Log(
                             "task.stuck",
