Bounded durations from outside, and kept followers alive

Found by replacing each value of valid documents by hostile ones: a time-out of 1e300 ms in the operators' configuration raised OverflowError in the loop that follows their table, and the host read no configuration any more; a grace period of that size raised it at start. Durations are bounded where they are decoded, and an error in the handling of rows is logged and leaves the loop running.

--- a/tests/store/test_follower.py
+++ b/tests/store/test_follower.py
@@ -81,6 +81,18 @@
             tables, [{"a": b"1", "b": b"2"}, {"b": b"2", "c": b"3"}]
         )
 
+    async def test_failed_handling_of_rows_does_not_end_the_loop(self):
+        store = ScriptedStore(rows(3, a=b"1"), rows(4, a=b"2"))
+        reported = mock.Mock(side_effect=[OverflowError("too large"), None])
+        log = mock.Mock()
+        following = follower.TableFollower(store, "t", reported, log)
+        task = asyncio.create_task(following.run())
+        async with asyncio.timeout(1):
+            await store.is_exhausted.wait()
+        task.cancel()
+        self.assertEqual(reported.call_count, 2)
+        self.assertEqual(log.error.call_args.args, ("internal.error",))
+
     async def test_gap_in_the_history_causes_a_full_read(self):
         gone = result.Failure(Failure.HISTORY_GONE)
         calls, tables, logged = await self.follow(
--- a/waxwingwalk/platform/boot.py
+++ b/waxwingwalk/platform/boot.py
@@ -3,6 +3,7 @@
 import datetime
 import os
 import pathlib
+from typing import Annotated
 from typing import Any
 
 import pydantic
@@ -19,6 +20,9 @@
 # have failed; it makes one check per second.
 LINGER = datetime.timedelta(milliseconds=2100)
 
+# An hour; the platform waits some seconds.
+GRACE_SECONDS_MAX = 3600
+
 
 class _Listen(pydantic.BaseModel):
     front: str
@@ -36,7 +40,7 @@
 
 
 class _Bounds(pydantic.BaseModel):
-    grace_s: float = 6.0
+    grace_s: Annotated[float, pydantic.Field(ge=0, le=GRACE_SECONDS_MAX)] = 6.0
 
 
 class _Store(pydantic.BaseModel):
--- a/waxwingwalk/platform/callers.py
+++ b/waxwingwalk/platform/callers.py
@@ -13,6 +13,7 @@
 from waxwingwalk.dispatch import effects
 from waxwingwalk.dispatch import model
 from waxwingwalk.host import engine as host_engine
+from waxwingwalk.platform import catalog
 
 # Header with the time that the caller waits for the response, in milliseconds.
 DEADLINE_HEADER = "Deadline-Ms"
@@ -30,7 +31,7 @@
     cpu: int = pydantic.Field(0, ge=0)
     mem_mb: int = pydantic.Field(0, ge=0)
     gpu: int = pydantic.Field(0, ge=0)
-    est_ms: float = pydantic.Field(0, ge=0)
+    est_ms: float = pydantic.Field(0, ge=0, le=catalog.MILLISECONDS_MAX)
     after: list[int] = []
     requires: str | None = None
     preferred_rack: str | None = None
@@ -212,7 +213,9 @@
         milliseconds = 0
     if milliseconds <= 0:
         return queue.timeout
-    return datetime.timedelta(milliseconds=milliseconds)
+    return datetime.timedelta(
+        milliseconds=min(milliseconds, catalog.MILLISECONDS_MAX)
+    )
 
 
 def _build_job(
--- a/waxwingwalk/platform/catalog.py
+++ b/waxwingwalk/platform/catalog.py
@@ -1,6 +1,7 @@
 """The operators' configuration, and the rows of backend servers."""
 
 import datetime
+from typing import Annotated
 from typing import Any
 from typing import Literal
 
@@ -29,6 +30,14 @@
 ERROR_MAX = 300
 
 
+# Bound of durations in milliseconds, eleven days. Far longer ones do not fit
+# into the types of the standard library.
+MILLISECONDS_MAX = 10**9
+Milliseconds = Annotated[
+    float, pydantic.Field(ge=-MILLISECONDS_MAX, le=MILLISECONDS_MAX)
+]
+
+
 class _Route(pydantic.BaseModel):
     name: str
     host: str
@@ -40,8 +49,8 @@
     stretch: float = 1.6
     # A job's target response time is ``stretch`` times the duration of its
     # critical path, plus this time.
-    slo_ms: float = 60.0
-    timeout_ms: float = 1500.0
+    slo_ms: Milliseconds = 60.0
+    timeout_ms: Milliseconds = 1500.0
 
 
 class _Service(pydantic.BaseModel):
@@ -51,7 +60,7 @@
 class _RequestLimits(pydantic.BaseModel):
     max_header_bytes: int = 16384
     max_body_bytes: int = 262144
-    idle_timeout_ms: float = 15000.0
+    idle_timeout_ms: Milliseconds = 15000.0
 
 
 class _Config(pydantic.BaseModel):
--- a/waxwingwalk/store/follower.py
+++ b/waxwingwalk/store/follower.py
@@ -31,6 +31,8 @@
 
     def info(self, event: str, **fields: object) -> None: ...
 
+    def error(self, event: str, **fields: object) -> None: ...
+
 
 class TableFollower:
     """Reads a table once, then its feed, and again if the feed has a gap.
@@ -95,7 +97,7 @@
         table = reply.unwrap()
         self._rows = {row.key: row for row in table.rows}
         self._version = table.version
-        self._notify(self._rows)
+        self._report_rows()
         return None
 
     async def _read_changes(
@@ -118,9 +120,24 @@
                     self._rows.pop(row.key, None)
                 else:
                     self._rows[row.key] = row
-            self._notify(self._rows)
+            self._report_rows()
         return None
 
+    def _report_rows(self) -> None:
+        """Report the rows; an error in their handling does not end the loop.
+
+        The rows that follow may be in order again.
+        """
+        try:
+            self._notify(self._rows)
+        except Exception as error:
+            self._log.error(
+                "internal.error",
+                where=f"rows of {self._table}",
+                error=f"{type(error).__name__}: {error}",
+                exc_info=error,
+            )
+
     def _record_failure(self, failure: store_rows.StoreFailure) -> None:
         if not self._is_failing:
             self._is_failing = True
