Acquired servers of a claimed pool by a recent list only

A new owner now waits for a list that was read at most 1 s before its claim or after it, 0.3 s at most. Ruled out: reading the table more often on all hosts, which costs each of them. The test failed before.

--- a/tests/dispatch/test_reducer.py
+++ b/tests/dispatch/test_reducer.py
@@ -4,6 +4,7 @@
 
 from tests.dispatch import builders
 from tests.dispatch import reducer_case
+from waxwingwalk.dispatch import effects
 from waxwingwalk.dispatch import events
 from waxwingwalk.dispatch import messages
 from waxwingwalk.dispatch import model
@@ -36,6 +37,44 @@
         self.assertNotIn("backend.released", self.logged(1000, start=50))
         self.assertIn("backend.released", self.logged(1500, start=1000))
 
+    def test_new_owner_starts_nothing_by_a_list_from_before_the_claim(self):
+        # Found by a hunt on derwent-pool (hunt-0a00-31). A host without a pool
+        # reads the servers' table every 5 s; a server that has said since
+        # then that it drains gets no task later than 2 s after that.
+        self.take_over_at_4000()
+        self.apply(builders.polled(self.report), 4002)
+        job = builders.job(now=builders.at(4003))
+        done = self.apply(events.JobSubmitted(job), 4003)
+        self.assertEqual(builders.of_type(done, effects.StartRun), [])
+        draining = builders.report(
+            advertised_state=model.AdvertisedState.DRAINING
+        )
+        done = self.apply(events.BackendsListed((draining,)), 4070)
+        self.assertEqual(builders.of_type(done, effects.StartRun), [])
+
+    def test_new_owner_acquires_servers_with_the_next_list(self):
+        self.take_over_at_4000()
+        done = self.apply(events.BackendsListed((self.report,)), 4070)
+        self.assertEqual(len(builders.of_type(done, effects.PollBackend)), 1)
+
+    def test_new_owner_does_not_wait_long_for_a_list(self):
+        # The store may be down.
+        self.take_over_at_4000()
+        done = self.tick_until(4250, start=4025)
+        self.assertEqual(builders.of_type(done, effects.PollBackend), [])
+        done = self.tick_until(4450, start=4250)
+        self.assertEqual(len(builders.of_type(done, effects.PollBackend)), 1)
+
+    def take_over_at_4000(self):
+        """Be a standby for 4 s, then succeed a leaving owner."""
+        self.list_row(reducer_case.PEER, reducer_case.LOCAL)
+        for at in range(100, 4000, 100):
+            self.receive(messages.HostStatus([], False, 0, []), at)
+            self.receive(messages.KeepAlive(0), at, link=reducer_case.INBOUND)
+            self.tick_until(at + 100, start=at)
+        self.receive(messages.HostStatus([], True, 0, []), 4000)
+        self.assertIn(reducer_case.ZONE, self.reducer.ownership.claims)
+
     def test_job_without_a_scheduler_does_not_depend_on_its_old_link(self):
         self.build(model.HostRecord("local", "1", "south"))
         self.schedule_at_peer()
--- a/waxwingwalk/dispatch/reducer.py
+++ b/waxwingwalk/dispatch/reducer.py
@@ -15,6 +15,7 @@
 import datetime
 from typing import Any
 
+from waxwingwalk.core import clock
 from waxwingwalk.dispatch import backend as backends
 from waxwingwalk.dispatch import effects
 from waxwingwalk.dispatch import events
@@ -40,6 +41,12 @@
 # The announcements that a host sends, and so about those that it receives, are
 # limited as the schedulers of a region grow in number.
 MAX_ANNOUNCEMENTS_PER_SECOND = 150
+# A host that has claimed a pool acquires its servers once it has a list that
+# is no older than this at the claim. A host without a pool reads the list every
+# 5 s, and a server that drains gets no task later than 2 s after its word.
+BACKEND_LIST_AGE_MAX = datetime.timedelta(seconds=1)
+# It does not wait longer than this for the list, as the store may be down.
+BACKEND_LIST_WAIT_MAX = datetime.timedelta(milliseconds=300)
 # Links are checked at each tick, and before any other event if the last check
 # is older than this. Ticks are at most half as far apart, and a link expires
 # after three times as long.
@@ -83,6 +90,8 @@
         self._backend_reports: dict[
             model.BackendIncarnation, model.BackendReport
         ] = {}
+        # In observed time.
+        self._backends_listed_at = clock.DISTANT_PAST
         self._announced_claims: dict[str, int] = {}
         self._announced_changes = 0
         self._load_announced_at = now
@@ -244,6 +253,7 @@
         self._backend_reports = {
             report.incarnation: report for report in event.reports
         }
+        self._backends_listed_at = self._observed.at(now)
         for report in event.reports:
             self.ownership.add_pool(report.zone)
         return self._reconcile_backends(now)
@@ -273,7 +283,7 @@
                 done += self.run_tracker.record_missing(incarnation, now)
         for incarnation, report in self._backend_reports.items():
             claim = claims.get(report.zone)
-            if claim is None:
+            if claim is None or not self._is_list_recent(claim, now):
                 continue
             # A fenced server is acquired again only under a newer claim.
             acquired = self.run_tracker.get(incarnation)
@@ -289,6 +299,15 @@
                 done += self.run_tracker.acquire(report, fence, now)
         return done
 
+    def _is_list_recent(
+        self, claim: dispatch_ownership.Claim, now: datetime.datetime
+    ) -> bool:
+        """Return whether the list of servers is recent enough for a claim."""
+        if claim.since - self._backends_listed_at <= BACKEND_LIST_AGE_MAX:
+            return True
+        waited = self._observed.at(now) - claim.since
+        return waited > BACKEND_LIST_WAIT_MAX
+
     def _release_backend(
         self, backend: backends.Backend, now: datetime.datetime
     ) -> effects.Effects:
