--- a/waxwingwalk/dispatch/reducer.py
+++ b/waxwingwalk/dispatch/reducer.py
@@ -42,8 +42,9 @@
 # limited as the schedulers of a region grow in number.
 MAX_ANNOUNCEMENTS_PER_SECOND = 150
 # A host that has claimed a pool acquires its servers once it has a list that
-# is no older than this at the claim. A host without a pool reads the list every
-# 5 s, and a server that drains gets no task later than 2 s after its word.
+# is no older than this at the claim. A host without a pool reads the list
+# every 5 s, and a server gets no task later than 2 s after it has said that
+# it drains.
 BACKEND_LIST_AGE_MAX = datetime.timedelta(seconds=1)
 # It does not wait longer than this for the list, as the store may be down.
 BACKEND_LIST_WAIT_MAX = datetime.timedelta(milliseconds=300)
