Measured the age of the servers' list on the clock

Found when reading the change again: the age of the list was in observed time, which stands still while a host is paused, so a host that woke and claimed a pool took a list from before its pause for recent. The description of observed time no longer names links, which are on the clock.

--- a/tests/dispatch/test_reducer.py
+++ b/tests/dispatch/test_reducer.py
@@ -8,6 +8,7 @@
 from waxwingwalk.dispatch import events
 from waxwingwalk.dispatch import messages
 from waxwingwalk.dispatch import model
+from waxwingwalk.dispatch import pool_rows
 from waxwingwalk.dispatch import scheduler as dispatch_scheduler
 
 UNKNOWN = model.CallOutcome.UNKNOWN
@@ -65,6 +66,14 @@
         done = self.tick_until(4450, start=4250)
         self.assertEqual(len(builders.of_type(done, effects.PollBackend)), 1)
 
+    def test_woken_host_acquires_nothing_by_a_list_from_before_its_pause(self):
+        self.tick_until(101, start=0)
+        row = pool_rows.PoolRow((reducer_case.LOCAL, reducer_case.PEER))
+        rows = {reducer_case.ZONE: (reducer_case.ROW_VERSION, row)}
+        done = self.apply(events.PoolsListed(rows), 4000)
+        self.assertIn(reducer_case.ZONE, self.reducer.ownership.claims)
+        self.assertEqual(builders.of_type(done, effects.PollBackend), [])
+
     def take_over_at_4000(self):
         """Be a standby for 4 s, then succeed a leaving owner."""
         self.list_row(reducer_case.PEER, reducer_case.LOCAL)
--- a/waxwingwalk/dispatch/observed_time.py
+++ b/waxwingwalk/dispatch/observed_time.py
@@ -2,12 +2,12 @@
 
 Load pattern: a host that is short of processor time, or was paused, reads
 replies and messages late. Measured on the clock, backend servers look slow or
-stuck to it and peers look silent, and the remedies (stopping and repeating
-runs, closing links) add to its load. Such judgements therefore measure time on
-a clock that stands still while the host is behind.
+stuck to it and other hosts look dead, and the remedies (stopping and repeating
+runs, taking pools over) add to its load. Such judgements therefore measure
+time on a clock that stands still while the host is behind.
 
-Permissions, such as leases, and the deadlines of callers are not judgements:
-they run on whether this host observes them or not.
+Leases, the deadlines of callers, the age of what was read and the silence of
+links stay on the host's clock: they run on while this host is paused.
 """
 
 import datetime
@@ -25,7 +25,7 @@
         observed.ticked(now, interval)
         since = observed.at(now)
         ...
-        silence = observed.at(later) - since
+        elapsed = observed.at(later) - since
 
     Its times may be compared only with each other.
     """
--- a/waxwingwalk/dispatch/reducer.py
+++ b/waxwingwalk/dispatch/reducer.py
@@ -42,7 +42,7 @@
 # limited as the schedulers of a region grow in number.
 MAX_ANNOUNCEMENTS_PER_SECOND = 150
 # A host that has claimed a pool acquires its servers once it has a list that
-# is no older than this at the claim. A host without a pool reads the list
+# is no older than this. A host without a pool reads the list
 # every 5 s, and a server gets no task later than 2 s after it has said that
 # it drains.
 BACKEND_LIST_AGE_MAX = datetime.timedelta(seconds=1)
@@ -91,7 +91,6 @@
         self._backend_reports: dict[
             model.BackendIncarnation, model.BackendReport
         ] = {}
-        # In observed time.
         self._backends_listed_at = clock.DISTANT_PAST
         self._announced_claims: dict[str, int] = {}
         self._announced_changes = 0
@@ -254,7 +253,7 @@
         self._backend_reports = {
             report.incarnation: report for report in event.reports
         }
-        self._backends_listed_at = self._observed.at(now)
+        self._backends_listed_at = now
         for report in event.reports:
             self.ownership.add_pool(report.zone)
         return self._reconcile_backends(now)
@@ -303,8 +302,12 @@
     def _is_list_recent(
         self, claim: dispatch_ownership.Claim, now: datetime.datetime
     ) -> bool:
-        """Return whether the list of servers is recent enough for a claim."""
-        if claim.since - self._backends_listed_at <= BACKEND_LIST_AGE_MAX:
+        """Return whether the list of servers is recent enough for a claim.
+
+        Its age is measured on the clock, as servers change their state while
+        this host is paused.
+        """
+        if now - self._backends_listed_at <= BACKEND_LIST_AGE_MAX:
             return True
         waited = self._observed.at(now) - claim.since
         return waited > BACKEND_LIST_WAIT_MAX
