--- a/tests/dispatch/test_run_tracker.py
+++ b/tests/dispatch/test_run_tracker.py
@@ -144,6 +144,22 @@
         self.assertEqual(self.ends(), [End.GONE])
         self.assertEqual(backend.used, builders.TASK_RESOURCES)
 
+    def test_reason_of_an_end_tells_how_it_is_known(self):
+        self.acquire()
+        kept, refused = builders.order(), builders.order(job_id="k")
+        self.start(kept)
+        self.answer_start(kept.key, Outcome.ACCEPTED)
+        self.start(refused)
+        self.answer_start(refused.key, Outcome.NO_ROOM)
+        self.run_tracker.polled(
+            self.incarnation, Outcome.UNKNOWN, None, (), (), builders.at(9)
+        )
+        self.run_tracker.tick(builders.at(2000))
+        self.assertEqual(
+            [(each.end, each.reason) for each in self.run_tracker.ended],
+            [(End.NOT_RUN, "no_room"), (End.GONE, "lease expired")],
+        )
+
     def test_lapse_time_allows_for_a_slow_clock(self):
         backend = self.acquire()
         self.start(builders.order(), at=2)
--- a/tests/emulator/mutations.py
+++ b/tests/emulator/mutations.py
@@ -17,7 +17,7 @@
         backend = self.get(incarnation)
         run = backend.runs.get(key) if backend else None
         if run is not None and outcome is model.CallOutcome.ACCEPTED:
-            self._end_run(backend, run, model.TaskEnd.GONE, now)
+            self._end_run(backend, run, model.TaskEnd.GONE, "stopped", now)
         return original(self, incarnation, key, outcome, now)
 
     return mock.patch.object(run_tracker.RunTracker, "stopped", stopped)
--- a/waxwingwalk/dispatch/reducer.py
+++ b/waxwingwalk/dispatch/reducer.py
@@ -161,6 +161,13 @@
         if now - self._links_checked_at > LINK_CHECK_DELAY_MAX:
             # This host was paused or is behind. What arrived meanwhile must
             # not start work for the far ends of links that have expired.
+            delay = now - self._links_checked_at
+            done.append(
+                effects.Log(
+                    "process.delayed",
+                    {"delay_ms": model.milliseconds(delay)},
+                )
+            )
             done += self._check_links(now)
         done += self._handlers[type(event)](event, now)
         done += self.front.route_waiting(now)
--- a/waxwingwalk/dispatch/run_tracker.py
+++ b/waxwingwalk/dispatch/run_tracker.py
@@ -49,13 +49,15 @@
 class EndedTask:
     """The end of a run that was ordered here.
 
-    ``slowness`` is that of the backend server, not including this run.
+    ``reason`` says how the end is known. ``slowness`` is that of the backend
+    server, not including this run.
     """
 
     order: backends.TaskOrder
     end: model.TaskEnd
     backend_id: str
     elapsed: datetime.timedelta
+    reason: str
     slowness: float = 1.0
 
 
@@ -194,7 +196,7 @@
         if backend is None:
             return []
         for run in list(backend.runs.values()):
-            self._end_run(backend, run, end, now)
+            self._end_run(backend, run, end, reason, now)
         self._detector.forget(str(incarnation))
         return [
             effects.Log(
@@ -375,10 +377,14 @@
             case outcomes.FENCED | outcomes.OTHER_INCARNATION:
                 return self._handle_lost_backend(backend, outcome, now)
             case outcomes.UNHEALTHY | outcomes.NOT_SENT:
-                self._end_run(backend, run, model.TaskEnd.NOT_RUN, now)
+                self._end_run(
+                    backend, run, model.TaskEnd.NOT_RUN, outcome.value, now
+                )
                 return self._mark_suspect(backend, now, outcome.value)
             case _:
-                self._end_run(backend, run, model.TaskEnd.NOT_RUN, now)
+                self._end_run(
+                    backend, run, model.TaskEnd.NOT_RUN, outcome.value, now
+                )
                 return [
                     effects.Log(
                         "run.refused",
@@ -477,7 +483,9 @@
             backend.foreign_stop_sent_at.pop(key, None)
             run = backend.runs.get(key)
             if run is not None:
-                self._end_run(backend, run, _task_end(entry.end), now)
+                self._end_run(
+                    backend, run, _task_end(entry.end), entry.end.value, now
+                )
 
     def _free_settled_runs(
         self,
@@ -493,7 +501,13 @@
                 if key in present:
                     run.settled_by_poll = None
                 else:
-                    self._end_run(backend, run, model.TaskEnd.NOT_RUN, now)
+                    self._end_run(
+                        backend,
+                        run,
+                        model.TaskEnd.NOT_RUN,
+                        "stopped before its start",
+                        now,
+                    )
 
     def _verify(
         self,
@@ -587,7 +601,7 @@
         backend.state = backends.BackendState.FENCED
         self._usable_until = None
         for run in list(backend.runs.values()):
-            self._end_run(backend, run, model.TaskEnd.LOST, now)
+            self._end_run(backend, run, model.TaskEnd.LOST, "fenced", now)
         backend.foreign_runs.clear()
         return [
             effects.Log(
@@ -604,19 +618,21 @@
         backend: backends.Backend,
         run: backends.Run,
         end: model.TaskEnd,
+        reason: str,
         now: datetime.datetime,
     ) -> None:
         """Free a run's resources, and report its end if not yet reported."""
         backend.remove_run(run)
         self._backend_by_run.pop(run.order.key, None)
         self.changes += 1
-        self._report_end(backend, run, end, now)
+        self._report_end(backend, run, end, reason, now)
 
     def _report_end(
         self,
         backend: backends.Backend,
         run: backends.Run,
         end: model.TaskEnd,
+        reason: str,
         now: datetime.datetime,
     ) -> None:
         if run.is_end_reported:
@@ -635,6 +651,7 @@
                 end,
                 backend.incarnation.backend_id,
                 elapsed,
+                reason,
                 slowness,
             )
         )
@@ -699,7 +716,9 @@
             return
         for run in backend.runs.values():
             run.stop_requested_at = run.stop_requested_at or now
-            self._report_end(backend, run, model.TaskEnd.GONE, now)
+            self._report_end(
+                backend, run, model.TaskEnd.GONE, "lease expired", now
+            )
 
 
 def _is_stop_due(run: backends.Run, now: datetime.datetime) -> bool:
--- a/waxwingwalk/dispatch/scheduler.py
+++ b/waxwingwalk/dispatch/scheduler.py
@@ -296,6 +296,7 @@
                 task.run,
                 model.TaskEnd.GONE,
                 "lost peer",
+                "lease expired",
                 now,
             )
         return done
@@ -642,13 +643,19 @@
             if each.order.requester_link is not None:
                 link = self._peer_runs.pop(key, None)
                 if link is not None:
-                    done.append(
-                        effects.Send(link, peer_tasks.ended_message(each))
-                    )
+                    done += [
+                        _peer_run_log(each, link),
+                        effects.Send(link, peer_tasks.ended_message(each)),
+                    ]
                 continue
             self._learn_run_time(each)
             done += self._record_task_end(
-                each.order.ref, each.order.run, each.end, each.backend_id, now
+                each.order.ref,
+                each.order.run,
+                each.end,
+                each.backend_id,
+                each.reason,
+                now,
             )
         if ended:
             done += self.dispatch(now)
@@ -660,6 +667,7 @@
         run: int,
         end: model.TaskEnd,
         where: str,
+        reason: str,
         now: datetime.datetime,
     ) -> effects.Effects:
         record = self._jobs.get(ref.job_id)
@@ -679,6 +687,7 @@
                     "run": run,
                     "end": end.value,
                     "where": where,
+                    "reason": reason,
                 },
             )
         ]
@@ -724,7 +733,7 @@
             backend = self._choose_backend(order, due, now)
         if backend is None:
             refused = dispatch_run_tracker.EndedTask(
-                order, model.TaskEnd.NOT_RUN, "", model.ZERO
+                order, model.TaskEnd.NOT_RUN, "", model.ZERO, "declined"
             )
             return [effects.Send(link, peer_tasks.ended_message(refused))]
         self._peer_runs[order.key] = link
@@ -766,7 +775,7 @@
             if task is not None and task.run == message.run:
                 task.refused_by.add(link)
         done = self._record_task_end(
-            ref, message.run, end, f"link {link}", now
+            ref, message.run, end, f"link {link}", "peer", now
         )
         return done + self.dispatch(now)
 
@@ -866,3 +875,22 @@
                     )
                 done += stopped
         return done
+
+
+def _peer_run_log(
+    ended: dispatch_run_tracker.EndedTask, link: int
+) -> effects.Log:
+    """Return the log line of the end of a run that a peer requested."""
+    order = ended.order
+    return effects.Log(
+        "task.ended",
+        {
+            "job": order.ref.job_id,
+            "task": order.ref.name,
+            "run": order.run,
+            "end": ended.end.value,
+            "where": ended.backend_id,
+            "reason": ended.reason,
+            "link": link,
+        },
+    )
--- a/waxwingwalk/host/log_catalogue.py
+++ b/waxwingwalk/host/log_catalogue.py
@@ -21,6 +21,10 @@
         ("host", "zone", "incarnation", "callers", "peers", "store"),
     ),
     "process.stopped": LogEvent("the process exits", ("host",)),
+    "process.delayed": LogEvent(
+        "the process was paused, or short of processor time, for this long",
+        ("delay_ms",),
+    ),
     "drain.started": LogEvent(
         "SIGTERM arrived; `jobs` came from callers of this host, `scheduled` "
         "counts all jobs that it schedules",
@@ -191,8 +195,9 @@
     ),
     "task.ended": LogEvent(
         "a run ended, as the server reports it or because it cannot still "
-        "run, or was lost to another scheduler",
-        ("job", "task", "run", "end", "where"),
+        "run, or was lost to another scheduler; `reason` is the evidence for "
+        "that; `link` leads to the host that offered the task, if one did",
+        ("job", "task", "run", "end", "where", "reason", "link"),
     ),
     "task.stuck": LogEvent(
         "a run exceeded its time limit and is stopped; its task starts again",
