--- a/tests/dispatch/test_run_tracker.py
+++ b/tests/dispatch/test_run_tracker.py
@@ -277,6 +277,27 @@
         self.assertFalse(backend.is_usable(builders.at(200)))
         self.assertTrue(backend.is_usable(builders.at(5000)))
 
+    def test_missing_server_that_fails_a_call_keeps_its_runs(self):
+        backend = self.acquire()
+        order = builders.order()
+        self.start(order)
+        self.answer_start(order.key, Outcome.ACCEPTED)
+        self.run_tracker.record_missing(self.incarnation, builders.at(10))
+        for at in range(300, 3000, 300):
+            self.poll(at, server_clock_ms=1000 + at, running=[order.key])
+        self.run_tracker.polled(
+            self.incarnation, Outcome.UNKNOWN, None, (), (), builders.at(3000)
+        )
+        lapse = backend.latest_lapse_time(builders.at(3000))
+        self.run_tracker.record_missing(self.incarnation, builders.at(3100))
+        self.assertEqual(self.ends(), [])
+        self.run_tracker.tick(lapse + builders.milliseconds(1))
+        self.assertEqual(self.ends(), [End.GONE])
+        self.run_tracker.record_missing(
+            self.incarnation, lapse + builders.milliseconds(2)
+        )
+        self.assertIsNone(self.run_tracker.get(self.incarnation))
+
     def test_draining_server_is_not_usable(self):
         backend = self.acquire()
         draining = builders.report(
--- a/waxwingwalk/emulator/fleet.py
+++ b/waxwingwalk/emulator/fleet.py
@@ -318,9 +318,27 @@
         if not host.is_up:
             self._repeat_request_later(caller)
             return
+        if host.is_frozen:
+            self._defer(host, lambda: self._read_request(host, caller))
+            return
         self._apply(host, events.JobSubmitted(caller.job))
 
-    def _repeat_request_later(self, caller: Caller) -> None:
+    def _read_request(self, host: Host, caller: Caller) -> None:
+        """Submit a job whose host has read the request only now.
+
+        A request carries durations, which count from when it is read.
+        """
+        now = self.timeline.now()
+        job = dataclasses.replace(
+            caller.job,
+            due=now + caller.objective,
+            expires=now + caller.timeout,
+        )
+        self._apply(host, events.JobSubmitted(job))
+
+    def _repeat_request_later(
+        self, caller: Caller, retry_at: Host | None = None
+    ) -> None:
         """Make a caller repeat a failed request later, at a random host.
 
         The caller does not try again if no host is up at that time.
@@ -330,6 +348,8 @@
             if caller.has_left or caller.answer is not None:
                 return
             up = [each for each in self.hosts.values() if each.is_up]
+            if retry_at is not None:
+                up = [retry_at]
             if up:
                 now = self.timeline.now()
                 caller.job = dataclasses.replace(
@@ -341,6 +361,13 @@
 
         self.timeline.call_later(CALLER_RETRY_DELAY, repeat)
 
+    def reset_caller(self, caller: Caller, retry_at: Host) -> None:
+        """Reset a caller's connection; it repeats its request elsewhere."""
+        host, caller.host = caller.host, None
+        if host is not None:
+            self._apply(host, events.JobAbandoned(caller.job.job_id))
+        self._repeat_request_later(caller, retry_at)
+
     def abandon_job(self, caller: Caller) -> None:
         """Make a caller abandon its request, if it has no answer yet."""
         if caller.answer is not None:
@@ -417,19 +444,23 @@
     def _apply(self, host: Host, event: events.Event) -> None:
         """Apply an event to the reducer of a host and execute the effects."""
         if host.is_frozen:
-            incarnation = host.incarnation
-
-            def apply_deferred() -> None:
-                if host.incarnation == incarnation and host.is_up:
-                    self._apply(host, event)
-
-            host.deferred.append(apply_deferred)
+            self._defer(host, lambda: self._apply(host, event))
             return
         if host.reducer is None:
             return
         for effect in host.reducer.apply(event, self.timeline.now()):
             self._execute_effect(host, effect)
 
+    def _defer(self, host: Host, action: Callable[[], None]) -> None:
+        """Run an action when a frozen host wakes, unless it was killed."""
+        incarnation = host.incarnation
+
+        def run_deferred() -> None:
+            if host.incarnation == incarnation and host.is_up:
+                action()
+
+        host.deferred.append(run_deferred)
+
     def _execute_effect(self, host: Host, effect: effects.Effect) -> None:
         match effect:
             case effects.Send():
