Followed the runs of a server that restarts under its id

Cause: an order names a server's id only, a server that has just started obeys any fence, and an idle server is not polled. The scheduler learned of the restart by the poll beside the order, or by the table, and counted every run there as ended with the former incarnation, also those that the new one had started. The task started again elsewhere at once.

A poll now names the incarnation that answered. Runs that the former one had not listed move to the new one, which is polled under a higher fence; it can start none of them after that, and those that its answer does not list have ended. An incarnation that is over is not acquired again while the table still lists it; a server that restarted was acquired and given up some ten times a second. Ends are acknowledged once and only to a server that answers, as a restarted one counts its ends anew and would forget some unread.

--- /dev/null
+++ b/tests/dispatch/test_restarted_servers.py
@@ -0,0 +1,120 @@
+"""Backend servers that restart under their id, as their scheduler sees it."""
+
+from tests.dispatch import builders
+from tests.dispatch import reducer_case
+from waxwingwalk.dispatch import effects
+from waxwingwalk.dispatch import events
+from waxwingwalk.dispatch import messages
+from waxwingwalk.dispatch import model
+from waxwingwalk.dispatch import pool_rows
+
+Outcome = model.CallOutcome
+
+
+class RestartedServerTests(reducer_case.ReducerTestCase):
+    def setUp(self):
+        super().setUp()
+        self.schedule_here()
+        self.run = self.start_job()
+        self.restarted = builders.report(started_ms=2)
+
+    def reveal_restart(self, at):
+        """Answer the poll under way as the new incarnation."""
+        return self.apply(
+            events.BackendPolled(
+                self.report.incarnation,
+                Outcome.OTHER_INCARNATION,
+                successor=self.restarted.incarnation,
+            ),
+            at,
+        )
+
+    def poll_restarted(self, at, **lists):
+        return self.apply(builders.polled(self.restarted, 50, **lists), at)
+
+    def ends(self, done):
+        return [
+            (each.fields["end"], each.fields["reason"])
+            for each in builders.of_type(done, effects.Log)
+            if each.event == "task.ended"
+        ]
+
+    def polls(self, done):
+        return builders.of_type(done, effects.PollBackend)
+
+    def test_new_incarnation_is_polled_under_a_higher_fence(self):
+        fence = self.reducer.run_tracker.get(self.report.incarnation).fence
+        (poll,) = self.polls(self.reveal_restart(10))
+        self.assertEqual(poll.incarnation, self.restarted.incarnation)
+        self.assertGreater(poll.fence, fence)
+
+    def test_unlisted_run_ends_when_the_new_incarnation_does_not_list_it(self):
+        self.assertEqual(self.ends(self.reveal_restart(10)), [])
+        done = self.poll_restarted(12)
+        self.assertEqual(
+            self.ends(done), [("not_run", "stopped before its start")]
+        )
+
+    def test_unlisted_run_goes_on_where_the_new_incarnation_lists_it(self):
+        self.reveal_restart(10)
+        self.assertEqual(
+            self.ends(self.poll_restarted(12, running=[self.run])), []
+        )
+        ended = model.EndedRun(1, self.run.task, 1, model.RunEnd.DONE)
+        done = self.poll_restarted(90, ended=[ended])
+        self.assertEqual(self.ends(done), [("done", "done")])
+        self.assertEqual(self.answers(done), [(model.JobOutcome.DONE, "done")])
+
+    def test_listed_run_ends_with_the_former_incarnation(self):
+        self.apply(builders.polled(self.report, running=[self.run]), 9)
+        self.assertEqual(
+            self.ends(self.reveal_restart(10)), [("gone", "newer life")]
+        )
+
+    def test_restart_that_the_list_shows_moves_unlisted_runs(self):
+        done = self.apply(events.BackendsListed((self.restarted,)), 10)
+        self.assertEqual(self.ends(done), [])
+        self.assertEqual(
+            self.ends(self.poll_restarted(12)),
+            [("not_run", "stopped before its start")],
+        )
+
+    def test_new_incarnation_gets_no_work_before_it_is_listed(self):
+        self.reveal_restart(10)
+        done = self.poll_restarted(12)
+        self.assertEqual(builders.of_type(done, effects.StartRun), [])
+        done = self.apply(events.BackendsListed((self.restarted,)), 500)
+        done += self.apply(events.Ticked(), 525)
+        (start,) = builders.of_type(done, effects.StartRun)
+        self.assertEqual(start.incarnation, self.restarted.incarnation)
+
+    def test_former_incarnation_in_a_late_list_is_not_acquired_again(self):
+        self.reveal_restart(10)
+        self.poll_restarted(12)
+        done = self.apply(events.BackendsListed((self.report,)), 20)
+        self.assertEqual(self.polls(done), [])
+        self.assertIsNone(
+            self.reducer.run_tracker.get(self.report.incarnation)
+        )
+
+    def test_runs_on_a_restarted_server_are_lost_with_the_pool(self):
+        load = messages.PoolLoad(
+            reducer_case.ZONE,
+            pool_rows.fence(reducer_case.ROW_VERSION + 1, 0),
+            builders.SERVICE,
+            [],
+            0.0,
+        )
+        self.receive(messages.HostStatus([load], False, 0), 5)
+        done = self.reveal_restart(10)
+        self.assertEqual(self.ends(done), [("lost", "restarted")])
+
+    def test_server_that_does_not_answer_gets_no_acknowledgement(self):
+        ended = model.EndedRun(7, self.run.task, 1, model.RunEnd.DONE)
+        self.apply(builders.polled(self.report, ended=[ended]), 10)
+        self.apply(events.Ticked(), 300)
+        self.apply(
+            events.BackendPolled(self.report.incarnation, Outcome.UNKNOWN), 310
+        )
+        (poll,) = self.polls(self.apply(events.Ticked(), 400))
+        self.assertEqual(poll.acknowledged, 0)
--- a/tests/platform/test_clients.py
+++ b/tests/platform/test_clients.py
@@ -156,12 +156,16 @@
                 self.assertEqual(started.outcome, outcome)
 
     async def test_another_worker_at_the_address_is_another_incarnation(self):
-        started = await self.start(model.BackendIncarnation("w-2", 1))
+        other = model.BackendIncarnation("w-2", 1)
+        started = await self.start(other)
         self.assertEqual(started.outcome, Outcome.OTHER_INCARNATION)
+        polled = await self.poll(other)
+        self.assertIsNone(polled.successor)
 
     async def test_worker_restarted_with_its_id_is_another_incarnation(self):
         polled = await self.poll(model.BackendIncarnation("w-1", 2))
         self.assertEqual(polled.outcome, Outcome.OTHER_INCARNATION)
+        self.assertEqual(polled.successor, model.BackendIncarnation("w-1", 1))
 
     async def test_lists_are_decoded(self):
         await self.start()
--- a/waxwingwalk/dispatch/backend.py
+++ b/waxwingwalk/dispatch/backend.py
@@ -68,7 +68,8 @@
 class Run:
     """A run that occupies resources until it is known to have ended.
 
-    ``ordered_at`` and ``accepted_at`` are in observed time.
+    ``ordered_at`` and ``accepted_at`` are in observed time. ``is_listed`` is
+    set once a poll has listed the run as running.
     """
 
     order: TaskOrder
@@ -78,6 +79,7 @@
     stop_requested_at: datetime.datetime | None = None
     stop_sent_at: datetime.datetime | None = None
     is_stop_confirmed: bool = False
+    is_listed: bool = False
     # The number of the first poll that was sent after the run was settled.
     settled_by_poll: int | None = None
     is_end_reported: bool = False
--- a/waxwingwalk/dispatch/events.py
+++ b/waxwingwalk/dispatch/events.py
@@ -142,6 +142,8 @@
     """A poll of a backend server was answered, or got no answer.
 
     ``server_clock_ms`` is what the server's clock showed when it answered.
+    ``successor`` is the incarnation that answered, if the server has restarted
+    under its id.
     """
 
     incarnation: model.BackendIncarnation
@@ -149,6 +151,7 @@
     server_clock_ms: int | None = None
     running: tuple[model.RunKey, ...] = ()
     ended: tuple[model.EndedRun, ...] = ()
+    successor: model.BackendIncarnation | None = None
 
 
 @dataclasses.dataclass(slots=True)
--- a/waxwingwalk/dispatch/reducer.py
+++ b/waxwingwalk/dispatch/reducer.py
@@ -12,6 +12,7 @@
 """
 
 from collections.abc import Callable
+import dataclasses
 import datetime
 from typing import Any
 
@@ -261,6 +262,7 @@
             report.incarnation: report for report in event.reports
         }
         self._backends_listed_at = now
+        self.run_tracker.keep_over(self._backend_reports)
         for report in event.reports:
             self.ownership.add_pool(report.zone)
         return self._reconcile_backends(now)
@@ -282,16 +284,25 @@
                 done += self.run_tracker.update_report(report)
             elif incarnation.backend_id in incarnations:
                 newer = incarnations[incarnation.backend_id]
-                if newer.started_ms > incarnation.started_ms:
-                    done += self.run_tracker.end_incarnation(
-                        incarnation, now, "newer life"
-                    )
+                if (
+                    newer.started_ms > incarnation.started_ms
+                    and not self.run_tracker.is_over(newer)
+                ):
+                    done += self._follow_restart(backend, newer, now)
             else:
                 done += self.run_tracker.record_missing(incarnation, now)
+        scheduled = {
+            backend.incarnation.backend_id: backend.incarnation
+            for backend in self.run_tracker
+        }
         for incarnation, report in self._backend_reports.items():
             claim = claims.get(report.zone)
             if claim is None or not self._is_list_recent(claim, now):
                 continue
+            # The list may lag behind a restart of the server.
+            known = scheduled.get(incarnation.backend_id, incarnation)
+            if known != incarnation or self.run_tracker.is_over(incarnation):
+                continue
             # A fenced server is acquired again only under a newer claim.
             acquired = self.run_tracker.get(incarnation)
             if acquired is not None and (
@@ -306,6 +317,33 @@
                 done += self.run_tracker.acquire(report, fence, now)
         return done
 
+    def _follow_restart(
+        self,
+        backend: backends.Backend,
+        successor: model.BackendIncarnation,
+        now: datetime.datetime,
+    ) -> effects.Effects:
+        """Schedule the new incarnation of a server that has restarted.
+
+        It gets no work until the platform lists it: it may be of another kind
+        than its former one.
+        """
+        claim = self.ownership.claims.get(backend.report.zone)
+        if claim is None or backend.state is backends.BackendState.FENCED:
+            # Another scheduler stops the runs that are left there.
+            return self.run_tracker.lose_restarted(backend.incarnation, now)
+        report = self._backend_reports.get(successor)
+        fence = claim.next_order_fence(successor.backend_id)
+        if report is not None:
+            return self.run_tracker.follow_restart(
+                backend.incarnation, report, fence, now
+            )
+        report = dataclasses.replace(backend.report, incarnation=successor)
+        done = self.run_tracker.follow_restart(
+            backend.incarnation, report, fence, now
+        )
+        return [*done, *self.run_tracker.record_missing(successor, now)]
+
     def _is_list_recent(
         self, claim: dispatch_ownership.Claim, now: datetime.datetime
     ) -> bool:
@@ -599,6 +637,9 @@
     def _backend_polled(
         self, event: events.BackendPolled, now: datetime.datetime
     ) -> effects.Effects:
+        backend = self.run_tracker.get(event.incarnation)
+        if event.successor is not None and backend is not None:
+            return self._follow_restart(backend, event.successor, now)
         known = self.run_tracker.changes
         done = self.run_tracker.polled(
             event.incarnation,
--- a/waxwingwalk/dispatch/run_tracker.py
+++ b/waxwingwalk/dispatch/run_tracker.py
@@ -8,6 +8,7 @@
 """
 
 import collections
+from collections.abc import Iterable
 from collections.abc import Iterator
 import dataclasses
 import datetime
@@ -73,6 +74,8 @@
         self._active_run_counts: collections.Counter[str] = (
             collections.Counter()
         )
+        # Incarnations that are over, although the platform may list them.
+        self._over: set[model.BackendIncarnation] = set()
         self._detector = outliers.LikelihoodDetector()
         # Ended runs, and log lines caused by them, until the scheduler
         # processes them.
@@ -97,6 +100,14 @@
         """Return a backend server, None if it is not scheduled here."""
         return self._backends.get(incarnation)
 
+    def is_over(self, incarnation: model.BackendIncarnation) -> bool:
+        """Return whether an incarnation is known to be over."""
+        return incarnation in self._over
+
+    def keep_over(self, listed: Iterable[model.BackendIncarnation]) -> None:
+        """Forget the incarnations that are over and not listed any more."""
+        self._over.intersection_update(listed)
+
     def usable(self, now: datetime.datetime) -> list[backends.Backend]:
         """Return the backend servers on which runs may be ordered now."""
         if self._usable_until is None or now >= self._usable_until:
@@ -182,6 +193,67 @@
             incarnation, model.TaskEnd.GONE, "backend.gone", reason, now
         )
 
+    def follow_restart(
+        self,
+        former: model.BackendIncarnation,
+        report: model.BackendReport,
+        fence: int,
+        now: datetime.datetime,
+    ) -> effects.Effects:
+        """Schedule the new incarnation of a server that has restarted.
+
+        An order names the id of a server, not its incarnation, and a server
+        that has just started obeys any fence. A run that the former
+        incarnation has not listed may therefore be active on the new one, or
+        may still start there until that one has seen ``fence``. Such a run
+        moves to the new incarnation, and ends if the first poll does not list
+        it.
+        """
+        moved = self._remove_unlisted_runs(former)
+        done = self._end_former_incarnation(former, now)
+        done += self.acquire(report, fence, now)
+        backend = self._backends[report.incarnation]
+        for run in moved:
+            run.state = backends.RunState.SETTLED
+            run.settled_by_poll = backend.poll_count
+            run.is_stop_confirmed = False
+            run.stop_sent_at = None
+            backend.add_run(run)
+            self._backend_by_run[run.order.key] = backend
+        return done
+
+    def lose_restarted(
+        self, former: model.BackendIncarnation, now: datetime.datetime
+    ) -> effects.Effects:
+        """Give up a restarted server whose new incarnation is not followed.
+
+        The outcome of the runs that may be active there is not known.
+        """
+        backend = self._backends[former]
+        for run in self._remove_unlisted_runs(former):
+            self._report_end(
+                backend, run, model.TaskEnd.LOST, "restarted", now
+            )
+        return self._end_former_incarnation(former, now)
+
+    def _remove_unlisted_runs(
+        self, incarnation: model.BackendIncarnation
+    ) -> list[backends.Run]:
+        """Remove and return the runs that have not been listed there."""
+        backend = self._backends[incarnation]
+        unlisted = [run for run in backend.runs.values() if not run.is_listed]
+        for run in unlisted:
+            backend.remove_run(run)
+            self._backend_by_run.pop(run.order.key, None)
+        self.changes += 1
+        return unlisted
+
+    def _end_former_incarnation(
+        self, incarnation: model.BackendIncarnation, now: datetime.datetime
+    ) -> effects.Effects:
+        self._over.add(incarnation)
+        return self.end_incarnation(incarnation, now, "newer life")
+
     def _remove_backend(
         self,
         incarnation: model.BackendIncarnation,
@@ -325,6 +397,12 @@
             return []
         backend.is_polling = True
         backend.poll_count += 1
+        # Ends are acknowledged once, and only to a server that answers: one
+        # that has restarted counts its ends anew.
+        acknowledges = (
+            backend.acknowledge_at is not None
+            and backend.state is backends.BackendState.READY
+        )
         may_extend = backend.runs and backend.may_extend_lease(now)
         may_wait = (
             backend.runs
@@ -339,7 +417,7 @@
                 incarnation=backend.incarnation,
                 address=backend.report.address,
                 fence=backend.fence,
-                acknowledged=backend.acknowledged,
+                acknowledged=backend.acknowledged if acknowledges else 0,
                 lease_ends_ms=backend.extend_lease(now)
                 if may_extend
                 else None,
@@ -462,6 +540,9 @@
         backend.failed_polls = 0
         backend.next_poll_at = now
         backend.acknowledge_at = None
+        for key in running:
+            if key in backend.runs:
+                backend.runs[key].is_listed = True
         self._process_ended_runs(backend, ended, now)
         self._free_settled_runs(backend, running, now)
         done = self._verify(backend, running, now)
@@ -589,6 +670,7 @@
     ) -> effects.Effects:
         """Give up an incarnation that this host can no longer schedule."""
         if outcome is model.CallOutcome.OTHER_INCARNATION:
+            self._over.add(backend.incarnation)
             return self.end_incarnation(backend.incarnation, now, "other life")
         return self._mark_fenced(backend, now)
 
--- a/waxwingwalk/emulator/backend.py
+++ b/waxwingwalk/emulator/backend.py
@@ -216,7 +216,11 @@
         self, incarnation: model.BackendIncarnation
     ) -> events.BackendPolled:
         if incarnation != self.report.incarnation:
-            return events.BackendPolled(incarnation, Outcome.OTHER_INCARNATION)
+            return events.BackendPolled(
+                incarnation,
+                Outcome.OTHER_INCARNATION,
+                successor=self.report.incarnation,
+            )
         return events.BackendPolled(
             incarnation,
             Outcome.ACCEPTED,
--- a/waxwingwalk/platform/backends.py
+++ b/waxwingwalk/platform/backends.py
@@ -225,7 +225,13 @@
     if lists is None:
         return events.BackendPolled(incarnation, Outcome.UNKNOWN)
     if lists.born is not None and lists.born != incarnation.started_ms:
-        return events.BackendPolled(incarnation, Outcome.OTHER_INCARNATION)
+        return events.BackendPolled(
+            incarnation,
+            Outcome.OTHER_INCARNATION,
+            successor=model.BackendIncarnation(
+                incarnation.backend_id, lists.born
+            ),
+        )
     return events.BackendPolled(
         incarnation,
         Outcome.ACCEPTED,
