Awaited the leases of a missing server's runs

Cause: a server that cannot reach the store disappears from the table while it runs and answers. After 2.5 s the first failed call ended its incarnation, and its tasks started again although their leases had up to a second left. Only long tasks are concerned, as a missing server gets no new ones.

A missing server is now given up when its runs have ended or their leases have expired. If it has restarted and does not answer, the outcome of its runs is not known and they are lost.

--- a/waxwingwalk/dispatch/run_tracker.py
+++ b/waxwingwalk/dispatch/run_tracker.py
@@ -308,17 +308,27 @@
     ) -> effects.Effects:
         """Record that a backend server is missing from the platform's list.
 
-        It is removed after MISSING_GRACE, unless it is ready and has runs.
+        It is removed after MISSING_GRACE, once its runs have ended or their
+        leases have expired.
         """
         backend = self._backends[incarnation]
         if backend.missing_since is None:
             backend.missing_since = now
             self._usable_until = None
-        is_not_ready = backend.state is not backends.BackendState.READY
-        is_grace_over = now - backend.missing_since > MISSING_GRACE
-        if is_grace_over and (is_not_ready or not backend.runs):
-            return self.end_incarnation(incarnation, now, "not listed")
-        return []
+        if now - backend.missing_since <= MISSING_GRACE:
+            return []
+        if backend.state is backends.BackendState.UNVERIFIED:
+            # Runs that moved here may be active; their leases are not known.
+            return self._remove_backend(
+                incarnation,
+                model.TaskEnd.LOST,
+                "backend.gone",
+                "not listed",
+                now,
+            )
+        if backend.has_active_runs:
+            return []
+        return self.end_incarnation(incarnation, now, "not listed")
 
     # Requests to backend servers.
 
