Read callers' connections after a pause before starting tasks

Cause: a host that wakes handles what arrived during its pause in turn. A request whose caller has closed its connection, and has repeated it at another host after 1.3 s, was started before the end of the connection was read.

After a pause of more than 0.6 s no task of the host's jobs starts until the event loop has run ten iterations, in which the ends of connections are read and their jobs are abandoned. Peers' offers are not held: their links were checked.

A test of the reducer now carries out the new effect, as a host does.

--- a/tests/dispatch/test_observed_time.py
+++ b/tests/dispatch/test_observed_time.py
@@ -150,7 +150,8 @@
 
     def test_host_that_stalled_once_accepts_jobs(self):
         self.schedule_here()
-        self.stall()
+        (read,) = builders.of_type(self.stall(), effects.ReadConnections)
+        self.apply(events.ConnectionsRead(read.pause), self.STALL_END)
         self.tick_until(1300, start=self.STALL_END + TICK)
         job = builders.job(now=builders.at(1300), estimate=60)
         done = self.apply(events.JobSubmitted(job), 1300)
--- a/tests/platform/test_callers.py
+++ b/tests/platform/test_callers.py
@@ -1,4 +1,6 @@
 import asyncio
+import socket
+import time
 import unittest
 from unittest import mock
 
@@ -15,6 +17,10 @@
 # two attempts.
 TRIES = 100
 PAUSE_SECONDS = 0.1
+# A pause of a host after which callers may have gone elsewhere, and the time
+# in which its effects on the workers show.
+PAUSE_OF_HOST_SECONDS = 0.9
+SETTLE_SECONDS = 0.3
 
 
 def job(**fields):
@@ -119,6 +125,26 @@
         self.assertEqual((status, content["error"]), (503, "too late"))
         self.assertGreaterEqual(int(headers["Retry-After"]), 1)
 
+    async def test_caller_that_left_during_a_pause_has_nothing_started(self):
+        await self.deployment.start()
+        await self.submit_until_served()
+        starts = self.deployment.workers[0].starts
+        before = len(starts)
+        host, _, port = self.deployment.configs[0].callers.rpartition(":")
+        content = orjson.dumps(job())
+        head = (
+            f"POST {PATH} HTTP/1.1\r\nHost: shop.example\r\n"
+            f"Content-Type: application/json\r\n"
+            f"Content-Length: {len(content)}\r\n\r\n"
+        )
+        with socket.create_connection((host, int(port))) as connection:
+            connection.sendall(head.encode() + content)
+        # Blocks the event loop of the host, as a pause of the process does.
+        time.sleep(PAUSE_OF_HOST_SECONDS)
+        await asyncio.sleep(SETTLE_SECONDS)
+        self.assertEqual(starts[before:], [])
+        self.assertEqual(await self.submit_until_served(), {"state": "done"})
+
     async def test_pending_jobs_of_a_queue_and_of_an_unknown_queue(self):
         await self.deployment.start()
         await self.submit_until_served()
--- a/waxwingwalk/dispatch/effects.py
+++ b/waxwingwalk/dispatch/effects.py
@@ -119,6 +119,16 @@
     fields: dict[str, Any]
 
 
+@dataclasses.dataclass(slots=True)
+class ReadConnections:
+    """Read what callers' connections have received; ConnectionsRead follows.
+
+    ``pause`` is the number of the pause after which this is requested.
+    """
+
+    pause: int
+
+
 @dataclasses.dataclass(slots=True)
 class Exit:
     """End the process: the drain has ended, or its time is over."""
@@ -136,6 +146,7 @@
     | ProbeBackends
     | DecodeCatalog
     | Log
+    | ReadConnections
     | Exit
 )
 Effects = list[Effect]
--- a/waxwingwalk/dispatch/events.py
+++ b/waxwingwalk/dispatch/events.py
@@ -154,6 +154,16 @@
     successor: model.BackendIncarnation | None = None
 
 
+@dataclasses.dataclass(slots=True)
+class ConnectionsRead:
+    """What callers' connections received until the end of a pause was read.
+
+    ``pause`` is the number of the pause.
+    """
+
+    pause: int
+
+
 @dataclasses.dataclass(slots=True)
 class DrainRequested:
     """The process was asked to shut down within ``limit``."""
@@ -178,5 +188,6 @@
     | RunStarted
     | RunStopped
     | BackendPolled
+    | ConnectionsRead
     | DrainRequested
 )
--- a/waxwingwalk/dispatch/reducer.py
+++ b/waxwingwalk/dispatch/reducer.py
@@ -53,6 +53,10 @@
 # is older than this. Ticks are at most half as far apart, and a link expires
 # after three times as long.
 LINK_CHECK_DELAY_MAX = datetime.timedelta(milliseconds=200)
+# After a pause that is longer than this, callers of this host may have left,
+# and may have repeated their requests at another host, which they do after
+# 1.3 s. No task starts until what their connections received has been read.
+LONG_PAUSE = datetime.timedelta(milliseconds=600)
 # The interval at which the ownership of pools is evaluated, in addition to
 # evaluations at each event that may change it.
 OWNERSHIP_INTERVAL = datetime.timedelta(milliseconds=100)
@@ -97,6 +101,7 @@
         self._announced_changes = 0
         self._load_announced_at = now
         self._links_checked_at = now
+        self._pauses = 0
         self._ownership_evaluated_at = now
         self._link_targets: frozenset[str] = frozenset()
         self._is_exiting = False
@@ -117,6 +122,7 @@
             events.RunStarted: self._run_started,
             events.RunStopped: self._run_stopped,
             events.BackendPolled: self._backend_polled,
+            events.ConnectionsRead: self._resume_starts,
             events.DrainRequested: self._start_drain,
         }
         self._message_handlers: dict[
@@ -170,6 +176,10 @@
                 )
             )
             done += self._check_links(now)
+            if delay > LONG_PAUSE:
+                self._pauses += 1
+                self.scheduler.hold_starts()
+                done.append(effects.ReadConnections(self._pauses))
         done += self._handlers[type(event)](event, now)
         done += self.front.route_waiting(now)
         done += self.scheduler.process_ended_runs(now)
@@ -215,6 +225,13 @@
     ) -> effects.Effects:
         return self.front.abandon(event.job_id, now)
 
+    def _resume_starts(
+        self, event: events.ConnectionsRead, now: datetime.datetime
+    ) -> effects.Effects:
+        if event.pause != self._pauses:
+            return []
+        return self.scheduler.resume_starts(now)
+
     # Rows read from the store.
 
     def _adopt_catalog(
--- a/waxwingwalk/dispatch/scheduler.py
+++ b/waxwingwalk/dispatch/scheduler.py
@@ -98,6 +98,7 @@
         self._suitable_of: list[backends.Backend] = []
         self._dispatched_at = clock.DISTANT_PAST
         self._is_queue_long = False
+        self._are_starts_held = False
 
     @property
     def jobs(self) -> dict[str, job_record.JobRecord]:
@@ -434,8 +435,19 @@
 
     # Tasks.
 
+    def hold_starts(self) -> None:
+        """Start no task of this host's jobs until ``resume_starts``."""
+        self._are_starts_held = True
+
+    def resume_starts(self, now: datetime.datetime) -> effects.Effects:
+        """Start tasks again, with those that waited meanwhile."""
+        self._are_starts_held = False
+        return self.dispatch(now)
+
     def dispatch(self, now: datetime.datetime) -> effects.Effects:
         """Start tasks of waiting jobs, in the job order."""
+        if self._are_starts_held:
+            return []
         if (
             self._is_queue_long
             and now - self._dispatched_at < LONG_QUEUE_DISPATCH_INTERVAL
--- a/waxwingwalk/emulator/fleet.py
+++ b/waxwingwalk/emulator/fleet.py
@@ -22,6 +22,8 @@
 from waxwingwalk.emulator import guarantees
 from waxwingwalk.emulator import timeline as emulator_timeline
 
+# Time in which the event loop of a host reads what has arrived.
+LOOP_DELAY = datetime.timedelta(milliseconds=1)
 LINK_DELAY = datetime.timedelta(milliseconds=1)
 STORE_DELAY = datetime.timedelta(milliseconds=12)
 CALL_TIMEOUT = datetime.timedelta(milliseconds=350)
@@ -485,6 +487,9 @@
                     not self._are_zones_partitioned(host.zone, effect.pool),
                 )
                 self._apply_later(host, LINK_DELAY, probed)
+            case effects.ReadConnections():
+                read = events.ConnectionsRead(effect.pause)
+                self._apply_later(host, LOOP_DELAY, read)
             case effects.Exit():
                 host.has_exited = True
             case _:
--- a/waxwingwalk/host/engine.py
+++ b/waxwingwalk/host/engine.py
@@ -18,6 +18,9 @@
 
 # The outcome of a call that raised an exception: it may have been sent.
 UNKNOWN = model.CallOutcome.UNKNOWN
+# Iterations of the event loop within which a connection is accepted, its
+# request and its end are read, and the request's handler is cancelled.
+READ_ITERATIONS = 10
 
 
 class BackendClient(Protocol):
@@ -207,6 +210,8 @@
                 if catalog is not None:
                     event = events.CatalogRead(catalog, effect.document)
                     self._spawn(self._apply_soon(event))
+            case effects.ReadConnections():
+                self._spawn(self._read_connections(effect))
             case effects.Exit():
                 self.exited.set()
 
@@ -214,6 +219,12 @@
         """Apply an event in a task, after the effects of the current one."""
         self.apply(event)
 
+    async def _read_connections(self, effect: effects.ReadConnections) -> None:
+        """Let the event loop read all connections and run their handlers."""
+        for _ in range(READ_ITERATIONS):
+            await asyncio.sleep(0)
+        self.apply(events.ConnectionsRead(effect.pause))
+
     def _call(
         self,
         call: Coroutine[Any, Any, events.Event],
