Emulated lossy paths, late lists and freezes between event and effects

The random scenarios lost messages between zones only, and knew neither lost calls nor rows that expire while their server runs. Added faults: lost requests and replies of backend servers, messages that are delayed up to a second or vanish in one direction, hosts that freeze before the effects of an event are carried out, hidden rows, a list that lags, servers behind a cut that crash there, and quick restarts under the same id. Callers may be told not to repeat requests. FAULTS is unchanged, so the seeds of the former tests play as before.

--- a/tests/emulator/test_scenario.py
+++ b/tests/emulator/test_scenario.py
@@ -4,6 +4,7 @@
 from waxwingwalk.emulator import scenario
 
 FAULTS = 8
+PATH_FAULT_COUNT = 20
 SEEDS = range(12)
 # Each mutation has to be detected with at least one of these seeds; not every
 # seed draws the faults that expose it.
@@ -20,6 +21,16 @@
                 self.assertEqual(result.violations, ())
                 self.assertGreater(result.done, 0)
 
+    def test_no_guarantee_is_violated_on_lossy_paths(self):
+        kinds = scenario.FAULTS + 2 * scenario.PATH_FAULTS
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                result = scenario.Scenario(
+                    seed, PATH_FAULT_COUNT, kinds=kinds
+                ).run()
+                self.assertEqual(result.violations, ())
+                self.assertGreater(result.done, 0)
+
     def test_every_waiting_caller_is_served_without_faults(self):
         result = scenario.Scenario(0, faults=0).run()
         answered = result.done + result.refused + result.failed
--- a/waxwingwalk/emulator/fleet.py
+++ b/waxwingwalk/emulator/fleet.py
@@ -36,6 +36,8 @@
 CALLER_RETRY_DELAY = datetime.timedelta(milliseconds=1300)
 # Range of the delay of late orders, in seconds.
 LATE_ORDER_SECONDS = (2.0, 12.0)
+# A message that was on its way for longer closes its link when it arrives.
+MESSAGE_DELAY_MAX = datetime.timedelta(milliseconds=600)
 
 SERVICE = "refunds"
 Outcome = model.CallOutcome
@@ -59,19 +61,37 @@
 
 @dataclasses.dataclass(slots=True)
 class EmulatedLink:
-    """A link between two hosts; each end has its own number for it."""
+    """A link between two hosts; each end has its own number for it.
+
+    ``delivery_times`` holds, for each sender, when its last message arrives:
+    messages of a link arrive in the order in which they were sent.
+    ``closed_end`` is the host that has closed its end if the far end has not
+    noticed.
+    """
 
     opener: "Host"
     acceptor: "Host"
     opener_number: int
     acceptor_number: int
     is_open: bool = True
+    closed_end: "Host | None" = None
+    delivery_times: dict[str, datetime.datetime] = dataclasses.field(
+        default_factory=dict
+    )
+
+    def other_end(self, number: int) -> tuple["Host", int]:
+        """Return the far end of the end with a number."""
+        if number == self.opener_number:
+            return self.acceptor, self.acceptor_number
+        return self.opener, self.opener_number
 
 
 class Host:
     """A dispatch host, which may be down or frozen.
 
-    ``deferred`` holds the events that arrived while it was frozen.
+    ``deferred`` holds the events that arrived while it was frozen. A host
+    that ``freezes_after_event`` handles one more event; the effects of this
+    event are carried out after it wakes.
     """
 
     def __init__(self, address: str, zone: str) -> None:
@@ -80,6 +100,7 @@
         self.incarnation = 0
         self.is_up = False
         self.is_frozen = False
+        self.freezes_after_event = False
         self.deferred: list[Callable[[], None]] = []
         self.reducer: dispatch_reducer.Reducer | None = None
         self.links: dict[int, EmulatedLink] = {}
@@ -112,6 +133,23 @@
         self._isolated_hosts: set[str] = set()
         self._is_store_down = False
         self.late_share = 0.0
+        # Share of calls of backend servers whose request or reply is lost.
+        self.call_loss_share = 0.0
+        # Backend servers to which orders to stop a run are lost.
+        self.stops_are_lost: set[str] = set()
+        # Backend servers that no host can reach.
+        self.unreachable_backends: set[str] = set()
+        # Pairs of a sender and a receiver between which nothing arrives.
+        self.silent_paths: set[tuple[str, str]] = set()
+        # Messages of links take up to this long, or exactly as long as their
+        # path is given here.
+        self.message_delay = LINK_DELAY
+        self.path_delays: dict[tuple[str, str], datetime.timedelta] = {}
+        # Hosts read the list of backend servers as of this time, if set.
+        self.listed_backends_snapshot: (
+            tuple[model.BackendReport, ...] | None
+        ) = None
+        self.do_callers_repeat = True
         self._rows: dict[str, tuple[int, pool_rows.PoolRow]] = {}
         self._last_version = 0
         self._last_link_number = 0
@@ -185,7 +223,7 @@
         power loss.
         """
         host.is_up = False
-        host.is_frozen = False
+        host.is_frozen = host.freezes_after_event = False
         host.deferred.clear()
         host.reducer = None
         links, host.links = list(host.links.values()), {}
@@ -223,9 +261,16 @@
         host.is_frozen = True
         self.checker.record_contact_lost(host.address)
 
+    def freeze_host_after_event(self, host: Host) -> None:
+        """Freeze a host once it has handled one more event.
+
+        The effects of this event are carried out after it wakes.
+        """
+        host.freezes_after_event = True
+
     def wake_host(self, host: Host) -> None:
         """Resume a frozen host and apply its deferred events."""
-        host.is_frozen = False
+        host.is_frozen = host.freezes_after_event = False
         self.checker.record_contact_regained(host.address)
         deferred, host.deferred = host.deferred, []
         for action in deferred:
@@ -265,6 +310,26 @@
 
         self.timeline.call_later(ROW_EXPIRY, expire)
 
+    def hide_backend(self, backend_id: str) -> None:
+        """Remove the row of a backend server, which goes on running."""
+        self.listed_backends.pop(backend_id, None)
+
+    def show_backend(self, backend_id: str) -> None:
+        """List a backend server again if it is up."""
+        backend = self.backends[backend_id]
+        if backend.is_up:
+            self.listed_backends[backend_id] = backend.report
+
+    def hold_backend_list(self) -> None:
+        """Make hosts read the list of backend servers as it is now."""
+        self.listed_backends_snapshot = tuple(self.listed_backends.values())
+        self.checker.record_contact_lost("list")
+
+    def release_backend_list(self) -> None:
+        """Make hosts read the current list of backend servers again."""
+        self.listed_backends_snapshot = None
+        self.checker.record_contact_regained("list")
+
     def restart_backend(self, backend_id: str) -> None:
         """Restart a crashed backend server under the same id."""
         backend = self.backends[backend_id]
@@ -349,6 +414,8 @@
         def repeat() -> None:
             if caller.has_left or caller.answer is not None:
                 return
+            if not self.do_callers_repeat:
+                return
             up = [each for each in self.hosts.values() if each.is_up]
             if retry_at is not None:
                 up = [retry_at]
@@ -440,7 +507,9 @@
         self._apply(host, events.CatalogRead(self._catalog, "1"))
         self._apply(host, events.HostsListed(records))
         self._apply(host, events.PoolsListed(dict(self._rows)))
-        reports = tuple(self.listed_backends.values())
+        reports = self.listed_backends_snapshot
+        if reports is None:
+            reports = tuple(self.listed_backends.values())
         self._apply(host, events.BackendsListed(reports))
 
     def _apply(self, host: Host, event: events.Event) -> None:
@@ -450,7 +519,22 @@
             return
         if host.reducer is None:
             return
-        for effect in host.reducer.apply(event, self.timeline.now()):
+        done = host.reducer.apply(event, self.timeline.now())
+        if host.freezes_after_event:
+            incarnation = host.incarnation
+
+            def execute_deferred() -> None:
+                if host.incarnation == incarnation and host.is_up:
+                    self._execute_effects(host, done)
+
+            self.freeze_host(host)
+            host.freezes_after_event = False
+            host.deferred.append(execute_deferred)
+            return
+        self._execute_effects(host, done)
+
+    def _execute_effects(self, host: Host, done: effects.Effects) -> None:
+        for effect in done:
             self._execute_effect(host, effect)
 
     def _defer(self, host: Host, action: Callable[[], None]) -> None:
@@ -478,7 +562,7 @@
             case effects.CloseLink():
                 link = host.links.get(effect.link)
                 if link is not None:
-                    self._close_link(link)
+                    self._close_link_end(host, effect.link, link)
             case effects.WritePool():
                 self._write_pool(host, effect)
             case effects.ProbeBackends():
@@ -520,6 +604,9 @@
             or other.address in self._isolated_hosts
         )
 
+    def _is_path_silent(self, sender: Host, receiver: Host) -> bool:
+        return (sender.address, receiver.address) in self.silent_paths
+
     def _set_link_targets(
         self, host: Host, link_targets: frozenset[str]
     ) -> None:
@@ -535,7 +622,12 @@
             if address not in host.link_targets:
                 return
             peer = self.hosts[address]
-            if self._are_hosts_partitioned(host, peer) or peer.is_frozen:
+            if (
+                self._are_hosts_partitioned(host, peer)
+                or self._is_path_silent(host, peer)
+                or self._is_path_silent(peer, host)
+                or peer.is_frozen
+            ):
                 failed = events.LinkFailed(address, False)
                 self._apply_later(host, CONNECT_TIMEOUT, failed)
                 self.timeline.call_later(CONNECT_TIMEOUT, retry_later)
@@ -580,6 +672,20 @@
             ),
         )
 
+    def _close_link_end(
+        self, host: Host, number: int, link: EmulatedLink
+    ) -> None:
+        """Close one end of a link; the far end may not notice."""
+        peer, _ = link.other_end(number)
+        if not self._is_path_silent(host, peer):
+            self._close_link(link)
+            return
+        link.closed_end = host
+        host.links.pop(number, None)
+        self._apply_later(host, LINK_DELAY, events.LinkClosed(number))
+        if host is link.opener and host.is_up:
+            self._connect(host, peer.address, host.incarnation)
+
     def _close_link(self, link: EmulatedLink) -> None:
         """Close a link and notify the ends that are up.
 
@@ -594,7 +700,7 @@
         ):
             if host.links.pop(number, None) is not None:
                 self._apply_later(host, LINK_DELAY, events.LinkClosed(number))
-        if link.opener.is_up:
+        if link.opener.is_up and link.closed_end is not link.opener:
             self._connect(
                 link.opener, link.acceptor.address, link.opener.incarnation
             )
@@ -605,20 +711,40 @@
         link = host.links.get(number)
         if link is None or not link.is_open:
             return
-        is_opener = link.opener is host and link.opener_number == number
-        receiver = link.acceptor if is_opener else link.opener
-        receiver_number = (
-            link.acceptor_number if is_opener else link.opener_number
+        receiver, receiver_number = link.other_end(number)
+        if self._is_path_silent(host, receiver):
+            return
+        now = self.timeline.now()
+        delay = self._draw_message_delay(host, receiver)
+        arrives_at = max(
+            now + delay, link.delivery_times.get(host.address, now)
         )
+        link.delivery_times[host.address] = arrives_at
 
         def deliver() -> None:
-            if link.is_open and not self._are_hosts_partitioned(
-                host, receiver
-            ):
-                received = events.MessageReceived(receiver_number, message)
-                self._apply(receiver, received)
+            if not link.is_open or self._are_hosts_partitioned(host, receiver):
+                return
+            if link.closed_end is receiver:
+                if not self._is_path_silent(receiver, host):
+                    self._close_link(link)
+                return
+            if self.timeline.now() - now > MESSAGE_DELAY_MAX:
+                self._close_link_end(receiver, receiver_number, link)
+                return
+            received = events.MessageReceived(receiver_number, message)
+            self._apply(receiver, received)
 
-        self.timeline.call_later(LINK_DELAY, deliver)
+        self.timeline.call_later(arrives_at - now, deliver)
+
+    def _draw_message_delay(
+        self, sender: Host, receiver: Host
+    ) -> datetime.timedelta:
+        delay = self.path_delays.get((sender.address, receiver.address))
+        if delay is not None:
+            return delay
+        if self.message_delay > LINK_DELAY:
+            return self.random.random() * self.message_delay
+        return LINK_DELAY
 
     # Backend servers.
 
@@ -632,6 +758,7 @@
         if (
             backend is None
             or not backend.is_up
+            or order.incarnation.backend_id in self.unreachable_backends
             or self._are_zones_partitioned(host.zone, backend.report.zone)
         ):
             lost = _unanswered_event(order, Outcome.UNKNOWN)
@@ -648,6 +775,16 @@
             lost = _unanswered_event(order, Outcome.UNKNOWN)
             self._apply_later(host, CALL_TIMEOUT + wait, lost)
             return
+        is_reply_lost = False
+        is_request_lost = (
+            isinstance(order, effects.StopRun)
+            and order.incarnation.backend_id in self.stops_are_lost
+        )
+        if self.call_loss_share and (
+            self.random.random() < self.call_loss_share
+        ):
+            is_request_lost = self.random.random() < 0.5
+            is_reply_lost = not is_request_lost
         incarnation = host.incarnation
         is_finished = False
 
@@ -655,7 +792,11 @@
             nonlocal is_finished
             if is_finished or host.incarnation != incarnation:
                 return
-            if self._are_zones_partitioned(host.zone, backend.report.zone):
+            if (
+                is_reply_lost
+                or order.incarnation.backend_id in self.unreachable_backends
+                or self._are_zones_partitioned(host.zone, backend.report.zone)
+            ):
                 return
             is_finished = True
             self._apply_later(host, LINK_DELAY, event)
@@ -670,9 +811,10 @@
                 is_finished = True
                 self._apply(host, _unanswered_event(order, Outcome.UNKNOWN))
 
-        self.timeline.call_later(
-            LINK_DELAY, lambda: self._execute_order(backend, order, reply)
-        )
+        if not is_request_lost:
+            self.timeline.call_later(
+                LINK_DELAY, lambda: self._execute_order(backend, order, reply)
+            )
         self.timeline.call_later(CALL_TIMEOUT + wait, time_out)
 
     def _execute_order(
--- a/waxwingwalk/emulator/scenario.py
+++ b/waxwingwalk/emulator/scenario.py
@@ -1,6 +1,7 @@
 """Fault scenarios: a steady load with faults that are drawn or planned."""
 
 from collections.abc import Callable
+from collections.abc import Sequence
 import dataclasses
 import datetime
 import random
@@ -45,7 +46,7 @@
     """Runs a fleet under load, with random or planned faults.
 
     ``planned`` lists pairs of a time, in seconds from the first job, and the
-    kind of the fault. Without it, ``faults`` faults are drawn.
+    kind of the fault. Without it, ``faults`` faults of ``kinds`` are drawn.
     """
 
     def __init__(
@@ -53,11 +54,15 @@
         seed: int,
         faults: int = FAULT_COUNT,
         planned: list[tuple[float, str]] | None = None,
+        kinds: Sequence[str] | None = None,
+        do_callers_repeat: bool = True,
     ) -> None:
         self.seed = seed
         self._planned = planned
         self.fleet = emulator_fleet.Fleet(seed)
+        self.fleet.do_callers_repeat = do_callers_repeat
         self.faults: list[str] = []
+        self._kinds = kinds or FAULTS
         self._random = random.Random(seed)
         self._fault_count = faults
         self._job_number = 0
@@ -82,7 +87,10 @@
                 for at, kind in self._planned
             ]
         return [
-            (DURATION * self._random.random(), self._random.choice(FAULTS))
+            (
+                DURATION * self._random.random(),
+                self._random.choice(self._kinds),
+            )
             for _ in range(self._fault_count)
         ]
 
@@ -183,9 +191,13 @@
         self.fleet.crash_backend(name)
         self._call_later(
             self._random.uniform(0.1, 6),
-            lambda: self.fleet.restart_backend(name),
+            lambda: self._restart_backend(name),
         )
 
+    def _restart_backend(self, name: str) -> None:
+        if not self.fleet.backends[name].is_up:
+            self.fleet.restart_backend(name)
+
     def _leave_backend(self) -> None:
         name = self._choose_backend()
         if name is not None:
@@ -227,6 +239,105 @@
         self.fleet.late_share = 0.1
         self._call_later(3, lambda: setattr(self.fleet, "late_share", 0.0))
 
+    def _lose_calls(self) -> None:
+        self.fleet.call_loss_share = 0.2
+        self._call_later(
+            3, lambda: setattr(self.fleet, "call_loss_share", 0.0)
+        )
+
+    def _delay_messages(self) -> None:
+        self.fleet.message_delay = datetime.timedelta(
+            seconds=self._random.uniform(0.2, 1)
+        )
+        self._call_later(
+            3,
+            lambda: setattr(
+                self.fleet, "message_delay", emulator_fleet.LINK_DELAY
+            ),
+        )
+
+    def _silence_path(self) -> None:
+        hosts = sorted(self.fleet.hosts)
+        sender, receiver = self._random.sample(hosts, 2)
+        path = (sender, receiver)
+        self.fleet.silent_paths.add(path)
+        self._call_later(3, lambda: self.fleet.silent_paths.discard(path))
+
+    def _freeze_after_event(self) -> None:
+        host = self._choose_host()
+        if host is None:
+            return
+        self.fleet.freeze_host_after_event(host)
+        self._call_later(
+            self._random.uniform(0.1, 4),
+            lambda: self.fleet.wake_host(host),
+        )
+
+    def _hide_backend(self) -> None:
+        name = self._choose_backend()
+        if name is None:
+            return
+        self.fleet.hide_backend(name)
+        self._call_later(
+            self._random.uniform(0.5, 6),
+            lambda: self.fleet.show_backend(name),
+        )
+
+    def _lag_list(self) -> None:
+        self.fleet.hold_backend_list()
+        self._call_later(
+            self._random.uniform(1, 4), self.fleet.release_backend_list
+        )
+
+    def _cut_backend(self) -> None:
+        name = self._choose_backend()
+        if name is None:
+            return
+        self.fleet.unreachable_backends.add(name)
+        self._call_later(
+            self._random.uniform(0.3, 4),
+            lambda: self.fleet.unreachable_backends.discard(name),
+        )
+
+    def _crash_behind_cut(self) -> None:
+        name = self._choose_backend()
+        if name is None:
+            return
+        backend = self.fleet.backends[name]
+        self.fleet.unreachable_backends.add(name)
+        crash_at = self._random.uniform(0.2, 1)
+        restart_at = crash_at + self._random.uniform(0.1, 1)
+
+        def crash() -> None:
+            if backend.is_up:
+                self.fleet.crash_backend(name)
+
+        self._call_later(crash_at, crash)
+        self._call_later(restart_at, lambda: self._restart_backend(name))
+        self._call_later(
+            restart_at + self._random.uniform(0.0, 1),
+            lambda: self.fleet.unreachable_backends.discard(name),
+        )
+
+    def _restart_quickly(self) -> None:
+        name = self._choose_backend()
+        if name is None:
+            return
+        self.fleet.crash_backend(name)
+
+        def restart() -> None:
+            if not self.fleet.backends[name].is_up:
+                self.fleet.restart_backend(name)
+                # The row of the new incarnation is written a little later.
+                self.fleet.hide_backend(name)
+
+        restart_at = self._random.uniform(0.01, 0.3)
+        self._call_later(restart_at, restart)
+        self._call_later(
+            restart_at + self._random.uniform(0, 1),
+            lambda: self.fleet.show_backend(name),
+        )
+
     def _result(self) -> Result:
         outcomes = [
             caller.answer.outcome
@@ -262,3 +373,16 @@
     "store_down",
     "late_orders",
 )
+# Faults of paths, lists and processes beyond those of FAULTS.
+PATH_FAULTS = (
+    "lose_calls",
+    "delay_messages",
+    "silence_path",
+    "freeze_after_event",
+    "hide_backend",
+    "lag_list",
+    "cut_backend",
+    "crash_behind_cut",
+)
+# A server that restarts under its id before its scheduler has noticed.
+RESTART_FAULTS = ("restart_quickly",)
