Ordered no run on a server with an overdue stop

Polls do not renew the lease of a server while a stop has been unanswered for 0.15 s, so that the run lapses. Starts of other runs did renew it: the run that was to be stopped went on, and a scheduler that awaited its end after a lost link started the task a second time. Such a server gets no start now either.

--- a/tests/emulator/test_overlapping_runs.py
+++ b/tests/emulator/test_overlapping_runs.py
@@ -1,3 +1,4 @@
+import dataclasses
 import datetime
 import unittest
 
@@ -71,3 +72,25 @@
                 self.fleet.run(seconds(5))
                 self.assertEqual(self.fleet.checker.violations, [])
                 self.assertTrue(self.fleet.backends["server-free"].runs)
+
+    def test_other_starts_do_not_renew_the_lease_of_a_stopped_run(self):
+        self.build(0)
+        large = model.Resources(processors=16_000, memory=65_536)
+        south = self.fleet.backends["server-south"]
+        south.report = self.fleet.listed_backends["server-south"] = (
+            dataclasses.replace(south.report, capacity=large)
+        )
+        self.lose_link()
+        self.fleet.stops_are_lost.add("server-south")
+        self.fleet.add_backend("server-free", "north", CAPACITY)
+        for number in range(2, 40):
+            self.fleet.submit(
+                f"{number:016x}",
+                self.fleet.hosts[SOUTH],
+                1,
+                seconds(0.05),
+                TASK_RESOURCES,
+            )
+            self.fleet.run(seconds(0.1))
+        self.assertEqual(self.fleet.checker.violations, [])
+        self.assertTrue(self.fleet.backends["server-free"].runs)
--- a/waxwingwalk/dispatch/scheduler.py
+++ b/waxwingwalk/dispatch/scheduler.py
@@ -563,7 +563,10 @@
             each
             for each in suitable
             # Checked first because it is cheap and rules out most servers.
-            if each.free.processors >= processors and each.can_fit_now(order)
+            if each.free.processors >= processors
+            and each.can_fit_now(order)
+            # A start renews the lease of all runs on the server.
+            and each.may_extend_lease(now)
         ]
         if not candidates:
             return None
