Kept runs with the same key apart

Requests for the same job number their runs from 1, so that a run and an earlier one whose lease has expired on a silent server may have the same key. When the earlier one was listed as ended, the later one could no longer be stopped; on the same server it replaced the earlier one, whose resources stayed occupied. Only the run's own entry is removed now, and a server takes no run whose key it has.

Both new tests failed before.

--- /dev/null
+++ b/tests/dispatch/test_overlapping_runs.py
@@ -0,0 +1,62 @@
+import unittest
+
+from tests.dispatch import builders
+from waxwingwalk.dispatch import effects
+from waxwingwalk.dispatch import model
+from waxwingwalk.dispatch import run_tracker
+
+Outcome = model.CallOutcome
+
+
+class RepeatedRunTests(unittest.TestCase):
+    """A job was submitted twice, so that run 1 of its task was ordered twice.
+
+    The first of these runs is over, as its lease has expired, but its server
+    has not answered since.
+    """
+
+    def setUp(self):
+        self.run_tracker = run_tracker.RunTracker()
+        self.first = self.add_server("server-1")
+        self.order = builders.order()
+        self.run_tracker.start(self.order, self.first, builders.at(2))
+        self.run_tracker.polled(
+            self.first.incarnation,
+            Outcome.UNKNOWN,
+            None,
+            (),
+            (),
+            builders.at(3),
+        )
+        self.over_at = self.first.latest_lapse_time(
+            builders.at(3)
+        ) + builders.milliseconds(1)
+        self.run_tracker.tick(self.over_at)
+        self.assertFalse(self.run_tracker.has_active_run(self.order.ref.name))
+
+    def add_server(self, name):
+        report = builders.report(name)
+        self.run_tracker.acquire(report, 1, builders.START)
+        self.poll(report.incarnation, builders.at(1))
+        return self.run_tracker.get(report.incarnation)
+
+    def poll(self, incarnation, now, ended=()):
+        self.run_tracker.polled(
+            incarnation, Outcome.ACCEPTED, 1000, (), tuple(ended), now
+        )
+
+    def test_run_can_be_stopped_after_the_end_of_its_namesake(self):
+        second = self.add_server("server-2")
+        again = builders.order()
+        self.run_tracker.start(again, second, self.over_at)
+        lapsed = model.EndedRun(
+            1, again.key.task, again.key.run, model.RunEnd.LAPSED
+        )
+        self.poll(self.first.incarnation, self.over_at, [lapsed])
+        done = self.run_tracker.stop(again.key, self.over_at)
+        (stop,) = builders.of_type(done, effects.StopRun)
+        self.assertEqual(stop.incarnation, second.incarnation)
+
+    def test_run_does_not_replace_its_namesake_on_a_server(self):
+        self.assertFalse(self.first.can_fit_now(builders.order()))
+        self.assertTrue(self.first.can_fit_now(builders.order(run=2)))
--- a/waxwingwalk/dispatch/backend.py
+++ b/waxwingwalk/dispatch/backend.py
@@ -238,9 +238,14 @@
         )
 
     def can_fit_now(self, order: TaskOrder) -> bool:
-        """Return whether a task fits beside the current runs."""
-        return self.free.holds(order.resources) and self._is_below_step_limit(
-            order
+        """Return whether a task fits beside the current runs.
+
+        A run for an earlier request for the same job may have the same key.
+        """
+        return (
+            self.free.holds(order.resources)
+            and order.key not in self.runs
+            and self._is_below_step_limit(order)
         )
 
     def can_fit_when_idle(self, order: TaskOrder) -> bool:
--- a/waxwingwalk/dispatch/run_tracker.py
+++ b/waxwingwalk/dispatch/run_tracker.py
@@ -715,7 +715,10 @@
     ) -> None:
         """Free a run's resources, and report its end if not yet reported."""
         backend.remove_run(run)
-        self._backend_by_run.pop(run.order.key, None)
+        # Another run with this key may have been ordered since this one was
+        # reported, for a later request for the same job.
+        if self._backend_by_run.get(run.order.key) is backend:
+            del self._backend_by_run[run.order.key]
         self.changes += 1
         self._report_end(backend, run, end, reason, now)
 
