Tested that no older incarnation is acquired beside a newer one

A list that is older than what is known, or a row whose start is missing, made a host acquire a former incarnation of a server under a higher fence. The server saw that fence, and refused the orders for its present incarnation: its jobs were lost, and it was unusable until the pool had a newer claim.

--- a/tests/dispatch/test_overlapping_runs.py
+++ b/tests/dispatch/test_overlapping_runs.py
@@ -1,11 +1,14 @@
 import unittest
 
 from tests.dispatch import builders
+from tests.dispatch import reducer_case
 from waxwingwalk.dispatch import effects
+from waxwingwalk.dispatch import events
 from waxwingwalk.dispatch import model
 from waxwingwalk.dispatch import run_tracker
 
 Outcome = model.CallOutcome
+NEWER_MS = 5000
 
 
 class RepeatedRunTests(unittest.TestCase):
@@ -60,3 +63,16 @@
     def test_run_does_not_replace_its_namesake_on_a_server(self):
         self.assertFalse(self.first.can_fit_now(builders.order()))
         self.assertTrue(self.first.can_fit_now(builders.order(run=2)))
+
+
+class StaleListTests(reducer_case.ReducerTestCase):
+    def test_older_incarnation_is_not_acquired_beside_a_newer_one(self):
+        self.list_row(reducer_case.LOCAL, reducer_case.PEER)
+        newer = builders.report(started_ms=NEWER_MS)
+        self.apply(events.BackendsListed((newer,)), 1)
+        self.apply(builders.polled(newer), 2)
+        done = self.apply(events.BackendsListed((self.report,)), 3)
+        self.assertEqual(builders.of_type(done, effects.PollBackend), [])
+        done = self.apply(events.JobSubmitted(builders.job()), 4)
+        (start,) = builders.of_type(done, effects.StartRun)
+        self.assertEqual(start.incarnation, newer.incarnation)
--- a/waxwingwalk/dispatch/reducer.py
+++ b/waxwingwalk/dispatch/reducer.py
@@ -316,7 +316,8 @@
             claim = claims.get(report.zone)
             if claim is None or not self._is_list_recent(claim, now):
                 continue
-            # The list may lag behind a restart of the server.
+            # The list may lag behind a restart of the server. Acquiring the
+            # former incarnation would fence off the newer one.
             known = scheduled.get(incarnation.backend_id, incarnation)
             if known != incarnation or self.run_tracker.is_over(incarnation):
                 continue
