Acquired the servers of a reclaimed pool again

A host that gives a pool up orders nothing more on its servers, and releases each once its runs have ended. If it claimed the pool again before that, the server stayed marked as being released and was not used for as long as the claim lasted. It is now released when its runs have ended, and acquired under the new claim.

The new test failed before (the server was never polled again).

--- a/tests/dispatch/test_overlapping_runs.py
+++ b/tests/dispatch/test_overlapping_runs.py
@@ -4,7 +4,9 @@
 from tests.dispatch import reducer_case
 from waxwingwalk.dispatch import effects
 from waxwingwalk.dispatch import events
+from waxwingwalk.dispatch import messages
 from waxwingwalk.dispatch import model
+from waxwingwalk.dispatch import pool_rows
 from waxwingwalk.dispatch import run_tracker
 
 Outcome = model.CallOutcome
@@ -76,3 +78,45 @@
         done = self.apply(events.JobSubmitted(builders.job()), 4)
         (start,) = builders.of_type(done, effects.StartRun)
         self.assertEqual(start.incarnation, newer.incarnation)
+
+
+class ReclaimedPoolTests(reducer_case.ReducerTestCase):
+    """The pool was claimed by the peer, and is claimed here again."""
+
+    def setUp(self):
+        super().setUp()
+        self.schedule_here()
+        self.run = self.start_job()
+
+    def lose_pool(self, at):
+        fence = pool_rows.fence(reducer_case.ROW_VERSION, 1)
+        load = messages.PoolLoad(
+            reducer_case.ZONE, fence, builders.SERVICE, [], 0.0
+        )
+        self.receive(messages.HostStatus([load], False, 0), at)
+        self.assertEqual(self.reducer.ownership.claims, {})
+
+    def reclaim_pool(self, at):
+        self.apply(events.LinkClosed(reducer_case.OUTBOUND), at)
+        self.apply(events.LinkClosed(reducer_case.INBOUND), at)
+        self.apply(events.BackendsListed((self.report,)), at)
+        self.assertIn(reducer_case.ZONE, self.reducer.ownership.claims)
+
+    def end_run(self, at):
+        ended = model.EndedRun(1, self.run.task, 1, model.RunEnd.DONE)
+        return self.apply(builders.polled(self.report, ended=[ended]), at)
+
+    def fences(self, done):
+        return [
+            each.fence for each in builders.of_type(done, effects.PollBackend)
+        ]
+
+    def test_server_is_usable_once_its_former_runs_have_ended(self):
+        self.lose_pool(10)
+        self.reclaim_pool(20)
+        done = self.end_run(30)
+        done += self.apply(events.BackendsListed((self.report,)), 31)
+        self.assertTrue(self.fences(done))
+        self.apply(builders.polled(self.report), 32)
+        done = self.apply(events.JobSubmitted(builders.job("k")), 33)
+        self.assertEqual(len(builders.of_type(done, effects.StartRun)), 1)
--- a/waxwingwalk/dispatch/reducer.py
+++ b/waxwingwalk/dispatch/reducer.py
@@ -297,6 +297,11 @@
             report = self._backend_reports.get(incarnation)
             if backend.report.zone not in claims:
                 done += self._release_backend(backend, now)
+            elif backend.is_releasing and not backend.has_active_runs:
+                # It is acquired again below, under the new claim.
+                done += self.run_tracker.release(
+                    incarnation, now, "pool claimed again"
+                )
             elif report is not None:
                 done += self.run_tracker.update_report(report)
             elif incarnation.backend_id in incarnations:
