Used no fence of a pool twice in one process

A host that claims a pool a second time from the same row began to count the incarnations of its servers anew. The fence of a server was then the one that it had been released with, or a lower one if it had restarted, which it refuses. The count is kept for claims from the same row.

The new test failed before (the same fence twice).

--- a/tests/dispatch/test_overlapping_runs.py
+++ b/tests/dispatch/test_overlapping_runs.py
@@ -120,3 +120,11 @@
         self.apply(builders.polled(self.report), 32)
         done = self.apply(events.JobSubmitted(builders.job("k")), 33)
         self.assertEqual(len(builders.of_type(done, effects.StartRun)), 1)
+
+    def test_fence_of_a_server_is_never_used_again(self):
+        former = self.reducer.run_tracker.get(self.report.incarnation).fence
+        self.end_run(5)
+        self.lose_pool(10)
+        self.reclaim_pool(20)
+        backend = self.reducer.run_tracker.get(self.report.incarnation)
+        self.assertGreater(backend.fence, former)
--- a/waxwingwalk/dispatch/ownership.py
+++ b/waxwingwalk/dispatch/ownership.py
@@ -73,6 +73,8 @@
     foreign_owner_since: datetime.datetime | None = None
     probed_at: datetime.datetime | None = None
     is_reachable: bool = False
+    # The latest claim of this host, which may have been given up since.
+    latest_claim: Claim | None = None
 
 
 class Ownership:
@@ -384,7 +386,13 @@
             return []
         former = self._find_former_owner(pool, row, rank)
         fence = pool_rows.fence(state.version, rank)
-        self.claims[pool] = Claim(pool, fence, now, former)
+        claim = Claim(pool, fence, now, former)
+        if state.latest_claim is not None and (
+            state.latest_claim.fence == fence
+        ):
+            # The same row is claimed again: its fences are not used twice.
+            claim.incarnations = state.latest_claim.incarnations
+        self.claims[pool] = state.latest_claim = claim
         state.unowned_since = None
         return [
             effects.Log(
