Ignored replies from before a server was acquired again

Replies of polls and stops named the incarnation of a server only. If a server was released and acquired again while a call was under way, the late reply was taken for one of the new use: a list of runs from before made the server ready although another scheduler's runs were left there, and a refusal of the old fence made it unusable while the claim lasted. Replies carry the fence of their call now, and those of another fence are ignored.

Both new tests failed before (a start on the unverified server; no start on the verified one). The expected events of a test of the engine name the fence too.

--- a/tests/dispatch/test_overlapping_runs.py
+++ b/tests/dispatch/test_overlapping_runs.py
@@ -128,3 +128,28 @@
         self.reclaim_pool(20)
         backend = self.reducer.run_tracker.get(self.report.incarnation)
         self.assertGreater(backend.fence, former)
+
+    def acquire_again(self):
+        """Release the server and acquire it; return its former fence."""
+        former = self.reducer.run_tracker.get(self.report.incarnation).fence
+        self.end_run(5)
+        self.lose_pool(10)
+        self.reclaim_pool(20)
+        return former
+
+    def test_poll_from_before_the_release_does_not_verify_the_server(self):
+        stale = builders.polled(self.report)
+        stale.fence = self.acquire_again()
+        self.apply(stale, 21)
+        done = self.apply(events.JobSubmitted(builders.job("k")), 22)
+        self.assertEqual(builders.of_type(done, effects.StartRun), [])
+
+    def test_refusal_from_before_the_release_does_not_end_the_use(self):
+        former = self.acquire_again()
+        self.apply(builders.polled(self.report), 21)
+        stale = events.RunStopped(
+            self.report.incarnation, self.run, Outcome.FENCED, former
+        )
+        self.apply(stale, 22)
+        done = self.apply(events.JobSubmitted(builders.job("k")), 23)
+        self.assertEqual(len(builders.of_type(done, effects.StartRun)), 1)
--- a/tests/host/test_engine.py
+++ b/tests/host/test_engine.py
@@ -64,8 +64,8 @@
             reducer.events[1:],
             [
                 events.RunStarted(INCARNATION, RUN, UNKNOWN, None),
-                events.RunStopped(INCARNATION, RUN, UNKNOWN),
-                events.BackendPolled(INCARNATION, UNKNOWN),
+                events.RunStopped(INCARNATION, RUN, UNKNOWN, 1),
+                events.BackendPolled(INCARNATION, UNKNOWN, fence=1),
                 events.PoolWritten("north", None, None),
             ],
         )
--- a/waxwingwalk/dispatch/events.py
+++ b/waxwingwalk/dispatch/events.py
@@ -130,20 +130,24 @@
 
 @dataclasses.dataclass(slots=True)
 class RunStopped:
-    """An order to stop a run was answered, or got no answer."""
+    """An order to stop a run was answered, or got no answer.
+
+    ``fence`` is that of the order.
+    """
 
     incarnation: model.BackendIncarnation
     run: model.RunKey
     outcome: model.CallOutcome
+    fence: int | None = None
 
 
 @dataclasses.dataclass(slots=True)
 class BackendPolled:
     """A poll of a backend server was answered, or got no answer.
 
-    ``server_clock_ms`` is what the server's clock showed when it answered.
-    ``successor`` is the incarnation that answered, if the server has restarted
-    under its id.
+    ``server_clock_ms`` is what the server's clock showed when it answered,
+    ``fence`` the fence of the poll. ``successor`` is the incarnation that
+    answered, if the server has restarted under its id.
     """
 
     incarnation: model.BackendIncarnation
@@ -151,6 +155,7 @@
     server_clock_ms: int | None = None
     running: tuple[model.RunKey, ...] = ()
     ended: tuple[model.EndedRun, ...] = ()
+    fence: int | None = None
     successor: model.BackendIncarnation | None = None
 
 
--- a/waxwingwalk/dispatch/reducer.py
+++ b/waxwingwalk/dispatch/reducer.py
@@ -653,13 +653,28 @@
     def _run_stopped(
         self, event: events.RunStopped, now: datetime.datetime
     ) -> effects.Effects:
+        if self._is_outdated(event):
+            return []
         return self.run_tracker.stopped(
             event.incarnation, event.run, event.outcome, now
         )
 
+    def _is_outdated(
+        self, event: events.RunStopped | events.BackendPolled
+    ) -> bool:
+        """Return whether a server was acquired again after a call to it."""
+        backend = self.run_tracker.get(event.incarnation)
+        return (
+            backend is not None
+            and event.fence is not None
+            and event.fence != backend.fence
+        )
+
     def _backend_polled(
         self, event: events.BackendPolled, now: datetime.datetime
     ) -> effects.Effects:
+        if self._is_outdated(event):
+            return []
         backend = self.run_tracker.get(event.incarnation)
         if event.successor is not None and backend is not None:
             return self._follow_restart(backend, event.successor, now)
--- a/waxwingwalk/emulator/backend.py
+++ b/waxwingwalk/emulator/backend.py
@@ -162,7 +162,7 @@
         """Handle an order to stop a run."""
         if order.fence < self._fence:
             return events.RunStopped(
-                order.incarnation, order.run, Outcome.FENCED
+                order.incarnation, order.run, Outcome.FENCED, order.fence
             )
         self._fence = order.fence
         running = self.runs.get(order.run)
@@ -174,7 +174,7 @@
                 STOP_DURATION, lambda: self._end(running, "stopped")
             )
         return events.RunStopped(
-            order.incarnation, order.run, Outcome.ACCEPTED
+            order.incarnation, order.run, Outcome.ACCEPTED, order.fence
         )
 
     def poll(
@@ -188,7 +188,11 @@
         is immediate if there are ended runs to report.
         """
         if order.fence < self._fence:
-            reply(events.BackendPolled(order.incarnation, Outcome.FENCED))
+            reply(
+                events.BackendPolled(
+                    order.incarnation, Outcome.FENCED, fence=order.fence
+                )
+            )
             return
         self._fence = order.fence
         if order.lease_ends_ms is not None:
@@ -199,7 +203,7 @@
             if each.serial > order.acknowledged
         ]
         if self._ended_runs or not order.wait:
-            reply(self._build_poll_reply(order.incarnation))
+            reply(self._build_poll_reply(order))
             return
         is_answered = False
 
@@ -207,19 +211,21 @@
             nonlocal is_answered
             if not is_answered:
                 is_answered = True
-                reply(self._build_poll_reply(order.incarnation))
+                reply(self._build_poll_reply(order))
 
         self._poll_waiters.append(send_reply)
         self._timeline.call_later(order.wait, send_reply)
 
     def _build_poll_reply(
-        self, incarnation: model.BackendIncarnation
+        self, order: effects.PollBackend
     ) -> events.BackendPolled:
+        incarnation = order.incarnation
         if incarnation != self.report.incarnation:
             return events.BackendPolled(
                 incarnation,
                 Outcome.OTHER_INCARNATION,
                 successor=self.report.incarnation,
+                fence=order.fence,
             )
         return events.BackendPolled(
             incarnation,
@@ -227,6 +233,7 @@
             self.server_clock_ms,
             tuple(self.runs),
             tuple(self._ended_runs),
+            order.fence,
         )
 
     # Ends of runs.
--- a/waxwingwalk/emulator/fleet.py
+++ b/waxwingwalk/emulator/fleet.py
@@ -871,6 +871,10 @@
                 order.incarnation, order.run, outcome, None
             )
         case effects.StopRun():
-            return events.RunStopped(order.incarnation, order.run, outcome)
+            return events.RunStopped(
+                order.incarnation, order.run, outcome, order.fence
+            )
         case _:
-            return events.BackendPolled(order.incarnation, outcome)
+            return events.BackendPolled(
+                order.incarnation, outcome, fence=order.fence
+            )
--- a/waxwingwalk/host/engine.py
+++ b/waxwingwalk/host/engine.py
@@ -176,12 +176,16 @@
             case effects.StopRun():
                 self._call(
                     adapters.backends.stop(effect),
-                    events.RunStopped(effect.incarnation, effect.run, UNKNOWN),
+                    events.RunStopped(
+                        effect.incarnation, effect.run, UNKNOWN, effect.fence
+                    ),
                 )
             case effects.PollBackend():
                 self._call(
                     adapters.backends.poll(effect),
-                    events.BackendPolled(effect.incarnation, UNKNOWN),
+                    events.BackendPolled(
+                        effect.incarnation, UNKNOWN, fence=effect.fence
+                    ),
                 )
             case effects.AnswerJob():
                 waiter = self._waiters.get(effect.job_id)
--- a/waxwingwalk/platform/backends.py
+++ b/waxwingwalk/platform/backends.py
@@ -123,7 +123,9 @@
         outcome, _ = await self._call(
             "stop", order.address, "/run-stop", order.incarnation, body
         )
-        return events.RunStopped(order.incarnation, order.run, outcome)
+        return events.RunStopped(
+            order.incarnation, order.run, outcome, order.fence
+        )
 
     async def poll(self, order: effects.PollBackend) -> events.BackendPolled:
         """Fetch the lists of runs, and renew the lease."""
@@ -144,8 +146,10 @@
             CALL_TIMEOUT + order.wait,
         )
         if outcome is not Outcome.ACCEPTED:
-            return events.BackendPolled(order.incarnation, outcome)
-        return _to_polled_event(order.incarnation, _parse(_RunLists, content))
+            return events.BackendPolled(
+                order.incarnation, outcome, fence=order.fence
+            )
+        return _to_polled_event(order, _parse(_RunLists, content))
 
     async def accepts_connections(self, address: str) -> bool:
         """Return whether a worker accepts a connection."""
@@ -220,10 +224,13 @@
 
 
 def _to_polled_event(
-    incarnation: model.BackendIncarnation, lists: _RunLists | None
+    order: effects.PollBackend, lists: _RunLists | None
 ) -> events.BackendPolled:
+    incarnation = order.incarnation
     if lists is None:
-        return events.BackendPolled(incarnation, Outcome.UNKNOWN)
+        return events.BackendPolled(
+            incarnation, Outcome.UNKNOWN, fence=order.fence
+        )
     if lists.born is not None and lists.born != incarnation.started_ms:
         return events.BackendPolled(
             incarnation,
@@ -231,6 +238,7 @@
             successor=model.BackendIncarnation(
                 incarnation.backend_id, lists.born
             ),
+            fence=order.fence,
         )
     return events.BackendPolled(
         incarnation,
@@ -243,6 +251,7 @@
             )
             for serial, task, run, end in lists.ended
         ),
+        order.fence,
     )
 
 
