--- a/waxwingwalk/dispatch/run_tracker.py
+++ b/waxwingwalk/dispatch/run_tracker.py
@@ -219,7 +219,7 @@
             run.is_stop_confirmed = False
             run.stop_sent_at = None
             backend.add_run(run)
-            self._backend_by_run[run.order.key] = backend
+            self._backend_by_run.setdefault(run.order.key, backend)
         return done
 
     def lose_restarted(
@@ -243,9 +243,7 @@
         backend = self._backends[incarnation]
         unlisted = [run for run in backend.runs.values() if not run.is_listed]
         for run in unlisted:
-            backend.remove_run(run)
-            self._backend_by_run.pop(run.order.key, None)
-        self.changes += 1
+            self._remove_run(backend, run)
         return unlisted
 
     def _end_former_incarnation(
@@ -714,13 +712,19 @@
         now: datetime.datetime,
     ) -> None:
         """Free a run's resources, and report its end if not yet reported."""
+        self._remove_run(backend, run)
+        self._report_end(backend, run, end, reason, now)
+
+    def _remove_run(
+        self, backend: backends.Backend, run: backends.Run
+    ) -> None:
+        """Free a run's resources."""
         backend.remove_run(run)
-        # Another run with this key may have been ordered since this one was
-        # reported, for a later request for the same job.
+        # Another run with this key may have been ordered since the end of this
+        # one was reported, for a later request for the same job.
         if self._backend_by_run.get(run.order.key) is backend:
             del self._backend_by_run[run.order.key]
         self.changes += 1
-        self._report_end(backend, run, end, reason, now)
 
     def _report_end(
         self,
