Sent a refused task again over a connection of its own

A backend server that answered "not run" twice could have a task run twice. The repetition of the refusal stayed on the kept connection, or arrived on it while the next attempt at the same task was running there. It names the same task and incarnation, so that it passed for the reply to that attempt, and the task was sent a third time.

A task that a server has refused is now sent over a new connection, where only the reply to that request can arrive.

test_repeated_refusal_starts_no_task_twice failed before: two starts of the task.

--- a/tests/entry/test_backend_faults.py
+++ b/tests/entry/test_backend_faults.py
@@ -60,6 +60,22 @@
                     self.assertEqual(Code.TASK_LOST, reply["code"], reply)
                     self.assertEqual({1}, set(started.starts().values()))
 
+    async def test_repeated_refusal_starts_no_task_twice(self):
+        """The repetition arrives while the next attempt is running."""
+        async with fleet.Fleet() as started:
+            (server,) = await jobs.add_backends(started, 1)
+            state = started.entries[0].engine.state
+            server.fault = Fault.NOT_RUN_REPEAT_LATER
+            running = asyncio.create_task(
+                started.submit(0, jobs.job(count=1, seconds=0.8))
+            )
+            await jobs.wait_until(lambda: state.counters.tasks_not_started)
+            server.fault = Fault.NONE
+            reply = await running
+            self.assertEqual(Code.COMPLETE, reply["code"], reply)
+            await asyncio.sleep(0.2)
+            self.assertEqual({1}, set(started.starts().values()))
+
     async def test_reply_for_another_task_reaches_no_caller(self):
         async with fleet.Fleet() as started:
             (server,) = await jobs.add_backends(started, 1)
--- a/waxwingwalk/core/effects.py
+++ b/waxwingwalk/core/effects.py
@@ -14,7 +14,8 @@
 
     ``reason``, ``runner_up``, ``occupancy`` (the estimated share of slots in
     use) and ``estimate`` (in seconds) explain the placement in the decision
-    log.
+    log. A task that a backend server has refused before needs a new
+    connection, as a repetition of the refusal may still arrive on the old one.
     """
 
     job_id: str
@@ -30,6 +31,7 @@
     runner_up: str | None
     occupancy: float
     estimate: float
+    use_new_connection: bool = False
 
 
 @dataclasses.dataclass(slots=True)
--- a/waxwingwalk/entry/backend_client.py
+++ b/waxwingwalk/entry/backend_client.py
@@ -108,7 +108,8 @@
     """Runs tasks on backend servers, stops them and queries their status.
 
     An idle connection is reused only if a reply arrived over it within
-    ``freshness``. Otherwise a new connection is opened.
+    ``freshness``. Otherwise a new connection is opened. A task that was
+    refused before gets a connection of its own.
     """
 
     def __init__(
@@ -154,6 +155,14 @@
 
     async def run(self, effect: effects.SendTask) -> Reply:
         """Run a task and wait for its outcome."""
+        if not effect.use_new_connection:
+            return await self._run(self._session, effect)
+        async with self._new_session() as session:
+            return await self._run(session, effect)
+
+    async def _run(
+        self, session: aiohttp.ClientSession, effect: effects.SendTask
+    ) -> Reply:
         body = orjson.dumps(
             {
                 "task": identity.task_name(effect.job_id, effect.index),
@@ -170,7 +179,7 @@
         )
         self._traffic.count("task", len(body))
         try:
-            async with self._session.post(
+            async with session.post(
                 _tasks_url(effect.address),
                 data=body,
                 timeout=timeout,
--- a/waxwingwalk/jobs/dispatch.py
+++ b/waxwingwalk/jobs/dispatch.py
@@ -160,4 +160,5 @@
         runner_up=runner_up,
         occupancy=backend.occupancy,
         estimate=choice.estimate,
+        use_new_connection=index in job.refused,
     )
--- a/waxwingwalk/jobs/handlers.py
+++ b/waxwingwalk/jobs/handlers.py
@@ -120,6 +120,8 @@
         case _:
             state.counters.tasks_not_started += 1
             job.started -= 1
+            if outcome is model.TaskOutcome.NOT_RUN:
+                job.refused.add(event.index)
             state.queue(job.spec.service).requeue(job, event.index)
             return []
     detail = f"task {event.index}: {event.detail}"
--- a/waxwingwalk/jobs/job.py
+++ b/waxwingwalk/jobs/job.py
@@ -45,9 +45,10 @@
     ``pending`` holds the indexes of unsent tasks, the longest last but for
     requeued tasks, which are added at the end whatever their length.
     ``started`` counts the tasks that were sent, without those proven not to
-    have started. ``remaining_work`` is the estimate for the unsent tasks in
-    seconds. ``key_holder`` is the process that had claimed the job's key
-    before.
+    have started. ``refused`` holds the indexes of tasks that a backend server
+    has answered as not run. ``remaining_work`` is the estimate for the unsent
+    tasks in seconds. ``key_holder`` is the process that had claimed the job's
+    key before.
     """
 
     spec: model.JobSpec
@@ -57,6 +58,7 @@
     results: list[Any]
     remaining_work: float
     running: set[int] = dataclasses.field(default_factory=set)
+    refused: set[int] = dataclasses.field(default_factory=set)
     done: int = 0
     started: int = 0
     attempts: int = 0
--- a/waxwingwalk/testing/backend.py
+++ b/waxwingwalk/testing/backend.py
@@ -20,6 +20,8 @@
 from waxwingwalk.testing import workload
 
 DEFAULT_RUN_SECONDS = 0.05
+# How long the next task has run when a response is repeated.
+REPEAT_DELAY_SECONDS = 0.05
 # Number of finished tasks whose status can still be queried.
 FINISHED_MAX = 10_000
 
@@ -37,6 +39,7 @@
     OTHER_INCARNATION = "answer another incarnation"
     MALFORMED = "answer nonsense"
     TWICE = "answer twice"
+    NOT_RUN_REPEAT_LATER = "say not run, again once the next task is running"
     LATE = "end tasks late"
 
 
@@ -78,6 +81,8 @@
         )
         self._transports: set[Any] = set()
         self._silenced_transports: set[Any] = set()
+        # Replies that are repeated during the next task of a connection.
+        self._repeats: dict[Any, Any] = {}
         self._runner: web.AppRunner | None = None
 
     async def start(self, address: str = "127.0.0.1", port: int = 0) -> None:
@@ -152,6 +157,7 @@
         content = orjson.loads(await request.read())
         if transport in self._silenced_transports:
             await asyncio.Event().wait()
+        self._repeat_earlier_response(request)
         delay = self.options.delays.get(content.get("zone", ""), 0.0)
         if delay:
             await asyncio.sleep(delay)
@@ -176,6 +182,10 @@
                 await self._abort_connection(request)
             case Fault.NOT_RUN:
                 return self._build_reply(content, "not_run")
+            case Fault.NOT_RUN_REPEAT_LATER:
+                refusal = self._build_reply(content, "not_run")
+                self._repeats[request.transport] = refusal
+                return refusal
             case Fault.MALFORMED:
                 self._record_start(name)
                 return {"status": 7}
@@ -203,15 +213,25 @@
         request.transport.abort()
         await asyncio.Event().wait()
 
+    def _repeat_earlier_response(self, request: web.Request) -> None:
+        reply = self._repeats.pop(request.transport, None)
+        if reply is not None:
+            asyncio.get_running_loop().call_later(
+                REPEAT_DELAY_SECONDS,
+                self._write_extra_response,
+                request,
+                reply,
+            )
+
     def _write_extra_response(self, request: web.Request, reply: Any) -> None:
-        """Write a complete response in front of the regular one."""
+        """Write a complete response besides the regular one."""
         body = orjson.dumps(reply)
         head = (
             "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
             f"Content-Length: {len(body)}\r\n\r\n"
         )
-        assert request.transport is not None
-        request.transport.write(head.encode() + body)
+        if request.transport is not None:
+            request.transport.write(head.encode() + body)
 
     def _record_start(self, name: str) -> None:
         self.starts[name] += 1
