Kept servers that left out of use whatever an older list says

An entry process forgot that a backend server was leaving once the host list no longer held it, or held its next incarnation. An older list, which a lagging platform may still return, then brought the same incarnation back into use.

The registry now remembers the incarnations that were reported as leaving, up to 10,000. A server that was only missing from a list is still used again.

--- a/waxwingwalk/routing/backends.py
+++ b/waxwingwalk/routing/backends.py
@@ -60,10 +60,20 @@
         self.connect_failures = 0
 
 
+# Maximum number of incarnations that are remembered as leaving.
+LEAVING_MAX = 10_000
+
+
 class BackendRegistry:
-    """All known backend servers, by id and by service."""
+    """All known backend servers, by id and by service.
+
+    An incarnation that was reported as leaving is remembered, whether it is
+    listed at that time or not.
+    """
 
     def __init__(self) -> None:
+        # The values are not used: a dict keeps the order of insertion.
+        self._leaving: dict[tuple[str, str], None] = {}
         self._by_id: dict[str, Backend] = {}
         self._by_service: dict[str, list[Backend]] = {}
 
@@ -88,7 +98,8 @@
 
         A backend server that is known to be leaving stays in that state for
         the same incarnation, because the list may be older. One that is no
-        longer listed is marked as gone and gets no new tasks.
+        longer listed is marked as gone and gets no new tasks until it is
+        listed again.
         """
         is_changed = False
         seen = set()
@@ -104,6 +115,7 @@
 
     def mark_leaving(self, backend_id: str, incarnation: str) -> bool:
         """Mark a backend server as leaving; return whether it was live."""
+        self._remember_leaving(backend_id, incarnation)
         backend = self._by_id.get(backend_id)
         if backend is None or backend.spec.incarnation != incarnation:
             return False
@@ -111,7 +123,20 @@
             return False
         return self._set_state(backend, model.BackendState.LEAVING)
 
+    def _remember_leaving(self, backend_id: str, incarnation: str) -> None:
+        key = (backend_id, incarnation)
+        if key in self._leaving:
+            return
+        if len(self._leaving) >= LEAVING_MAX:
+            del self._leaving[next(iter(self._leaving))]
+        self._leaving[key] = None
+
     def _merge(self, spec: model.BackendSpec) -> bool:
+        leaving = model.BackendState.LEAVING
+        if spec.state is leaving:
+            self._remember_leaving(spec.backend_id, spec.incarnation)
+        elif (spec.backend_id, spec.incarnation) in self._leaving:
+            spec = dataclasses.replace(spec, state=leaving)
         known = self._by_id.get(spec.backend_id)
         if known is None:
             self._by_id[spec.backend_id] = Backend(spec)
@@ -120,8 +145,6 @@
             known.spec = spec
             known.readmit()
             return True
-        if known.spec.state is model.BackendState.LEAVING:
-            spec = dataclasses.replace(spec, state=known.spec.state)
         if known.spec == spec:
             return False
         known.spec = spec
