Told new peers which backend servers are leaving

An entry process that was restarted, or cut off while the notice went round, knew only the host list. As long as that list was behind, it sent tasks to a server that had said that it leaves. A notice was also dropped if the server was not listed yet.

The first probe of a peer's incarnation is now answered with a notice for each leaving server, and a notice holds for a server that is listed later. The restarted process may still send tasks before its first peer has answered.

test_restarted_process_sends_nothing_to_a_leaving_server failed before (8 tasks went to the leaving server), as did test_notice_holds_for_a_server_that_is_listed_later. Both pass now, as do tests.entry, tests.routing, tests.membership, tests.core and tests.settings.

--- a/tests/entry/test_backend_faults.py
+++ b/tests/entry/test_backend_faults.py
@@ -185,6 +185,28 @@
                 )
             )
 
+    async def test_restarted_process_sends_nothing_to_a_leaving_server(self):
+        """The host list is stale; only peers know that the server leaves."""
+        async with fleet.Fleet(entries=2) as started:
+            servers = await jobs.add_backends(started, 2)
+            servers[0].is_leaving = True
+            await started.submit(0, jobs.job(count=16))
+            states = [entry.engine.state for entry in started.entries]
+            await jobs.wait_until(
+                lambda: all(
+                    state.registry.get("backend-0").spec.state.value
+                    == "leaving"
+                    for state in states
+                )
+            )
+            await started.kill_entry(started.entries[1])
+            await started.add_entry("zone-1")
+            await started.wait_until_ready()
+            before = servers[0].starts.total()
+            reply = await started.submit(2, jobs.job(count=16))
+            self.assertEqual(Code.COMPLETE, reply["code"], reply)
+            self.assertEqual(before, servers[0].starts.total())
+
     async def test_backend_server_that_fails_all_tasks_is_ejected(self):
         async with fleet.Fleet() as started:
             servers = await jobs.add_backends(started, 3)
--- a/tests/routing/test_backends.py
+++ b/tests/routing/test_backends.py
@@ -3,9 +3,12 @@
 import unittest
 
 from tests.core import reducers
+from waxwingwalk.core import events
+from waxwingwalk.core import messages
 from waxwingwalk.core import model
 from waxwingwalk.routing import backends
 
+PEER = "10.0.0.2:7003"
 LEAVING = model.BackendState.LEAVING
 
 
@@ -40,6 +43,12 @@
             self.harness.list_backends(*specs)
         self.assertIs(model.BackendState.LIVE, self.state_of())
 
+    def test_notice_holds_for_a_server_that_is_listed_later(self):
+        notice = messages.BackendNotice("b1", "1", LEAVING.value)
+        self.harness.apply(events.PeerMessageReceived(PEER, "1", notice))
+        self.harness.list_backends(reducers.backend("b1"))
+        self.assertIs(LEAVING, self.state_of())
+
     def test_only_the_newest_leaving_servers_are_remembered(self):
         registry = self.harness.state.registry
         for number in range(backends.LEAVING_MAX + 1):
--- a/waxwingwalk/membership/handlers.py
+++ b/waxwingwalk/membership/handlers.py
@@ -145,7 +145,10 @@
 ) -> Effects:
     membership = state.membership
     known = membership.get(address)
-    is_new = known is None or not known.is_present
+    is_new = known is None or not (
+        known.is_present
+        and known.record.incarnation == message.sender.incarnation
+    )
     membership.learn(message.sender, now, is_direct=True)
     membership.record_contact(address, message.sender.incarnation, now)
     learned = [
@@ -162,6 +165,8 @@
         done.append(effects.SendToPeer(address, reply))
     elif is_new:
         done += _probe_learned_members(state, learned)
+    if is_new:
+        done += health.leaving_notices(state, address)
     return done + _update_topology_if_changed(state, now)
 
 
--- a/waxwingwalk/routing/health.py
+++ b/waxwingwalk/routing/health.py
@@ -190,6 +190,21 @@
     return broadcast.broadcast_to_peers(state, notice)
 
 
+def leaving_notices(state: core_state.State, address: str) -> Effects:
+    """Return notices that tell a peer of every leaving backend server."""
+    leaving = model.BackendState.LEAVING
+    return [
+        effects.SendToPeer(
+            address,
+            messages.BackendNotice(
+                backend.backend_id, backend.spec.incarnation, leaving.value
+            ),
+        )
+        for backend in state.registry.all()
+        if backend.spec.state is leaving
+    ]
+
+
 def receive_notice(
     state: core_state.State,
     notice: messages.BackendNotice,
@@ -200,12 +215,13 @@
     A notice that the server is suspect or ejected is ignored if the server
     has answered this process recently, or gets no new tasks anyway.
     """
+    if notice.state == model.BackendState.LEAVING.value:
+        state.registry.mark_leaving(notice.backend_id, notice.incarnation)
+        return []
     backend = state.registry.get(notice.backend_id)
     if backend is None:
         return []
-    if notice.state == model.BackendState.LEAVING.value:
-        state.registry.mark_leaving(notice.backend_id, notice.incarnation)
-    elif notice.incarnation == backend.spec.incarnation:
+    if notice.incarnation == backend.spec.incarnation:
         duration = datetime.timedelta(seconds=notice.seconds)
         if answered_recently(backend, now) or not backend.accepts_work(now):
             return []
