Started no task past its job's deadline after a pause

A paused entry process processes the replies and claims that waited for it before its first tick. The slots that these freed went to jobs whose deadline had passed during the pause, so that their tasks started after all.

Jobs past their deadline are now ended before tasks are sent; they started nothing, and are answered so.

test_woken_process_starts_no_task_past_its_deadline and test_claim_settled_past_the_deadline_starts_no_task failed before (a task was sent) and pass now, as do tests.jobs and tests.membership.

--- a/waxwingwalk/jobs/dispatch.py
+++ b/waxwingwalk/jobs/dispatch.py
@@ -4,6 +4,7 @@
 
 from waxwingwalk.core import effects
 from waxwingwalk.core import state as core_state
+from waxwingwalk.jobs import ending
 from waxwingwalk.jobs import job as jobs
 from waxwingwalk.jobs import queue as job_queue
 from waxwingwalk.routing import backends
@@ -27,11 +28,14 @@
 
     The backend server of a task is chosen late, when it has an idle slot. The
     tasks that remain in the queue are reported to the slot sharing as demand.
+
+    Jobs past their deadline are ended first: in a process that was paused,
+    other events may come before the tick that would end them.
     """
     queue = state.queues.get(service)
     if queue is None:
         return []
-    done: list[effects.Effect] = []
+    done = ending.expire(state, now)
     while sends := _place_round(state, queue, service, now, only):
         done += sends
         if only is not None:
