Discounted a process's own pause from its peers' probe timeouts

An entry process that had been paused for longer than the peer timeout declared the peers gone that it had probed before, although their answers were waiting in its sockets. Their slots were granted to others, and jobs with keys that they had issued were answered as if the issuer were gone.

After a second without a tick, probed peers get the whole timeout again.

test_own_pause_declares_no_peer_gone failed before and passes now, as do test_silent_peer_is_declared_gone_after_a_pause, tests.membership and tests.jobs.

--- a/waxwingwalk/core/lifecycle.py
+++ b/waxwingwalk/core/lifecycle.py
@@ -16,6 +16,8 @@
 # Interval of the checks that need not run on every tick: placement refresh,
 # overdue tasks and task leases.
 CHECK_INTERVAL = datetime.timedelta(milliseconds=250)
+# Time without a tick after which this process counts as having been paused.
+PAUSE_MIN = datetime.timedelta(seconds=1)
 KEY_SWEEP_INTERVAL = datetime.timedelta(seconds=10)
 
 
@@ -28,6 +30,8 @@
     done: Effects = []
     pause = now - state.last_tick
     state.last_tick = now
+    if pause > PAUSE_MIN:
+        state.membership.restart_probe_timeouts(now)
     if pause > state.settings.process().peer_timeout:
         done += _reset_after_pause(state, now)
     done += ending.expire(state, now)
--- a/waxwingwalk/membership/members.py
+++ b/waxwingwalk/membership/members.py
@@ -208,6 +208,15 @@
             and now - member.probed_at > timeout
         ]
 
+    def restart_probe_timeouts(self, now: datetime.datetime) -> None:
+        """Give every probed member the whole timeout again.
+
+        After a pause of this process, their answers may still be unread.
+        """
+        for member in self.peers():
+            if member.probed_at is not None:
+                member.probed_at = now
+
     def next_to_probe(
         self, interval: datetime.timedelta, now: datetime.datetime
     ) -> list[str]:
