Rejected replies of backend servers with an impossible load

One reply whose number of running tasks was too large for a float made every later submission, reply and tick of the entry process raise OverflowError: it placed no task, ended no job at its deadline and heard no peer, until it was restarted.

Such a reply, or one with a negative number, now counts as malformed, so that only the outcome of its own task is unknown.

test_reply_with_numbers_out_of_range_has_an_unknown_outcome failed before (the number was passed on) and passes now. That each later event raised was seen with the reducer on its own.

--- a/waxwingwalk/entry/backend_client.py
+++ b/waxwingwalk/entry/backend_client.py
@@ -30,6 +30,10 @@
 ACK_TIMEOUT = datetime.timedelta(seconds=3)
 
 
+# The largest number of running tasks that a reply may report.
+RUNNING_MAX = 100_000
+
+
 @dataclasses.dataclass(slots=True)
 class Reply:
     """Outcome of an attempt, and the contents of its reply, if any."""
@@ -58,7 +62,7 @@
     result: Any = None
     error: str = ""
     leaving: bool = False
-    running: int | None = None
+    running: int | None = pydantic.Field(None, ge=0, le=RUNNING_MAX)
 
 
 _OUTCOMES = {
