Kept links between peers open when handling a message fails

An unexpected error while a new link was announced ended the task of that link and left it registered: messages to the peer were queued and dropped until the process was restarted. An error while a message was handled, or a malformed frame, closed the link, and the messages behind it were lost.

Errors are now reported and cost one message; a malformed frame costs itself. A link that fails in another way is replaced when the next message is sent.

--- a/waxwingwalk/entry/links.py
+++ b/waxwingwalk/entry/links.py
@@ -15,6 +15,7 @@
 import dataclasses
 import datetime
 import math
+from typing import Any
 
 import aiohttp
 from aiohttp import web
@@ -38,6 +39,8 @@
 INCARNATION_HEADER = "X-Waxwingwalk-Incarnation"
 
 EventHandler = Callable[[events.Event], None]
+# Is passed where an unexpected exception was raised, and the exception.
+FailureReporter = Callable[[str, Exception], None]
 # Returns the seconds by which messages to an address are delayed, or infinity
 # if they are dropped; for failure tests and benchmarks.
 DelayFunction = Callable[[str], float]
@@ -64,11 +67,13 @@
         process: identity.ProcessId,
         secret: str,
         notify: EventHandler,
+        report_failure: FailureReporter,
         sent_traffic: traffic.Traffic,
         delay: DelayFunction = no_delay,
     ) -> None:
         self._process = process
-        self._notify = notify
+        self._handle_event = notify
+        self._report_failure = report_failure
         self._traffic = sent_traffic
         self._delay = delay
         self._headers = {
@@ -110,7 +115,24 @@
             await socket.close()
         await self._session.close()
 
+    def _notify(self, event: events.Event) -> None:
+        """Pass on an event; the link outlives a failure of its handler."""
+        try:
+            self._handle_event(event)
+        except Exception as error:
+            self._report_failure("link", error)
+
     async def _run(self, link: _Link) -> None:
+        """Keep a link open; the next message replaces one that has failed."""
+        try:
+            await self._keep_open(link)
+        except Exception as error:
+            self._report_failure("link", error)
+        finally:
+            if self._links.get(link.address) is link:
+                del self._links[link.address]
+
+    async def _keep_open(self, link: _Link) -> None:
         """Keep a link open until a connection attempt fails."""
         incarnation: str | None = None
         while True:
@@ -204,7 +226,7 @@
     ) -> None:
         if frame.type is not aiohttp.WSMsgType.TEXT:
             return
-        for content in orjson.loads(frame.data):
+        for content in self._parse_frame(frame.data):
             try:
                 message = messages.decoder.validate_python(content)
             except pydantic.ValidationError:
@@ -215,6 +237,17 @@
                 events.PeerMessageReceived(address, incarnation, message)
             )
 
+    def _parse_frame(self, text: str) -> list[Any]:
+        """Return the messages of a frame, none if it is malformed."""
+        try:
+            contents = orjson.loads(text)
+        except orjson.JSONDecodeError:
+            contents = None
+        if isinstance(contents, list):
+            return contents
+        self._traffic.count("peer_not_understood")
+        return []
+
 
 def _is_refused(error: aiohttp.ClientConnectorError) -> bool:
     return isinstance(error.os_error, ConnectionRefusedError)
--- a/waxwingwalk/wiring.py
+++ b/waxwingwalk/wiring.py
@@ -178,7 +178,12 @@
     )
     engine = entry_engine.Engine(reducer, time, backends, logger)
     peer_links = links.PeerLinks(
-        process, secrets.peers, engine.apply, sent_traffic, delay
+        process,
+        secrets.peers,
+        engine.apply,
+        engine.report_failure,
+        sent_traffic,
+        delay,
     )
     engine.peers = peer_links
     session = aiohttp.ClientSession(cookie_jar=aiohttp.DummyCookieJar())
