Refused numbers that an entry process cannot send on

An integer of more than 64 bits is read but cannot be written. In a payload it had a job answered that its task was lost, although it was never sent, or with a key it had the request fail without a result code. In a result it had a complete job fail so at each try to fetch its answer, and callers resubmit jobs whose outcome they do not know.

Such a payload, or memory size, is refused as malformed; such a result makes a reply malformed, so that its task counts as lost.

--- a/waxwingwalk/entry/backend_client.py
+++ b/waxwingwalk/entry/backend_client.py
@@ -20,6 +20,7 @@
 from waxwingwalk.core import effects
 from waxwingwalk.core import identity
 from waxwingwalk.core import model
+from waxwingwalk.entry import json_values
 from waxwingwalk.entry import traffic
 
 CONNECT_TIMEOUT = datetime.timedelta(seconds=1)
@@ -59,7 +60,7 @@
     task: str
     incarnation: str
     status: str
-    result: Any = None
+    result: json_values.JsonValue = None
     error: str = ""
     leaving: bool = False
     running: int | None = pydantic.Field(None, ge=0, le=RUNNING_MAX)
--- a/waxwingwalk/entry/requests.py
+++ b/waxwingwalk/entry/requests.py
@@ -7,8 +7,11 @@
 from returns import result
 
 from waxwingwalk.core import model
+from waxwingwalk.entry import json_values
 
 NAME_PATTERN = r"^[A-Za-z0-9][A-Za-z0-9_\-]{0,63}$"
+# The largest memory that a task may declare, in bytes.
+MEMORY_MAX = 2**63 - 1
 
 
 class _StrictModel(pydantic.BaseModel):
@@ -18,10 +21,10 @@
 class TaskRequest(_StrictModel):
     """A task of a job; ``memory`` is in bytes."""
 
-    payload: Any = None
+    payload: json_values.JsonValue = None
     run_time_seconds: float = pydantic.Field(0.3, gt=0, le=3600)
     processors: float = pydantic.Field(0.0, ge=0, le=4096)
-    memory: int = pydantic.Field(0, ge=0)
+    memory: int = pydantic.Field(0, ge=0, le=MEMORY_MAX)
     accelerators: int = pydantic.Field(0, ge=0, le=1024)
 
     def spec(self) -> model.TaskSpec:
