Reported no job as not run because its process was unreachable

The callers' library answered a status, cancel or explain request that could not be sent with code 2013, "not run", although the job that was asked about may have run, or be running.

Such a request is now answered with 4007. A submission that could not be sent keeps 2013: it did not run.

test_unreachable_entry_says_nothing_of_an_earlier_job failed before for all three requests and passes now, as does tests.client.

--- a/tests/client/test_client.py
+++ b/tests/client/test_client.py
@@ -113,6 +113,18 @@
                 answer = await dispatcher.submit(job)
         self.assertEqual([7], answer.results)
 
+    async def test_unreachable_entry_says_nothing_of_an_earlier_job(self):
+        """Only a submission that was not sent is known not to have run."""
+        async with client.Client(["127.0.0.1:9"], team="shops") as dispatcher:
+            for request in (
+                dispatcher.status,
+                dispatcher.cancel,
+                dispatcher.explain,
+            ):
+                with self.subTest(request=request.__name__):
+                    reply = await request("10.0.0.1_7003.0000000000aa.1")
+                    self.assertIs(results.Family.UNKNOWN, reply.code.family)
+
     async def test_blocking_client_behaves_the_same(self):
         async with fleet.Fleet() as started:
             await loopback.add_backends(started, 1)
--- a/waxwingwalk/client/asynchronous.py
+++ b/waxwingwalk/client/asynchronous.py
@@ -144,8 +144,13 @@
         path: str,
         body: dict[str, Any] | None,
         wait: datetime.timedelta,
+        code_if_unreachable: Code = Code.NOT_READY,
     ) -> model.ReplyModel:
-        """Send a request; a failure is returned as a reply with a code."""
+        """Send a request; a failure is returned as a reply with a code.
+
+        The reply has ``code_if_unreachable`` if no connection could be opened,
+        so that the request was not sent.
+        """
         assert self._session is not None
         timeout = aiohttp.ClientTimeout(
             total=max(0.001, wait.total_seconds()),
@@ -164,7 +169,8 @@
             return model.ReplyModel.model_validate_json(content)
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
             return model.ReplyModel(
-                code=Code.NOT_READY, detail=f"{address} cannot be reached"
+                code=code_if_unreachable,
+                detail=f"{address} cannot be reached",
             )
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             return model.ReplyModel(
@@ -181,26 +187,29 @@
         self, job_id: str, *, wait: datetime.timedelta | None = None
     ) -> model.ReplyModel:
         """Return a job's state, or wait up to ``wait`` for its answer."""
-        path = f"/v1/jobs/{job_id}"
-        if wait is not None:
-            path += "?wait=true"
         timeout = (wait or datetime.timedelta()) + ANSWER_GRACE
-        return await self._call(
-            "GET", self._random_address(), path, None, timeout
-        )
+        path = job_id if wait is None else f"{job_id}?wait=true"
+        return await self._call_job("GET", path, timeout)
 
     async def cancel(self, job_id: str) -> model.ReplyModel:
         """Cancel a job; the reply is its answer."""
-        path = f"/v1/jobs/{job_id}"
-        return await self._call(
-            "DELETE", self._random_address(), path, None, ANSWER_GRACE
-        )
+        return await self._call_job("DELETE", job_id, ANSWER_GRACE)
 
     async def explain(self, job_id: str) -> model.ReplyModel:
         """Return a job's history, as recorded by its coordinator."""
-        path = f"/v1/jobs/{job_id}/explain"
+        return await self._call_job("GET", f"{job_id}/explain", ANSWER_GRACE)
+
+    async def _call_job(
+        self, method: str, path: str, wait: datetime.timedelta
+    ) -> model.ReplyModel:
+        """Send a request about a job that was submitted earlier."""
         return await self._call(
-            "GET", self._random_address(), path, None, ANSWER_GRACE
+            method,
+            self._random_address(),
+            f"/v1/jobs/{path}",
+            None,
+            wait,
+            Code.COORDINATOR_UNREACHABLE,
         )
 
     async def issue_keys(self, count: int) -> list[str]:
