Waited in a drain for requests that are forwarded to peers

A drain ended with the last job of the process itself. Callers whose jobs ran at the issuer of their key, at the holder of a claim or at the home of a quota were cut off: they got 4006, that the job may have run, while it went on to complete.

The drain now waits for these replies too, until its deadline or a second signal, and forwards no new jobs meanwhile: they are refused as not run.

--- a/tests/entry/test_entry_faults.py
+++ b/tests/entry/test_entry_faults.py
@@ -213,6 +213,43 @@
             started.mark_ended(started.entries[0])
             self.assertEqual({1}, set(started.starts().values()))
 
+    async def test_drain_waits_for_forwarded_requests(self):
+        """The job runs at the issuer of its key, its caller waits here."""
+        async with fleet.Fleet(entries=2) as started:
+            await jobs.add_backends(started, 1)
+            issued = await started.request(
+                1, "POST", "/v1/keys", {"team": "shops", "count": 1}
+            )
+            job = jobs.job(key=issued["keys"][0], seconds=2.5)
+            running = asyncio.create_task(started.submit(0, job))
+            await jobs.wait_until(lambda: len(started.starts()) == 6)
+            stopping = asyncio.create_task(started.entries[0].service.stop())
+            await asyncio.sleep(0.05)
+            refused = await started.submit(0, job)
+            self.assertEqual(Code.DRAINING, refused["code"])
+            reply = await running
+            self.assertEqual(Code.COMPLETE, reply["code"], reply)
+            await stopping
+            started.mark_ended(started.entries[0])
+
+    async def test_second_signal_does_not_wait_for_forwarded_requests(self):
+        async with fleet.Fleet(entries=2) as started:
+            await jobs.add_backends(started, 1)
+            issued = await started.request(
+                1, "POST", "/v1/keys", {"team": "shops", "count": 1}
+            )
+            job = jobs.job(key=issued["keys"][0], seconds=20)
+            running = asyncio.create_task(started.submit(0, job))
+            await jobs.wait_until(lambda: len(started.starts()) == 6)
+            entry = started.entries[0]
+            stopping = asyncio.create_task(entry.service.stop())
+            await asyncio.sleep(0.05)
+            entry.engine.apply(events.DrainForced())
+            reply = await asyncio.wait_for(running, 5)
+            self.assertEqual(Code.FORWARD_LOST, reply["code"], reply)
+            await asyncio.wait_for(stopping, 5)
+            started.mark_ended(entry)
+
     async def test_forced_drain_ends_jobs_with_drain_ended(self):
         async with fleet.Fleet() as started:
             await jobs.add_backends(started, 1)
--- a/waxwingwalk/entry/forwarding.py
+++ b/waxwingwalk/entry/forwarding.py
@@ -31,6 +31,12 @@
     ) -> None:
         self._session = session
         self._traffic = sent_traffic
+        self._in_progress = 0
+
+    @property
+    def in_progress(self) -> int:
+        """The number of forwarded requests without a reply."""
+        return self._in_progress
 
     async def forward(
         self,
@@ -49,6 +55,23 @@
         request was not sent, and ``code_if_lost`` if the request may have
         arrived but got no valid reply.
         """
+        self._in_progress += 1
+        try:
+            return await self._forward(
+                target, action, body, wait, code_if_gone, code_if_lost
+            )
+        finally:
+            self._in_progress -= 1
+
+    async def _forward(
+        self,
+        target: identity.ProcessId,
+        action: str,
+        body: bytes,
+        wait: datetime.timedelta,
+        code_if_gone: results.ResultCode,
+        code_if_lost: results.ResultCode,
+    ) -> replies.Reply:
         self._traffic.count(f"forward_{action}", len(body))
         timeout = aiohttp.ClientTimeout(
             total=(wait + REPLY_MARGIN).total_seconds(),
--- a/waxwingwalk/entry/server.py
+++ b/waxwingwalk/entry/server.py
@@ -17,6 +17,7 @@
 from waxwingwalk.core import events
 from waxwingwalk.entry import config as entry_config
 from waxwingwalk.entry import engine as entry_engine
+from waxwingwalk.entry import forwarding
 from waxwingwalk.entry import links
 from waxwingwalk.settings import store as settings_store
 from waxwingwalk.store import base as store_base
@@ -49,6 +50,7 @@
         self,
         engine: entry_engine.Engine,
         peer_links: links.PeerLinks,
+        forwarder: forwarding.Forwarder,
         hosts: store_base.HostList,
         store: settings_store.SettingsStore,
         seeds: list[str],
@@ -58,6 +60,7 @@
         super().__init__()
         self._engine = engine
         self._links = peer_links
+        self._forwarder = forwarder
         self._hosts = hosts
         self._store = store
         self._seeds = seeds
@@ -90,9 +93,20 @@
         deadline = self._engine.state.settings.process().drain_timeout
         self._engine.apply(events.DrainRequested(deadline))
         await self._engine.exited.wait()
+        await self._finish_forwarded_requests()
         await asyncio.sleep(RESPONSE_FLUSH_TIME.total_seconds())
         await self.abort()
 
+    async def _finish_forwarded_requests(self) -> None:
+        """Wait for the replies of peers until the drain's deadline."""
+        state = self._engine.state
+        while self._forwarder.in_progress > 0:
+            if state.drain is None or (
+                self._engine.clock.now() >= state.drain.deadline
+            ):
+                return
+            await asyncio.sleep(TICK_INTERVAL.total_seconds())
+
     def _force_drain(self) -> None:
         self._engine.apply(events.DrainForced())
 
--- a/waxwingwalk/entry/submission.py
+++ b/waxwingwalk/entry/submission.py
@@ -20,6 +20,7 @@
 from waxwingwalk.entry import replies
 from waxwingwalk.entry import requests
 from waxwingwalk.entry import views
+from waxwingwalk.jobs import intake
 from waxwingwalk.jobs import keys
 
 Code = results.ResultCode
@@ -103,7 +104,7 @@
         """
         if request.key is None or not issued_keys.is_issued(request.key):
             home = self._engine.state.quota_home(request.team)
-            if home is not None and not is_forwarded:
+            if home is not None and not (is_forwarded or self._is_draining):
                 return await self._run_at_quota_home(home, request, body)
             return await self._run(request, body, None, is_forwarded)
         verified = self._issuer.verify(request.team, request.key)
@@ -114,10 +115,17 @@
             return await self._run(request, body, key, is_forwarded)
         if is_forwarded:
             return replies.Reply(Code.KEY_INCARNATION_GONE)
+        if self._is_draining:
+            return _draining()
         return await self._forward(
             key.issuer, request, body, Code.KEY_INCARNATION_GONE
         )
 
+    @property
+    def _is_draining(self) -> bool:
+        """Whether this process shuts down and forwards no new jobs."""
+        return self._engine.state.drain is not None
+
     async def _run_at_quota_home(
         self,
         home: identity.ProcessId,
@@ -295,8 +303,8 @@
             return _invalid(requests.describe_errors(error))
         if team is not None and request.team != team:
             return replies.Reply(Code.UNAUTHORIZED)
-        if self._engine.state.drain is not None:
-            return replies.Reply(Code.DRAINING)
+        if self._is_draining:
+            return _draining()
         options = self._engine.state.settings.process()
         issued = self._issuer.issue(
             request.team,
@@ -315,6 +323,11 @@
     return replies.Reply(Code.INVALID_REQUEST, {"detail": detail})
 
 
+def _draining() -> replies.Reply:
+    retry_after = intake.UNAVAILABLE_RETRY.total_seconds()
+    return replies.Reply(Code.DRAINING, {"retry_after_seconds": retry_after})
+
+
 def _accepted(job_id: str) -> replies.Reply:
     return replies.Reply(Code.ACCEPTED, {"job": job_id})
 
--- a/waxwingwalk/wiring.py
+++ b/waxwingwalk/wiring.py
@@ -217,6 +217,7 @@
     service = server.EntryService(
         engine,
         peer_links,
+        forwarder,
         platform,
         store,
         config.seeds,
