Tested keys after their run was forgotten and after a pause

That an issued key which has expired, or a claimed key whose run is no longer in memory, starts nothing had been argued and not tested; nor had a key that expires while its request waits in a paused process.

--- a/tests/entry/test_entry_faults.py
+++ b/tests/entry/test_entry_faults.py
@@ -1,10 +1,12 @@
 """Entry processes: crashes, keys, partitions, quotas, drains and callers."""
 
 import asyncio
+import time
 
 from tests.entry import jobs
 from waxwingwalk.core import events
 from waxwingwalk.core import results
+from waxwingwalk.jobs import keys
 from waxwingwalk.testing import fleet
 
 Code = results.ResultCode
@@ -111,6 +113,51 @@
             self.assertEqual(Code.EARLIER_ATTEMPT, reply["code"])
             self.assertEqual(6, len(started.starts()))
 
+    async def test_forgotten_run_of_a_key_is_not_repeated(self):
+        """The answers, and the use of the keys, are no longer in memory."""
+        changes = {
+            "defaults.issued_key_lifetime": "1 s",
+            "defaults.answer_retention": "0 s",
+        }
+        async with fleet.Fleet(entries=2, settings=changes) as started:
+            await jobs.add_backends(started, 1)
+            issued = await self.issue_key(started)
+            for key in (issued, "crate-7"):
+                reply = await started.submit(0, jobs.job(key=key))
+                self.assertEqual(Code.COMPLETE, reply["code"], reply)
+            await asyncio.sleep(2.1)
+            engine = started.entries[0].engine
+            keys.forget_expired(engine.state, engine.clock.now())
+            self.assertEqual({}, engine.state.used_keys)
+            for entry in (0, 1):
+                for key in (issued, "crate-7"):
+                    with self.subTest(entry=entry, key=key):
+                        reply = await started.submit(entry, jobs.job(key=key))
+                        code = Code(reply["code"])
+                        self.assertIs(results.Family.UNKNOWN, code.family)
+            self.assertEqual(12, len(started.starts()))
+            self.assertEqual({1}, set(started.starts().values()))
+
+    async def test_key_that_expires_during_a_pause_starts_nothing(self):
+        changes = {"defaults.issued_key_lifetime": "1 s"}
+        async with fleet.Fleet(settings=changes) as started:
+            await jobs.add_backends(started, 1)
+            key = await self.issue_key(started)
+            running = asyncio.create_task(started.submit(0, jobs.job(key=key)))
+            await asyncio.sleep(0)
+            # Blocks the event loop: the request is read after the pause.
+            time.sleep(1.2)
+            reply = await running
+            self.assertEqual(Code.KEY_EXPIRED, reply["code"], reply)
+            self.assertEqual({}, started.starts())
+
+    async def issue_key(self, started):
+        """Return a key that the first process has issued."""
+        issued = await started.request(
+            0, "POST", "/v1/keys", {"team": "shops", "count": 1}
+        )
+        return issued["keys"][0]
+
     async def test_issued_key_of_another_team_is_refused(self):
         async with fleet.Fleet() as started:
             await jobs.add_backends(started, 1)
