Gave no task up while its server was silent for less than its lease

Two status queries without a reply ended the job of an overdue task with 3004, although the server may only have been paused: the task ran, and its result was thrown away. Callers do not submit such a job again.

A task now counts as lost after its server has answered no status query for the duration of the task's lease, which could not be renewed meanwhile either. The server still gets no new tasks after the first unanswered query, and a task that its server does not know is still lost at once. The job of a server that has lost its power is answered later than before, by nearly the lease.

test_server_that_is_silent_for_a_while_keeps_its_tasks failed before (3004 within 5 s) and passes now, as do test_silent_server_loses_its_tasks_with_their_lease and tests.core.

--- a/tests/entry/test_backend_faults.py
+++ b/tests/entry/test_backend_faults.py
@@ -151,6 +151,35 @@
             self.assertEqual(Code.TASK_LOST, reply["code"], reply)
             self.assertEqual(before, started.starts())
 
+    async def test_server_that_is_silent_for_a_while_keeps_its_tasks(self):
+        """It is paused for longer than status queries take to fail twice."""
+        async with fleet.Fleet() as started:
+            (server,) = await jobs.add_backends(started, 1)
+            running = asyncio.create_task(
+                started.submit(0, jobs.job(count=2, seconds=0.1))
+            )
+            await jobs.wait_until(lambda: server.starts.total() == 2)
+            server.pause()
+            await asyncio.sleep(5)
+            self.assertFalse(running.done())
+            server.resume()
+            reply = await asyncio.wait_for(running, 10)
+            self.assertEqual(Code.COMPLETE, reply["code"], reply)
+            self.assertEqual({1}, set(started.starts().values()))
+
+    async def test_silent_server_loses_its_tasks_with_their_lease(self):
+        changes = {"defaults.task_lease": "1 s"}
+        async with fleet.Fleet(settings=changes) as started:
+            (server,) = await jobs.add_backends(started, 1)
+            running = asyncio.create_task(
+                started.submit(0, jobs.job(seconds=0.1, deadline_seconds=60))
+            )
+            await jobs.wait_until(lambda: server.starts.total() == 6)
+            server.pause()
+            reply = await asyncio.wait_for(running, 15)
+            self.assertEqual(Code.TASK_LOST, reply["code"], reply)
+            self.assertEqual({1}, set(started.starts().values()))
+
     async def test_leaving_backend_server_gets_no_new_work(self):
         async with fleet.Fleet(entries=2) as started:
             servers = await jobs.add_backends(started, 2)
--- a/waxwingwalk/jobs/job.py
+++ b/waxwingwalk/jobs/job.py
@@ -22,8 +22,8 @@
     """One attempt to run a task, with the reason for its placement.
 
     ``estimate`` is in seconds. ``status_queried_at`` is the time of the last
-    status query; ``unanswered_queries`` counts successive status queries that
-    got no reply.
+    status query; ``silent_since`` is the end of the first of the successive
+    status queries that got no reply, None if the last one got a reply.
     """
 
     number: int
@@ -35,7 +35,7 @@
     runner_up: str | None
     lease_until: datetime.datetime
     status_queried_at: datetime.datetime | None = None
-    unanswered_queries: int = 0
+    silent_since: datetime.datetime | None = None
 
 
 @dataclasses.dataclass(slots=True)
--- a/waxwingwalk/routing/overdue.py
+++ b/waxwingwalk/routing/overdue.py
@@ -14,9 +14,6 @@
 Effects = list[effects.Effect]
 # The least time before a task is overdue, however short its estimate.
 OVERDUE_MIN = datetime.timedelta(seconds=0.5)
-# A task is considered lost after this many consecutive status queries without
-# a reply.
-UNANSWERED_QUERIES_MAX = 2
 # If a backend server answers other tasks, the status of an overdue task is
 # queried after this many times the usual delay.
 ANSWERING_DELAY_FACTOR = 4
@@ -144,8 +141,9 @@
     """Process the status of an overdue task.
 
     Returns the effects and whether the task must be considered lost: the
-    backend server does not know it, or too many queries went unanswered. The
-    attempt itself stays open until its own reply or timeout.
+    backend server does not know it, or has answered no query for the duration
+    of the task's lease, which could not be renewed meanwhile. The attempt
+    itself stays open until its own reply or timeout.
 
     A backend server that does not know the task or does not answer is ejected,
     unless it has recently completed or rejected another task, or accepts no
@@ -156,7 +154,7 @@
         return [], False
     backend = state.registry.get(attempt.backend_id)
     if event.is_known or backend is None:
-        attempt.unanswered_queries = 0
+        attempt.silent_since = None
         return [], False
     done: Effects = []
     if backend.accepts_work(now) and not health.answered_recently(
@@ -165,5 +163,8 @@
         done = health.eject(state, backend, now)
     if event.is_known is False:
         return done, True
-    attempt.unanswered_queries += 1
-    return done, attempt.unanswered_queries >= UNANSWERED_QUERIES_MAX
+    if attempt.silent_since is None:
+        attempt.silent_since = now
+    service = state.jobs[event.job_id].spec.service
+    lease = state.settings.service(service).task_lease
+    return done, now - attempt.silent_since >= lease
--- a/waxwingwalk/testing/backend.py
+++ b/waxwingwalk/testing/backend.py
@@ -83,6 +83,8 @@
         self._silenced_transports: set[Any] = set()
         # Replies that are repeated during the next task of a connection.
         self._repeats: dict[Any, Any] = {}
+        self._is_awake = asyncio.Event()
+        self._is_awake.set()
         self._runner: web.AppRunner | None = None
 
     async def start(self, address: str = "127.0.0.1", port: int = 0) -> None:
@@ -146,6 +148,14 @@
         """
         self._silenced_transports |= self._transports
 
+    def pause(self) -> None:
+        """Answer no task or status request until :meth:`resume`."""
+        self._is_awake.clear()
+
+    def resume(self) -> None:
+        """Answer again, also the requests that arrived meanwhile."""
+        self._is_awake.set()
+
     def set_speed(self, speed: float) -> None:
         """Change the speed, also for running tasks."""
         self._sharing.set_speed(speed)
@@ -164,6 +174,7 @@
         reply = await self._reply_to(content, request)
         if delay:
             await asyncio.sleep(delay)
+        await self._is_awake.wait()
         if transport in self._silenced_transports:
             await asyncio.Event().wait()
         return web.json_response(
@@ -289,6 +300,7 @@
 
     async def _status(self, request: web.Request) -> web.Response:
         name = orjson.loads(await request.read())["task"]
+        await self._is_awake.wait()
         if self.fault is Fault.SILENT:
             await asyncio.Event().wait()
         if name in self._finished:
