Discounted a process's own pause from the silence of backend servers

A paused entry process took its pause for silence of the servers whose replies were waiting in its sockets. When it woke, it told all peers that they were suspect, queried each running task, and could count a pause as the time in which a server had answered no query, and give up its tasks.

After a second without a tick, silence is counted anew, and overdue tasks are looked for at the next check, when the replies have been read.

--- a/waxwingwalk/core/lifecycle.py
+++ b/waxwingwalk/core/lifecycle.py
@@ -17,6 +17,8 @@
 # overdue tasks and task leases.
 CHECK_INTERVAL = datetime.timedelta(milliseconds=250)
 # Time without a tick after which this process counts as having been paused.
+# Peers and backend servers may have answered meanwhile: that time does not
+# count against them, and overdue tasks are looked for at the next check.
 PAUSE_MIN = datetime.timedelta(seconds=1)
 KEY_SWEEP_INTERVAL = datetime.timedelta(seconds=10)
 
@@ -32,6 +34,8 @@
     state.last_tick = now
     if pause > PAUSE_MIN:
         state.membership.restart_probe_timeouts(now)
+        overdue.restart_silence(state)
+        state.checked_at = now
     if pause > state.settings.process().peer_timeout:
         done += _reset_after_pause(state, now)
     done += ending.expire(state, now)
--- a/waxwingwalk/routing/overdue.py
+++ b/waxwingwalk/routing/overdue.py
@@ -133,6 +133,12 @@
     return done
 
 
+def restart_silence(state: core_state.State) -> None:
+    """Count the silence of backend servers from their next missing reply."""
+    for attempt in state.attempts.values():
+        attempt.silent_since = None
+
+
 def record_status(
     state: core_state.State,
     event: events.TaskStatusRead,
