Applied the valid rows of a host list that has malformed ones

One malformed row made an entry process reject the whole host list, without a word in the log. As long as the row was there, no server that was listed as leaving was taken out of use, and no new one came into use.

Malformed rows are now logged and skipped, and a server whose row is malformed stays as it is known.

--- a/tests/entry/test_platform_faults.py
+++ b/tests/entry/test_platform_faults.py
@@ -189,6 +189,24 @@
             after = started.entries[0].engine.state.settings.number
             self.assertEqual(before, after)
 
+    async def test_malformed_row_of_the_host_list_costs_only_itself(self):
+        """The other rows are in force, and its own server stays in use."""
+        async with fleet.Fleet() as started:
+            servers = await jobs.add_backends(started, 2)
+            row = {**servers[0].host_list_entry(), "slots": "many"}
+            started.platform.put_host("backend_servers", row)
+            started.platform.put_host("entry_hosts", {"id": "no-address"})
+            servers[1].is_leaving = True
+            started.list_backend(servers[1])
+            registry = started.entries[0].engine.state.registry
+            await jobs.wait_until(
+                lambda: registry.get("backend-1").spec.state.value == "leaving"
+            )
+            before = servers[1].starts.total()
+            reply = await started.submit(0, jobs.job(count=4))
+            self.assertEqual(Code.COMPLETE, reply["code"], reply)
+            self.assertEqual(before, servers[1].starts.total())
+
     async def test_stale_host_list_keeps_the_fleet_serving(self):
         async with fleet.Fleet() as started:
             await jobs.add_backends(started, 2)
--- a/waxwingwalk/entry/server.py
+++ b/waxwingwalk/entry/server.py
@@ -32,6 +32,8 @@
 # Interval of requests to the store until there is a first revision.
 INITIAL_SETTINGS_INTERVAL = datetime.timedelta(milliseconds=500)
 LISTEN_BACKLOG = 1024
+# Length of the errors of a host list that are logged, in characters.
+REPORTED_ERRORS_MAX = 1000
 
 Step = Callable[[], Coroutine[Any, Any, datetime.timedelta]]
 
@@ -150,13 +152,27 @@
         return self._engine.state.settings.process().host_list_interval
 
     def _apply_host_list(self, listed: dict[str, Any]) -> None:
+        """Apply the valid rows of a list.
+
+        A backend server whose row is malformed stays as it is known.
+        """
         parsed = host_list.parse(listed)
         if not isinstance(parsed, result.Success):
+            self._report_malformed_list(parsed.failure())
             return
         hosts = parsed.unwrap()
+        if hosts.errors:
+            self._report_malformed_list("; ".join(hosts.errors))
+        registry = self._engine.state.registry
+        known = [registry.get(each) for each in hosts.malformed_ids]
+        kept = [backend.spec for backend in known if backend is not None]
         addresses = [*self._seeds, *hosts.entry_addresses]
         self._engine.apply(events.PeersListed(addresses))
-        self._engine.apply(events.BackendsListed(hosts.backends))
+        self._engine.apply(events.BackendsListed([*hosts.backends, *kept]))
+
+    def _report_malformed_list(self, errors: str) -> None:
+        error = ValueError(errors[:REPORTED_ERRORS_MAX])
+        self._engine.report_failure("host list", error)
 
     async def _read_revision(self, number: int) -> None:
         read = await self._store.revision(number)
