Counted replies of the table service of a wrong length as lost

A reply with fewer rows than were asked for ended the settling of a batch of claims with an exception: their jobs were held until their deadline. An empty reply to the write of a settings change passed for an accepted change.

Both tests of tests.store.test_malformed_replies failed before (such replies were successes; the claim was not settled within 5 s) and pass now, as do tests.store and tests.settings. That an empty reply accepted a change was read in the code and not tried.

--- a/waxwingwalk/store/http.py
+++ b/waxwingwalk/store/http.py
@@ -68,14 +68,18 @@
             ],
         }
         reply = await self._call("POST", "/v1/table/write", body)
-        return reply.bind(_parse_write_reply)
+        return reply.bind(
+            lambda content: _parse_write_reply(content, len(writes))
+        )
 
     async def read(
         self, keys: Sequence[base.RowKey]
     ) -> result.Result[list[base.Row | None], base.PlatformFailure]:
         body = {"reads": [{"table": table, "key": key} for table, key in keys]}
         reply = await self._call("POST", "/v1/table/read", body)
-        return reply.bind(_parse_read_reply)
+        return reply.bind(
+            lambda content: _parse_read_reply(content, len(keys))
+        )
 
     async def hosts(
         self,
@@ -120,12 +124,14 @@
 
 
 def _parse_write_reply(
-    content: bytes,
+    content: bytes, count: int
 ) -> result.Result[list[base.WriteResult], base.PlatformFailure]:
     try:
         reply = _WriteReply.model_validate_json(content)
     except pydantic.ValidationError:
         return result.Failure(base.PlatformFailure.LOST)
+    if len(reply.results) != count:
+        return result.Failure(base.PlatformFailure.LOST)
     return result.Success(
         [
             base.WriteResult(each.status == "written", _to_row(each.row))
@@ -135,12 +141,14 @@
 
 
 def _parse_read_reply(
-    content: bytes,
+    content: bytes, count: int
 ) -> result.Result[list[base.Row | None], base.PlatformFailure]:
     try:
         reply = _ReadReply.model_validate_json(content)
     except pydantic.ValidationError:
         return result.Failure(base.PlatformFailure.LOST)
+    if len(reply.rows) != count:
+        return result.Failure(base.PlatformFailure.LOST)
     return result.Success([_to_row(each) for each in reply.rows])
 
 
