Closed connections that carry the reply to another task

After a backend server had answered a task twice, each further task on that connection got the reply to the one before it, and was lost although it ran, until the connection had been idle for its freshness.

A reply that names another task or incarnation now closes its connection, so that a repeated reply costs only the next task.

test_repeated_reply_loses_only_the_next_task failed before (three of five tasks were lost and one never started) and passes now, as do tests.entry.test_backend_faults and tests.entry.test_whole_path.

--- a/tests/entry/test_backend_faults.py
+++ b/tests/entry/test_backend_faults.py
@@ -76,6 +76,19 @@
             await asyncio.sleep(0.2)
             self.assertEqual({1}, set(started.starts().values()))
 
+    async def test_repeated_reply_loses_only_the_next_task(self):
+        async with fleet.Fleet() as started:
+            (server,) = await jobs.add_backends(started, 1)
+            server.fault = Fault.REPEAT_LATER
+            await started.submit(0, jobs.job(count=1))
+            server.fault = Fault.NONE
+            codes = []
+            for _ in range(5):
+                reply = await started.submit(0, jobs.job(count=1, seconds=0.2))
+                codes.append(reply["code"])
+            self.assertEqual([Code.TASK_LOST] + [Code.COMPLETE] * 4, codes)
+            self.assertEqual({1}, set(started.starts().values()))
+
     async def test_reply_for_another_task_reaches_no_caller(self):
         async with fleet.Fleet() as started:
             (server,) = await jobs.add_backends(started, 1)
--- a/waxwingwalk/entry/backend_client.py
+++ b/waxwingwalk/entry/backend_client.py
@@ -5,6 +5,7 @@
 request was not sent; after any other failure the task counts as lost.
 """
 
+import asyncio
 from collections.abc import Sequence
 import dataclasses
 import datetime
@@ -109,6 +110,26 @@
     return opened
 
 
+class _Response(aiohttp.ClientResponse):
+    """A response that can close its connection after it has been read.
+
+    The base class forgets the connection at the end of the response.
+    """
+
+    transport: asyncio.Transport | None = None
+
+    async def start(
+        self, connection: aiohttp.connector.Connection
+    ) -> aiohttp.ClientResponse:
+        self.transport = connection.transport
+        return await super().start(connection)
+
+    def close_connection(self) -> None:
+        """Close the connection, so that no other task uses it."""
+        if self.transport is not None:
+            self.transport.close()
+
+
 class BackendClient:
     """Runs tasks on backend servers, stops them and queries their status.
 
@@ -144,6 +165,7 @@
             auto_decompress=False,
             skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding"),
             headers={"Content-Type": "application/json"},
+            response_class=_Response,
         )
 
     def set_freshness(self, freshness: datetime.timedelta) -> None:
@@ -190,7 +212,11 @@
                 timeout=timeout,
                 allow_redirects=False,
             ) as response:
-                content = await response.read()
+                reply = parse_reply(await response.read())
+                if self._is_foreign(reply, effect):
+                    # The reply to this task will follow on the connection.
+                    assert isinstance(response, _Response)
+                    response.close_connection()
         except (
             aiohttp.ClientConnectorError,
             aiohttp.ConnectionTimeoutError,
@@ -199,7 +225,14 @@
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             detail = str(error) or type(error).__name__
             return Reply(model.TaskOutcome.LOST, detail=detail)
-        return parse_reply(content)
+        return reply
+
+    def _is_foreign(self, reply: Reply, effect: effects.SendTask) -> bool:
+        """Return whether a reply names another task or incarnation."""
+        if reply.task is None:
+            return False
+        name = identity.task_name(effect.job_id, effect.index)
+        return (reply.task, reply.incarnation) != (name, self._incarnation)
 
     async def status(self, address: str, task: str) -> TaskStatus:
         """Query the status of a task over a new connection."""
--- a/waxwingwalk/testing/backend.py
+++ b/waxwingwalk/testing/backend.py
@@ -39,7 +39,8 @@
     OTHER_INCARNATION = "answer another incarnation"
     MALFORMED = "answer nonsense"
     TWICE = "answer twice"
-    NOT_RUN_REPEAT_LATER = "say not run, again once the next task is running"
+    REPEAT_LATER = "answer, and again once the next task is running"
+    NOT_RUN_REPEAT_LATER = "say not run, and again like REPEAT_LATER"
     LATE = "end tasks late"
 
 
@@ -210,6 +211,8 @@
                 return {**reply, "incarnation": "0" * 12}
             case Fault.TWICE:
                 self._write_extra_response(request, reply)
+            case Fault.REPEAT_LATER:
+                self._repeats[request.transport] = reply
         return reply
 
     def _count_connections(self) -> None:
