Acknowledged ends again whose acknowledgement was lost

Found in review: since ends are acknowledged once, a lost acknowledgement was not repeated, as the answer to the next poll cleared what was due. An end that is listed again is now acknowledged again. The test failed before.

--- a/waxwingwalk/dispatch/run_tracker.py
+++ b/waxwingwalk/dispatch/run_tracker.py
@@ -563,10 +563,11 @@
         now: datetime.datetime,
     ) -> None:
         for entry in ended:
+            # An end that is listed again was not acknowledged.
+            backend.acknowledge_at = now + ACKNOWLEDGE_DELAY
             if entry.serial <= backend.acknowledged:
                 continue
             backend.acknowledged = entry.serial
-            backend.acknowledge_at = now + ACKNOWLEDGE_DELAY
             key = model.RunKey(entry.task, entry.run)
             backend.foreign_runs.discard(key)
             backend.foreign_stop_sent_at.pop(key, None)
