Assumed the longest lease for runs that moved to a restarted server

Found in review: a run that moved had no lease on the new incarnation, so that one failed poll counted it as over while it could run for up to a second.

--- a/waxwingwalk/dispatch/backend.py
+++ b/waxwingwalk/dispatch/backend.py
@@ -12,6 +12,8 @@
 # The lease that is requested. The platform shortens leases of more than one
 # second; the difference allows for the time that the answer travels.
 LEASE = datetime.timedelta(milliseconds=950)
+# The longest lease that the platform grants.
+LEASE_MAX = datetime.timedelta(seconds=1)
 # The platform allows a backend server's clock to be slow by this share.
 CLOCK_DRIFT = 0.02
 # A stop takes up to 50 ms at a backend server; 50 ms are added for its answer.
@@ -29,8 +31,9 @@
     """State of an order to run a task.
 
     ORDERED was sent and is unanswered. IN_DOUBT may have arrived or may still
-    arrive. SETTLED can no longer be started, as its stop is confirmed, but it
-    may be running.
+    arrive. SETTLED can no longer be started, as its stop is confirmed or its
+    server has restarted and is polled under a higher fence, but it may be
+    running.
     """
 
     ORDERED = "ordered"
@@ -193,6 +196,16 @@
         self.lease_ends_ms = max(self.lease_ends_ms, end)
         return end
 
+    def assume_longest_lease(self) -> None:
+        """Take it that the server granted the longest lease just now.
+
+        This holds for runs whose order was sent to a former incarnation.
+        """
+        assert self._clock_reading is not None
+        server_clock_ms, _ = self._clock_reading
+        end = server_clock_ms + int(LEASE_MAX / model.MILLISECOND)
+        self.lease_ends_ms = max(self.lease_ends_ms, end)
+
     def is_acknowledgement_due(self, now: datetime.datetime) -> bool:
         """Return whether listed ends should be acknowledged now."""
         return self.acknowledge_at is not None and now >= self.acknowledge_at
--- a/waxwingwalk/dispatch/run_tracker.py
+++ b/waxwingwalk/dispatch/run_tracker.py
@@ -590,12 +590,13 @@
             if poll is not None and backend.poll_count >= poll:
                 if key in present:
                     run.settled_by_poll = None
+                    backend.assume_longest_lease()
                 else:
                     self._end_run(
                         backend,
                         run,
                         model.TaskEnd.NOT_RUN,
-                        "stopped before its start",
+                        "never started",
                         now,
                     )
 
