Let peers stop only the runs that they have requested

Found in review: a peer whose caller had left stopped this host's own run of the same task, which the caller had asked for again here. The test failed before.

--- a/waxwingwalk/dispatch/reducer.py
+++ b/waxwingwalk/dispatch/reducer.py
@@ -577,7 +577,7 @@
         link: int,
         now: datetime.datetime,
     ) -> effects.Effects:
-        return self.scheduler.stop_peer_task(message, now)
+        return self.scheduler.stop_peer_task(message, link, now)
 
     def _handle_host_status(
         self,
--- a/waxwingwalk/dispatch/scheduler.py
+++ b/waxwingwalk/dispatch/scheduler.py
@@ -770,11 +770,17 @@
         ]
 
     def stop_peer_task(
-        self, message: messages.StopTask, now: datetime.datetime
+        self, message: messages.StopTask, link: int, now: datetime.datetime
     ) -> effects.Effects:
-        """Stop a peer's task."""
+        """Stop a task that was offered over a link.
+
+        A run of this host's own job may have the same key.
+        """
         ref = model.TaskRef(message.job_id, message.step, message.index)
-        return self._run_tracker.stop(model.RunKey(ref.name, message.run), now)
+        key = model.RunKey(ref.name, message.run)
+        if self._peer_runs.get(key) != link:
+            return []
+        return self._run_tracker.stop(key, now)
 
     def handle_peer_task_end(
         self,
