Held jobs that a woken host passes on, and read all waiting connections

Found in review of the hold after a pause: the event loop of the daemons accepts one connection in each iteration, so that with 10 callers or more some had their tasks started although they had left (33 starts with 40 callers); and a host that schedules no pool passed such jobs on at once.

A woken host now routes no job either, and goes on reading while requests arrive, up to a full queue of connections. If the event that ends the hold is lost, a tick ends it after a second.

--- a/tests/dispatch/test_paused_host.py
+++ b/tests/dispatch/test_paused_host.py
@@ -22,7 +22,7 @@
         self.assertEqual(logged, [{"delay_ms": 1000.0}])
 
     def submit(self, at):
-        job = builders.job(now=builders.at(at))
+        job = builders.job(now=builders.at(at), estimate=1000)
         return self.apply(events.JobSubmitted(job), at)
 
     def starts(self, done):
@@ -55,6 +55,12 @@
         done = self.apply(events.ConnectionsRead(second.pause), 2076)
         self.assertEqual(self.starts(done), 1)
 
+    def test_tasks_start_after_a_second_if_the_event_is_lost(self):
+        self.tick_until(100, start=25)
+        self.submit(1075)
+        self.assertEqual(self.starts(self.tick_until(2000, start=1100)), 0)
+        self.assertEqual(self.starts(self.tick_until(2200, start=2000)), 1)
+
     def test_host_that_was_briefly_behind_starts_tasks_at_once(self):
         self.tick_until(100, start=25)
         self.assertEqual(self.starts(self.submit(500)), 1)
--- a/waxwingwalk/dispatch/front.py
+++ b/waxwingwalk/dispatch/front.py
@@ -54,6 +54,7 @@
         self._scheduler = scheduler
         self._pending: dict[str, PendingJob] = {}
         self._unrouted: set[str] = set()
+        self._is_held = False
 
     @property
     def pending(self) -> dict[str, PendingJob]:
@@ -68,6 +69,14 @@
             if each.link is not None
         }
 
+    def hold_jobs(self) -> None:
+        """Route no jobs until ``resume_jobs``."""
+        self._is_held = True
+
+    def resume_jobs(self) -> None:
+        """Route jobs again."""
+        self._is_held = False
+
     def submit(
         self, job: model.Job, now: datetime.datetime
     ) -> effects.Effects:
@@ -80,6 +89,10 @@
         self, pending: PendingJob, now: datetime.datetime
     ) -> effects.Effects:
         job = pending.job
+        if self._is_held:
+            pending.link = None
+            self._unrouted.add(job.job_id)
+            return []
         address = self._choose_scheduler(now)
         if address is None:
             return self._wait_for_scheduler(pending, now)
@@ -122,6 +135,8 @@
 
     def route_waiting(self, now: datetime.datetime) -> effects.Effects:
         """Route the jobs that wait for a scheduler, or refuse them."""
+        if self._is_held:
+            return []
         done: effects.Effects = []
         for job_id in list(self._unrouted):
             done += self._route(self._pending[job_id], now)
--- a/waxwingwalk/dispatch/reducer.py
+++ b/waxwingwalk/dispatch/reducer.py
@@ -55,8 +55,10 @@
 LINK_CHECK_DELAY_MAX = datetime.timedelta(milliseconds=200)
 # After a pause that is longer than this, callers of this host may have left,
 # and may have repeated their requests at another host, which they do after
-# 1.3 s. No task starts until what their connections received has been read.
+# 1.3 s. No job is routed and no task starts until what their connections
+# received has been read, or until HOLD_LIMIT has passed.
 LONG_PAUSE = datetime.timedelta(milliseconds=600)
+HOLD_LIMIT = datetime.timedelta(seconds=1)
 # The interval at which the ownership of pools is evaluated, in addition to
 # evaluations at each event that may change it.
 OWNERSHIP_INTERVAL = datetime.timedelta(milliseconds=100)
@@ -102,6 +104,7 @@
         self._load_announced_at = now
         self._links_checked_at = now
         self._pauses = 0
+        self._held_since: datetime.datetime | None = None
         self._ownership_evaluated_at = now
         self._link_targets: frozenset[str] = frozenset()
         self._is_exiting = False
@@ -178,6 +181,8 @@
             done += self._check_links(now)
             if delay > LONG_PAUSE:
                 self._pauses += 1
+                self._held_since = now
+                self.front.hold_jobs()
                 self.scheduler.hold_starts()
                 done.append(effects.ReadConnections(self._pauses))
         done += self._handlers[type(event)](event, now)
@@ -230,6 +235,11 @@
     ) -> effects.Effects:
         if event.pause != self._pauses:
             return []
+        return self._resume(now)
+
+    def _resume(self, now: datetime.datetime) -> effects.Effects:
+        self._held_since = None
+        self.front.resume_jobs()
         return self.scheduler.resume_starts(now)
 
     # Rows read from the store.
@@ -700,6 +710,11 @@
     ) -> effects.Effects:
         self._observed.ticked(now, self.tick_interval)
         done = self._check_links(now)
+        if (
+            self._held_since is not None
+            and now - self._held_since > HOLD_LIMIT
+        ):
+            done += self._resume(now)
         done += self.run_tracker.tick(now)
         done += self.scheduler.tick(now)
         if now - self._ownership_evaluated_at < OWNERSHIP_INTERVAL:
--- a/waxwingwalk/host/engine.py
+++ b/waxwingwalk/host/engine.py
@@ -18,9 +18,12 @@
 
 # The outcome of a call that raised an exception: it may have been sent.
 UNKNOWN = model.CallOutcome.UNKNOWN
-# Iterations of the event loop within which a connection is accepted, its
-# request and its end are read, and the request's handler is cancelled.
+# Iterations of the event loop within which the request and the end of an
+# accepted connection are read, and the request's handler is cancelled.
 READ_ITERATIONS = 10
+# The loop may accept one connection in each iteration, so the above is
+# repeated while requests are read, up to a full queue of connections.
+READ_REPEATS_MAX = 15
 
 
 class BackendClient(Protocol):
@@ -85,6 +88,7 @@
         self._clock = time
         self._log = log
         self._metrics = host_metrics
+        self._request_count = 0
         self._tasks: set[asyncio.Task[None]] = set()
         self._waiters: dict[str, asyncio.Future[effects.AnswerJob]] = {}
         self.adapters: Adapters | None = None
@@ -112,6 +116,7 @@
 
     async def run_job(self, job: model.Job) -> effects.AnswerJob:
         """Run a job and return its answer; cancelling the call abandons it."""
+        self._request_count += 1
         if job.job_id in self._waiters:
             return effects.AnswerJob(
                 job.job_id, model.JobOutcome.LOST, "twice", None
@@ -225,8 +230,12 @@
 
     async def _read_connections(self, effect: effects.ReadConnections) -> None:
         """Let the event loop read all connections and run their handlers."""
-        for _ in range(READ_ITERATIONS):
-            await asyncio.sleep(0)
+        for _ in range(READ_REPEATS_MAX):
+            requests = self._request_count
+            for _ in range(READ_ITERATIONS):
+                await asyncio.sleep(0)
+            if self._request_count == requests:
+                break
         self.apply(events.ConnectionsRead(effect.pause))
 
     def _call(
