Numbered the requests for a job between hosts

Found in review: JobEnded and AbandonJob named a job only. A caller that cancelled its job and asked for it again could be told by the answer to its first request that nothing had run, while a task of the second one ran. Messages between hosts now carry the number of the request; hosts of former versions, which send none, are understood as before.

--- a/waxwingwalk/dispatch/front.py
+++ b/waxwingwalk/dispatch/front.py
@@ -31,11 +31,13 @@
 class PendingJob:
     """A job that waits for its answer.
 
-    ``link`` is the link to its scheduler, None if this host schedules it or
-    no scheduler is known. ``unrouted_since`` is set while none is known.
+    ``request`` is the number of the caller's request. ``link`` is the link to
+    its scheduler, None if this host schedules it or no scheduler is known.
+    ``unrouted_since`` is set while none is known.
     """
 
     job: model.Job
+    request: int
     link: int | None = None
     unrouted_since: datetime.datetime | None = None
 
@@ -55,6 +57,7 @@
         self._pending: dict[str, PendingJob] = {}
         self._unrouted: set[str] = set()
         self._is_held = False
+        self._requests = 0
 
     @property
     def pending(self) -> dict[str, PendingJob]:
@@ -81,7 +84,8 @@
         self, job: model.Job, now: datetime.datetime
     ) -> effects.Effects:
         """Route a caller's job to a scheduler."""
-        pending = PendingJob(job)
+        self._requests += 1
+        pending = PendingJob(job, self._requests)
         self._pending[job.job_id] = pending
         return self._route(pending, now)
 
@@ -113,7 +117,7 @@
         peer = self._hosts.get(address)
         assert peer is not None and peer.link is not None
         pending.link = peer.link
-        return [log, effects.Send(peer.link, _to_message(job, now))]
+        return [log, effects.Send(peer.link, _to_message(pending, now))]
 
     def _wait_for_scheduler(
         self, pending: PendingJob, now: datetime.datetime
@@ -172,6 +176,14 @@
         )
         return longest * model.MILLISECOND
 
+    def is_answer_to_pending(self, job_id: str, request: int) -> bool:
+        """Return whether an answer is to the pending request for a job.
+
+        Hosts of former versions do not number requests.
+        """
+        pending = self._pending.get(job_id)
+        return pending is not None and request in (0, pending.request)
+
     def answered(
         self,
         job_id: str,
@@ -215,7 +227,9 @@
         if pending.link is None:
             return self._scheduler.abandon(job_id, None, now)
         return [
-            effects.Send(pending.link, messages.AbandonJob(job_id)),
+            effects.Send(
+                pending.link, messages.AbandonJob(job_id, pending.request)
+            ),
             effects.Log("job.left", {"job": job_id}),
         ]
 
@@ -230,7 +244,10 @@
         return done
 
 
-def _to_message(job: model.Job, now: datetime.datetime) -> messages.SubmitJob:
+def _to_message(
+    pending: PendingJob, now: datetime.datetime
+) -> messages.SubmitJob:
+    job = pending.job
     return messages.SubmitJob(
         job_id=job.job_id,
         queue=job.queue,
@@ -242,6 +259,7 @@
         steps=job.steps,
         due_in_ms=model.milliseconds(job.due - now),
         expires_in_ms=model.milliseconds(job.expires - now),
+        request=pending.request,
     )
 
 
--- a/waxwingwalk/dispatch/job_record.py
+++ b/waxwingwalk/dispatch/job_record.py
@@ -60,9 +60,10 @@
     """A job and its tasks.
 
     ``link`` is the link over which the job was submitted, None for a caller of
-    this host. ``estimates`` holds the expected run time of the tasks of each
-    step; the default is the declared run time. An answer has value for the
-    caller until ``useful_until``; the caller waits until the job expires.
+    this host, and ``request`` the number of the request there. ``estimates``
+    holds the expected run time of the tasks of each step; the default is the
+    declared run time. An answer has value for the caller until
+    ``useful_until``; the caller waits until the job expires.
     """
 
     def __init__(
@@ -71,8 +72,10 @@
         link: int | None,
         now: datetime.datetime,
         estimates: list[datetime.timedelta] | None = None,
+        request: int = 0,
     ) -> None:
         self.job = job
+        self.request = request
         self.estimates = estimates or [step.estimate for step in job.steps]
         self.link = link
         self.arrived_at = now
--- a/waxwingwalk/dispatch/messages.py
+++ b/waxwingwalk/dispatch/messages.py
@@ -19,7 +19,9 @@
 class SubmitJob:
     """Asks the receiver to schedule a job; JobEnded follows.
 
-    Clocks differ between hosts, so times are in milliseconds from now.
+    Clocks differ between hosts, so times are in milliseconds from now. A
+    caller may ask for its job again: ``request`` is the number of the request
+    on the sending host, 0 if that host does not number them.
     """
 
     job_id: str
@@ -32,6 +34,7 @@
     steps: tuple[model.Step, ...]
     due_in_ms: float
     expires_in_ms: float
+    request: int = 0
     kind: Literal["submit_job"] = "submit_job"
 
 
@@ -40,17 +43,19 @@
     """Stops a job whose answer is no longer awaited."""
 
     job_id: str
+    request: int = 0
     kind: Literal["abandon_job"] = "abandon_job"
 
 
 @dataclasses.dataclass(slots=True)
 class JobEnded:
-    """The answer to a job."""
+    """The answer to a request for a job."""
 
     job_id: str
     outcome: model.JobOutcome
     reason: str
     return_in_ms: float | None
+    request: int = 0
     kind: Literal["job_ended"] = "job_ended"
 
 
--- a/waxwingwalk/dispatch/reducer.py
+++ b/waxwingwalk/dispatch/reducer.py
@@ -548,11 +548,15 @@
                         model.JobOutcome.NOT_RUN,
                         dispatch_scheduler.REASON_LEAVING,
                         None,
+                        message.request,
                     ),
                 )
             ]
         return self.scheduler.submit(
-            dispatch_front.job_from_message(message, now), link, now
+            dispatch_front.job_from_message(message, now),
+            link,
+            now,
+            message.request,
         )
 
     def _abandon_for_peer(
@@ -561,7 +565,9 @@
         link: int,
         now: datetime.datetime,
     ) -> effects.Effects:
-        return self.scheduler.abandon(message.job_id, link, now)
+        return self.scheduler.abandon(
+            message.job_id, link, now, message.request
+        )
 
     def _handle_peer_answer(
         self,
@@ -569,6 +575,10 @@
         link: int,
         now: datetime.datetime,
     ) -> effects.Effects:
+        if not self.front.is_answer_to_pending(
+            message.job_id, message.request
+        ):
+            return []
         retry_after = None
         if message.return_in_ms is not None:
             retry_after = message.return_in_ms * model.MILLISECOND
--- a/waxwingwalk/dispatch/scheduler.py
+++ b/waxwingwalk/dispatch/scheduler.py
@@ -121,10 +121,14 @@
     # Jobs.
 
     def submit(
-        self, job: model.Job, link: int | None, now: datetime.datetime
+        self,
+        job: model.Job,
+        link: int | None,
+        now: datetime.datetime,
+        request: int = 0,
     ) -> effects.Effects:
         """Accept a job, or refuse it at once if it cannot be served."""
-        record = self._new_job_record(job, link, now)
+        record = self._new_job_record(job, link, now, request)
         if job.job_id in self._jobs:
             # Another request for the same job has no answer yet.
             return self._answer(record, model.JobOutcome.LOST, "twice", now)
@@ -151,7 +155,11 @@
         return [log, *started]
 
     def _new_job_record(
-        self, job: model.Job, link: int | None, now: datetime.datetime
+        self,
+        job: model.Job,
+        link: int | None,
+        now: datetime.datetime,
+        request: int,
     ) -> job_record.JobRecord:
         """Return a record for a new job.
 
@@ -168,7 +176,7 @@
         expected = model.critical_path_time(job.steps, estimates)
         due = job.due + job.stretch * (expected - declared)
         return job_record.JobRecord(
-            dataclasses.replace(job, due=due), link, now, estimates
+            dataclasses.replace(job, due=due), link, now, estimates, request
         )
 
     def _learn_run_time(self, ended: dispatch_run_tracker.EndedTask) -> None:
@@ -211,11 +219,15 @@
         return None
 
     def abandon(
-        self, job_id: str, link: int | None, now: datetime.datetime
+        self,
+        job_id: str,
+        link: int | None,
+        now: datetime.datetime,
+        request: int = 0,
     ) -> effects.Effects:
         """Stop a job whose caller no longer waits for the answer."""
         record = self._jobs.get(job_id)
-        if record is None or record.link != link:
+        if record is None or (record.link, record.request) != (link, request):
             return []
         del self._jobs[job_id]
         return [
@@ -240,7 +252,9 @@
         done: effects.Effects = []
         for record in list(self._jobs.values()):
             if record.link == link:
-                done += self.abandon(record.job.job_id, link, now)
+                done += self.abandon(
+                    record.job.job_id, link, now, record.request
+                )
                 continue
             offered = record.tasks_offered_over(link)
             if offered:
@@ -377,6 +391,7 @@
                     None
                     if retry_after is None
                     else model.milliseconds(retry_after),
+                    record.request,
                 ),
             )
         return [log, answer]
