--- a/tests/emulator/test_scenario.py
+++ b/tests/emulator/test_scenario.py
@@ -11,6 +11,11 @@
 MUTATION_SEEDS = range(60)
 # Seeds that most recently exposed a rarely detected mutation; run first.
 LIKELY_SEED = {"lease_expiry_not_awaited": 41}
+# Servers restart under their ids at this interval, in seconds, one by one.
+RESTART_INTERVAL = 1.1
+RESTARTS = 10
+# Seeds that found overlapping runs.
+RESTART_SEEDS = (18, 20, 29)
 
 
 class ScenarioTests(unittest.TestCase):
@@ -31,6 +36,19 @@
                 self.assertEqual(result.violations, ())
                 self.assertGreater(result.done, 0)
 
+    def test_no_guarantee_is_violated_when_servers_restart_quickly(self):
+        planned = [
+            (number * RESTART_INTERVAL, *scenario.RESTART_FAULTS)
+            for number in range(RESTARTS)
+        ]
+        for seed in RESTART_SEEDS:
+            with self.subTest(seed=seed):
+                result = scenario.Scenario(
+                    seed, planned=planned, do_callers_repeat=False
+                ).run()
+                self.assertEqual(result.violations, ())
+                self.assertGreater(result.done, 0)
+
     def test_every_waiting_caller_is_served_without_faults(self):
         result = scenario.Scenario(0, faults=0).run()
         answered = result.done + result.refused + result.failed
