Added faults of servers' rows, fast restarts and paths to the soak

Change: pause_and_reset, restart_server, unlist_server and stall_paths. Seeds from 400 on draw from them for half of their faults; earlier seeds draw from the same list as before, so they play what they were kept for. The checks are the same. Long tasks are submitted for servers that lose their rows, as only these outlast the grace of a missing server.

--- a/tests/soak/__init__.py
+++ b/tests/soak/__init__.py
@@ -2,5 +2,5 @@
 
 ::
 
-    python -m tests.soak --seeds 1-50
+    python -m tests.soak --seeds 400-449
 """
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -2,7 +2,7 @@
 
 ::
 
-    python -m tests.soak --seeds 1-50 --seconds 20
+    python -m tests.soak --seeds 400-449 --seconds 20
 """
 
 import argparse
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -2,6 +2,9 @@
 
 import asyncio
 import contextlib
+import socket
+import struct
+import weakref
 
 import aiohttp
 
@@ -9,9 +12,13 @@
 from waxwingwalk.emulator import backend as emulated_backend
 
 DEADLINE_SECONDS = 2.5
+# Long tasks outlast the grace of backend servers that are not listed.
+LONG_WORK = 6000 * model.MILLISECOND
+LONG_DEADLINE_SECONDS = 11.0
 # The platform's callers retry a failed request after this delay.
 RETRY_SECONDS = 1.3
 ATTEMPTS_MAX = 5
+LONG_ATTEMPTS_MAX = 2
 # How long a response may take beyond the deadline of the caller.
 RESPONSE_SLACK_SECONDS = 1.0
 SERVICE = "refunds"
@@ -25,7 +32,19 @@
         self._hosts = hosts
         self._random = random
         self._host = None
-        self._session = aiohttp.ClientSession()
+        self._sockets = weakref.WeakSet()
+        self._session = self._open_session()
+
+    def _open_session(self):
+        return aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(socket_factory=self._open_socket)
+        )
+
+    def _open_socket(self, address):
+        opened = socket.socket(*address[:3])
+        opened.setblocking(False)
+        self._sockets.add(opened)
+        return opened
 
     @property
     def host(self):
@@ -39,17 +58,32 @@
         """Draw a new host for the next request."""
         self._host = None
 
-    async def request(self, method, path, body=None):
+    async def reset_connections(self):
+        """Reset all connections, which breaks the open requests."""
+        session, self._session = self._session, self._open_session()
+        for each in self._sockets:
+            with contextlib.suppress(OSError):
+                # Closing a socket that does not linger resets it.
+                each.setsockopt(
+                    socket.SOL_SOCKET,
+                    socket.SO_LINGER,
+                    struct.pack("ii", 1, 0),
+                )
+        await session.close()
+
+    async def request(
+        self, method, path, body=None, deadline=DEADLINE_SECONDS
+    ):
         """Send a request; return the status and content of the response."""
         host = self.host
-        limit = DEADLINE_SECONDS + RESPONSE_SLACK_SECONDS
+        limit = deadline + RESPONSE_SLACK_SECONDS
         async with self._session.request(
             method,
             f"http://{host.callers_address}{path}",
             json=body,
             headers={
                 "Host": "shop.example",
-                "Deadline-Ms": str(int(DEADLINE_SECONDS * 1000)),
+                "Deadline-Ms": str(int(deadline * 1000)),
             },
             timeout=aiohttp.ClientTimeout(total=limit),
         ) as response:
@@ -93,9 +127,9 @@
         self.failures = []
         self.counts = RequestCounts()
 
-    def submit(self):
+    def submit(self, *, is_long=False):
         """Submit a job in the background."""
-        task = asyncio.create_task(self.run_job())
+        task = asyncio.create_task(self.run_job(is_long=is_long))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
@@ -107,7 +141,7 @@
             self._checker.check_refused_job(job_id)
         self._refused_jobs.clear()
 
-    def _draw_job(self):
+    def _draw_job(self, is_long):
         """Return the id and body of a new job and record its tasks."""
         self.counts.jobs += 1
         job_id = f"{self.counts.jobs:016x}"
@@ -115,6 +149,8 @@
         resources = model.Resources(processors=6_800, memory=64)
         fails = self._random.random() < 0.01
         count = self._random.randint(1, 4)
+        if is_long:
+            work_ms, count = int(LONG_WORK / model.MILLISECOND), 1
         definition = emulated_backend.TaskDefinition(
             f"spec of {job_id}",
             SERVICE,
@@ -135,16 +171,17 @@
         body = {"spec": definition.spec, "steps": [step], "best_effort": True}
         return job_id, body
 
-    async def run_job(self):
+    async def run_job(self, *, is_long=False):
         """Submit a job, with retries; return whether it is done."""
-        job_id, body = self._draw_job()
+        job_id, body = self._draw_job(is_long)
+        deadline = LONG_DEADLINE_SECONDS if is_long else DEADLINE_SECONDS
         caller = self._random.choice(self._callers)
         attempts = refusals = 0
-        while attempts < ATTEMPTS_MAX:
+        while attempts < (LONG_ATTEMPTS_MAX if is_long else ATTEMPTS_MAX):
             attempts += 1
             try:
                 status, content = await caller.request(
-                    "POST", f"{PREFIX}{job_id}", body
+                    "POST", f"{PREFIX}{job_id}", body, deadline
                 )
             except TimeoutError:
                 # The caller gives up; aiohttp closes the connection.
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -7,9 +7,27 @@
 """
 
 import asyncio
+import contextlib
 
+from tests.soak import proxy
 from waxwingwalk.dispatch import model
 
+# How long a fault waits until a backend server is idle.
+IDLE_WAIT_SECONDS = 2.0
+# After this time a host has acknowledged all ends on a server.
+ACKNOWLEDGE_SECONDS = 0.3
+LONG_JOBS = 2
+# Fields of rows that name no backend server to use; None leaves one out.
+MALFORMED_FIELDS = (
+    {"address": None},
+    {"backend": "unknown"},
+    {"born": None},
+    {"born": "0"},
+    {"room": 1},
+    {"state": "unknown"},
+    {"zone": None},
+)
+
 
 def _choose_host(cluster, random):
     idle = [
@@ -49,10 +67,23 @@
 
 async def pause(cluster, random):
     """Freeze a host, mostly for longer than its leases of one second."""
+    await _pause(cluster, random)
+
+
+async def pause_and_reset(cluster, random):
+    """Freeze a host, and reset its connections from callers meanwhile."""
+    await _pause(cluster, random, resets_callers=True)
 
+
+async def _pause(cluster, random, resets_callers=False):
     async def inject(host):
         cluster.checker.record_contact_lost(host.name)
         host.pause()
+        if resets_callers:
+            await asyncio.sleep(random.uniform(0, 0.5))
+            for caller in cluster.callers:
+                if caller.host is host:
+                    await caller.reset_connections()
         await asyncio.sleep(random.uniform(0.3, 4))
         host.resume()
         cluster.checker.record_contact_regained(host.name)
@@ -195,16 +226,76 @@
 async def crash_server(cluster, random):
     """Crash a backend server and restart it under the same id."""
     name = _choose_server(cluster, random)
-    if name is None:
-        return
-    endpoint = cluster.endpoints[name]
+    if name is not None:
+        await _crash(cluster, name, random.uniform(0.05, 4))
+        cluster.register(name)
+
+
+async def _crash(cluster, name, downtime):
+    backend = cluster.endpoints[name].backend
     cluster.timeline.run_due()
-    endpoint.backend.crash()
+    backend.crash()
     cluster.server_proxies[name].reset()
-    await asyncio.sleep(random.uniform(0.05, 4))
+    await asyncio.sleep(downtime)
     cluster.timeline.run_due()
-    endpoint.backend.restart()
+    backend.restart()
     cluster.checker.record_restart(name)
+
+
+async def restart_server(cluster, random):
+    """Restart a backend server fast, mostly an idle one; its row lags.
+
+    For the server to be idle, no jobs are submitted meanwhile.
+    """
+    name = _choose_server(cluster, random)
+    if name is None or name in cluster.cut_off_from_store:
+        return
+    cluster.cut_off_from_store.add(name)
+    backend = cluster.endpoints[name].backend
+    downtime, lag = random.uniform(0.05, 1), random.uniform(0, 1)
+    if random.random() < 0.7:
+        cluster.is_quiet = True
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(IDLE_WAIT_SECONDS):
+                while backend.runs:
+                    await asyncio.sleep(0.01)
+        await asyncio.sleep(ACKNOWLEDGE_SECONDS)
+    if backend.is_up:
+        await _crash(cluster, name, downtime)
+    cluster.is_quiet = False
+    await asyncio.sleep(lag)
+    cluster.cut_off_from_store.remove(name)
+    cluster.register(name)
+
+
+async def unlist_server(cluster, random):
+    """Expire or replace the row of a backend server that keeps running.
+
+    It runs a long task if possible, and all calls to it may stall.
+    """
+    for _ in range(LONG_JOBS):
+        cluster.load.submit(is_long=True)
+    await asyncio.sleep(0.3)
+    names = [
+        name
+        for name, endpoint in cluster.endpoints.items()
+        if endpoint.backend.is_up and name not in cluster.cut_off_from_store
+    ]
+    with_long = [name for name in names if cluster.runs_long_task(name)]
+    if len(names) <= 2:
+        return
+    name = random.choice(with_long or names)
+    fields = random.choice(MALFORMED_FIELDS)
+    if random.random() < 0.5:
+        cluster.platform.remove("servers", name)
+    else:
+        cluster.register(name, **fields)
+    cluster.cut_off_from_store.add(name)
+    await asyncio.sleep(random.uniform(2, 5))
+    if random.random() < 0.5:
+        await _stall(cluster, random, cluster.server_proxies[name], name)
+    await asyncio.sleep(random.uniform(1, 3))
+    cluster.cut_off_from_store.remove(name)
     cluster.register(name)
 
 
@@ -215,6 +306,17 @@
         await _stall(cluster, random, cluster.server_proxies[name], name)
 
 
+async def stall_paths(cluster, random):
+    """Stall a part of the calls to a backend server for moments."""
+    name = _choose_server(cluster, random)
+    for _ in range(random.randint(1, 3) if name else 0):
+        target = cluster.server_proxies[name]
+        target.stalled_path = random.randrange(proxy.PATHS)
+        await asyncio.sleep(random.uniform(0.2, 1.2))
+        target.stalled_path = None
+        await asyncio.sleep(random.uniform(0.05, 0.5))
+
+
 async def silence_server(cluster, random):
     """Silence the open connections to a backend server."""
     name = _choose_server(cluster, random)
@@ -252,30 +354,43 @@
     backend.slowness = slowness
 
 
-ALL = {
-    fault.__name__: fault
-    for fault in (
-        kill,
-        pause,
-        terminate,
-        roll,
-        reset_links,
-        silence_links,
-        cut_links,
-        cut_zones,
-        slow_links,
-        cut_store,
-        silence_store,
-        store_down,
-        store_slow,
-        store_forgets,
-        change_config,
-        crash_server,
-        cut_server,
-        silence_server,
-        late_orders,
-        bad_server,
-    )
-}
+_FIRST = (
+    kill,
+    pause,
+    terminate,
+    roll,
+    reset_links,
+    silence_links,
+    cut_links,
+    cut_zones,
+    slow_links,
+    cut_store,
+    silence_store,
+    store_down,
+    store_slow,
+    store_forgets,
+    change_config,
+    crash_server,
+    cut_server,
+    silence_server,
+    late_orders,
+    bad_server,
+)
+_LATER = (pause_and_reset, restart_server, unlist_server, stall_paths)
+ALL = {fault.__name__: fault for fault in (*_FIRST, *_LATER)}
 # Routine work of operators, which must not break a request.
 PLANNED = ("terminate", "roll", "change_config")
+# Earlier seeds draw from the first faults only, so that they still play the
+# faults that they were kept for.
+FIRST_SEED_WITH_LATER = 400
+
+
+def has_later(seed):
+    """Return whether a seed draws from the later faults, too."""
+    return seed >= FIRST_SEED_WITH_LATER
+
+
+def kinds(seed):
+    """Return the names that a seed draws from, half of them later ones."""
+    later = _LATER * (len(_FIRST) // len(_LATER)) if has_later(seed) else ()
+    return [fault.__name__ for fault in (*_FIRST, *later)]
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -1,7 +1,10 @@
 """Loopback proxy that can delay, stall, refuse and reset connections."""
 
 import asyncio
+import itertools
 
+# Connections take the paths to the target by turns.
+PATHS = 2
 CHUNK_SIZE = 65_536
 # Interval at which a stalled connection checks whether it may continue.
 POLL_SECONDS = 0.01
@@ -10,8 +13,9 @@
 class _Connection:
     """One proxied connection."""
 
-    def __init__(self, client_writer, target_writer):
+    def __init__(self, client_writer, target_writer, path):
         self.writers = (client_writer, target_writer)
+        self.path = path
         self.is_silent = False
         self.is_aborted = False
         # The entry of ``Proxy.sources`` that the first chunk contains;
@@ -37,12 +41,14 @@
         # Texts that identify the process that opened a connection.
         self.sources = sources
         self._connections = set()
+        self._paths = itertools.cycle(range(PATHS))
         self._server = None
         self.address = ""
         self.delay = 0.0
         self.is_refusing = False
         self.stalls_upstream = False
         self.stalls_downstream = False
+        self.stalled_path = None
         self.blocked_sources = set()
 
     async def start(self):
@@ -77,6 +83,7 @@
         self.is_refusing = self.stalls_upstream = self.stalls_downstream = (
             False
         )
+        self.stalled_path = None
         self.blocked_sources.clear()
 
     async def _accept(self, client_reader, client_writer):
@@ -91,7 +98,9 @@
         except OSError:
             client_writer.transport.abort()
             return
-        connection = _Connection(client_writer, target_writer)
+        connection = _Connection(
+            client_writer, target_writer, next(self._paths)
+        )
         self._connections.add(connection)
         try:
             await asyncio.gather(
@@ -133,4 +142,6 @@
             return False
         if connection.is_silent or connection.source in self.blocked_sources:
             return True
+        if connection.path == self.stalled_path:
+            return True
         return self.stalls_upstream if is_upstream else self.stalls_downstream
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -82,6 +82,10 @@
         self.platform = platform.FaultyStore(self.random)
         self.endpoints = {}
         self.server_proxies = {}
+        # The rows of these servers stay as they are.
+        self.cut_off_from_store = set()
+        # Whether no jobs are submitted.
+        self.is_quiet = False
         self.version = 0
         self.route_count = 0
         self.findings = []
@@ -179,8 +183,10 @@
     def _unix_ms(self):
         return int(self.timeline.now().timestamp() * 1000)
 
-    def register(self, name):
-        """Write the row of a backend server."""
+    def register(self, name, **fields):
+        """Write the row of a backend server, with other fields if given."""
+        if name in self.cut_off_from_store:
+            return
         report = self.endpoints[name].backend.report
         row = stand_in.worker_row(
             self.server_proxies[name].address,
@@ -189,8 +195,17 @@
             born=report.incarnation.started_ms,
             seq=self.platform.version,
         )
+        row |= fields
+        row = {key: value for key, value in row.items() if value is not None}
         self.platform.put("servers", name, row)
 
+    def runs_long_task(self, name):
+        """Return whether a long task runs on a backend server."""
+        return any(
+            self.task_definitions[key.task].work >= soak_callers.LONG_WORK
+            for key in self.endpoints[name].backend.runs
+        )
+
     def change_config(self):
         """Write a new configuration, which adds a route each time."""
         self.version += self.random.randint(1, 3)
@@ -301,9 +316,9 @@
         self._seconds = seconds
         self._cluster = Cluster(seed, folder, **size)
         self._random = random.Random(seed)
-        self._kinds = kinds
+        self._kinds = kinds or faults.kinds(seed)
         # Planned work alone must not break a request.
-        self._is_planned = set(kinds or faults.ALL) <= set(faults.PLANNED)
+        self._is_planned = set(self._kinds) <= set(faults.PLANNED)
         self._faults = []
         self._fault_tasks = set()
 
@@ -342,11 +357,10 @@
         )
 
     async def _run_load_and_faults(self):
-        kinds = self._kinds or list(faults.ALL)
         plan = sorted(
             (
                 self._random.uniform(0, self._seconds),
-                self._random.choice(kinds),
+                self._random.choice(self._kinds),
                 self._random.randrange(2**32),
             )
             for _ in range(max(1, self._seconds // 2))
@@ -359,7 +373,8 @@
                 self._faults.append((elapsed, kind))
                 task = asyncio.create_task(fault)
                 self._fault_tasks.add(task)
-            self._cluster.load.submit()
+            if not self._cluster.is_quiet:
+                self._cluster.load.submit()
             delay = self._random.expovariate(JOBS_PER_SECOND)
             await asyncio.sleep(delay)
 
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -12,6 +12,9 @@
     304: "a host that woke started a task for a link that had expired",
 }
 
+# Seeds that play two of the later faults each.
+LATER_FAULTS = (401, 411)
+
 
 class SoakTests(unittest.TestCase):
     def run_soak(self, seed, kinds=None):
@@ -28,7 +31,7 @@
         )
 
     def test_no_guarantee_is_violated(self):
-        for seed in (100, *REGRESSIONS):
+        for seed in (100, *REGRESSIONS, *LATER_FAULTS):
             with self.subTest(seed=seed):
                 result = self.run_soak(seed)
                 self.assertEqual(result.findings, ())
