Bounded the numbers in messages between peers

A probe with an impossible load made submissions of the service raise OverflowError, and a notice with a long time kept a backend server out of use for as long. Counts, loads, weights and times out of range now make a message malformed: it is counted and dropped.

Two of three tests of tests.core.test_messages failed before (no message was rejected; OverflowError at the next submission). All pass now, as do tests.routing, tests.membership, tests.settings and tests.entry.test_links.

--- a/waxwingwalk/core/messages.py
+++ b/waxwingwalk/core/messages.py
@@ -3,7 +3,8 @@
 They are sent as JSON over a WebSocket between two peers; ``kind`` names the
 type. Slot requests, recalls and reports carry totals rather than differences,
 so that a repeated or lost one does not corrupt the counts. Grants and returns
-carry differences; the report sent on a new link corrects the counts.
+carry differences; the report sent on a new link corrects the counts. Numbers
+out of range make a message malformed.
 """
 
 import dataclasses
@@ -12,6 +13,16 @@
 
 import pydantic
 
+# The largest number of slots, tasks or the like in one member of a message.
+COUNT_MAX = 1_000_000
+# The longest time that a notice may keep a backend server out of use.
+NOTICE_SECONDS_MAX = 3600.0
+
+Count = Annotated[int, pydantic.Field(ge=0, le=COUNT_MAX)]
+Load = Annotated[float, pydantic.Field(ge=0, le=COUNT_MAX)]
+Weight = Annotated[float, pydantic.Field(gt=0, le=COUNT_MAX)]
+NoticeSeconds = Annotated[float, pydantic.Field(ge=0, le=NOTICE_SECONDS_MAX)]
+
 
 @dataclasses.dataclass(slots=True)
 class MemberRecord:
@@ -37,9 +48,9 @@
     sender: MemberRecord
     changes: list[MemberRecord]
     revision: int
-    free: dict[str, int]
+    free: dict[str, Count]
     is_reply: bool = False
-    running: dict[str, float] = dataclasses.field(default_factory=dict)
+    running: dict[str, Load] = dataclasses.field(default_factory=dict)
     kind: Literal["probe"] = "probe"
 
 
@@ -51,9 +62,9 @@
     """
 
     service: str
-    want: int
+    want: Count
     serial: int
-    teams: dict[str, float]
+    teams: dict[str, Weight]
     kind: Literal["slot_request"] = "slot_request"
 
 
@@ -65,9 +76,9 @@
     """
 
     service: str
-    slots: dict[str, int]
+    slots: dict[str, Count]
     serial: int
-    free: dict[str, int]
+    free: dict[str, Count]
     kind: Literal["slot_grant"] = "slot_grant"
 
 
@@ -75,7 +86,7 @@
 class SlotReturn:
     """Slots that the holder returns, by backend server."""
 
-    slots: dict[str, int]
+    slots: dict[str, Count]
     kind: Literal["slot_return"] = "slot_return"
 
 
@@ -83,7 +94,7 @@
 class SlotRecall:
     """Slots that the holder must return as they become idle."""
 
-    slots: dict[str, int]
+    slots: dict[str, Count]
     kind: Literal["slot_recall"] = "slot_recall"
 
 
@@ -91,7 +102,7 @@
 class SlotReport:
     """All slots that the holder has of the receiver's backend servers."""
 
-    slots: dict[str, int]
+    slots: dict[str, Count]
     kind: Literal["slot_report"] = "slot_report"
 
 
@@ -105,7 +116,7 @@
     backend_id: str
     incarnation: str
     state: str
-    seconds: float = 0.0
+    seconds: NoticeSeconds = 0.0
     kind: Literal["backend_notice"] = "backend_notice"
 
 
