Forwarded requests about jobs only to known members

A caller could have the peers' secret sent to any address: a request about a job was forwarded to the address in the job's id, with the secret in its header. With it, keys can be forged that the entry processes take for issued.

If no member is known at that address, the answer is now 4007, as for one that cannot be reached. So is one whose record has been forgotten; it was 4001.

test_secret_is_not_sent_to_an_address_from_a_job_id failed before (the other address received the request and its answer was passed on) and passes now, as do tests.entry.test_access and CrashTests.

--- a/tests/entry/test_access.py
+++ b/tests/entry/test_access.py
@@ -1,11 +1,13 @@
 """Tests of tokens, the peers' secret, issued keys, metrics and logs."""
 
 import aiohttp
+from aiohttp import web
 import structlog
 
 from tests.entry import jobs
 from waxwingwalk.core import clock
 from waxwingwalk.core import identity
+from waxwingwalk.core import results
 from waxwingwalk.entry import config
 from waxwingwalk.entry import issued_keys
 from waxwingwalk.testing import fleet
@@ -24,6 +26,32 @@
                     async with session.get(url) as response:
                         self.assertEqual(status, response.status)
 
+    async def test_secret_is_not_sent_to_an_address_from_a_job_id(self):
+        received = []
+
+        async def record(request):
+            received.append(request.headers.get("Authorization"))
+            return web.json_response({"code": 1000})
+
+        app = web.Application()
+        app.router.add_route("*", "/{path:.*}", record)
+        runner = web.AppRunner(app, shutdown_timeout=0.01)
+        await runner.setup()
+        self.addAsyncCleanup(runner.cleanup)
+        await web.TCPSite(runner, "127.0.0.1", 0).start()
+        host, port = runner.addresses[0][:2]
+        async with fleet.Fleet() as started:
+            path = f"/v1/jobs/{host}_{port}.0000000000aa.1"
+            for method, suffix in (
+                ("GET", ""),
+                ("DELETE", ""),
+                ("GET", "/explain"),
+            ):
+                reply = await started.request(0, method, path + suffix)
+                code = results.ResultCode.COORDINATOR_UNREACHABLE
+                self.assertEqual(code, reply["code"])
+        self.assertEqual([], received)
+
     async def test_callers_and_operators_need_their_tokens(self):
         secrets = config.Secrets(
             peers=fleet.SECRET,
--- a/waxwingwalk/entry/forwarding.py
+++ b/waxwingwalk/entry/forwarding.py
@@ -91,14 +91,15 @@
         except aiohttp.ClientConnectorError as error:
             if isinstance(error.os_error, ConnectionRefusedError):
                 return replies.Reply(code_if_gone)
-            return _unreachable()
+            return unreachable()
         except aiohttp.ConnectionTimeoutError:
-            return _unreachable()
+            return unreachable()
         except (aiohttp.ClientError, TimeoutError, OSError):
             return replies.Reply(code_if_lost)
 
 
-def _unreachable() -> replies.Reply:
+def unreachable() -> replies.Reply:
+    """Return the reply if a job's process cannot be reached now."""
     return replies.Reply(
         results.ResultCode.COORDINATOR_UNREACHABLE,
         {"retry_after_seconds": 1.0},
--- a/waxwingwalk/entry/submission.py
+++ b/waxwingwalk/entry/submission.py
@@ -256,6 +256,10 @@
         membership = self._engine.state.membership
         if is_forwarded or membership.is_gone(parsed.coordinator):
             return replies.Reply(Code.COORDINATOR_LOST)
+        # A forwarded request carries the peers' secret, and a job id may name
+        # any address.
+        if membership.get(parsed.coordinator.address) is None:
+            return forwarding.unreachable()
         wait = WAIT_MAX if action == "wait" else _NO_WAIT
         return await self._forwarder.forward(
             parsed.coordinator,
