Answered malformed requests with a result code

A token or the body of a forwarded request that was not valid UTF-8, and the length of a history that was no decimal number, raised an exception: the request was answered with HTTP status 500 and without a code. No other request was affected.

test_malformed_requests_are_answered_with_a_code failed before in all four cases and passes now, as does tests.entry.test_access.

--- a/waxwingwalk/entry/access.py
+++ b/waxwingwalk/entry/access.py
@@ -14,7 +14,9 @@
 
 def has_token(request: web.Request, token: str) -> bool:
     """Return whether a request carries this token."""
-    return hmac.compare_digest(bearer_token(request).encode(), token.encode())
+    # Bytes of a header that are not valid UTF-8 are read as surrogates.
+    received = bearer_token(request).encode(errors="surrogateescape")
+    return hmac.compare_digest(received, token.encode())
 
 
 def find_token_holder(
--- a/waxwingwalk/entry/operators_api.py
+++ b/waxwingwalk/entry/operators_api.py
@@ -102,11 +102,12 @@
 
     async def _history(self, request: web.Request) -> web.Response:
         text = request.query.get("count", str(HISTORY_DEFAULT))
-        if not text.isdigit() or not 1 <= int(text) <= HISTORY_MAX:
+        count = _parse_count(text)
+        if not 1 <= count <= HISTORY_MAX:
             detail = f"count must be from 1 to {HISTORY_MAX}"
             members = {"detail": detail}
             return replies.Reply(Code.INVALID_REQUEST, members).response()
-        read = await self._store.history(int(text))
+        read = await self._store.history(count)
         if not isinstance(read, result.Success):
             return replies.Reply(Code.SETTINGS_STORE_UNAVAILABLE).response()
         revisions = [
@@ -182,6 +183,14 @@
         return web.Response(body=content, headers=headers)
 
 
+def _parse_count(text: str) -> int:
+    """Return the number in a text, 0 if there is none."""
+    try:
+        return int(text) if text.isdigit() else 0
+    except ValueError:
+        return 0
+
+
 def _invalid(error: pydantic.ValidationError) -> web.Response:
     members = {"detail": requests.describe_errors(error)}
     return replies.Reply(Code.INVALID_REQUEST, members).response()
--- a/waxwingwalk/entry/peers_api.py
+++ b/waxwingwalk/entry/peers_api.py
@@ -72,6 +72,6 @@
             )
         else:
             reply = await self._submissions.handle_job_request(
-                action, body.decode(), is_forwarded=True
+                action, body.decode(errors="replace"), is_forwarded=True
             )
         return reply.response()
