Ignored replies of a server's former incarnation in its health

An attempt did not keep the incarnation to which it was sent, so that its outcome counted for the one that was listed when the reply came. When a backend server had restarted under its id, the last reply of its former incarnation marked the new one as leaving for good, here and at all peers. A rejection or a lost task of the former incarnation ejected the new one, and an overdue task made it suspect.

The attempt now keeps the incarnation. Only that one is marked as leaving, and outcomes, overdue tasks and status replies count for no other. The estimated run times and the numbers of running tasks are still kept by the server's id.

--- a/waxwingwalk/jobs/dispatch.py
+++ b/waxwingwalk/jobs/dispatch.py
@@ -141,6 +141,7 @@
         number=job.attempts,
         index=index,
         backend_id=backend.backend_id,
+        incarnation=backend.spec.incarnation,
         sent_at=now,
         estimate=choice.estimate,
         reason=choice.reason,
--- a/waxwingwalk/jobs/job.py
+++ b/waxwingwalk/jobs/job.py
@@ -21,7 +21,9 @@
 class Attempt:
     """One attempt to run a task, with the reason for its placement.
 
-    ``estimate`` is in seconds. ``status_queried_at`` is the time of the last
+    ``incarnation`` is that of the backend server to which the task was sent,
+    which may have restarted since under its id. ``estimate`` is in seconds.
+    ``status_queried_at`` is the time of the last
     status query; ``silent_since`` is the end of the first of the successive
     status queries that got no reply, None if the last one got a reply.
     """
@@ -29,6 +31,7 @@
     number: int
     index: int
     backend_id: str
+    incarnation: str
     sent_at: datetime.datetime
     estimate: float
     reason: str
@@ -37,6 +40,10 @@
     status_queried_at: datetime.datetime | None = None
     silent_since: datetime.datetime | None = None
 
+    def is_at(self, spec: model.BackendSpec) -> bool:
+        """Return whether it was sent to this incarnation of its server."""
+        return self.incarnation == spec.incarnation
+
 
 @dataclasses.dataclass(slots=True)
 class Job:
--- a/waxwingwalk/routing/health.py
+++ b/waxwingwalk/routing/health.py
@@ -33,14 +33,19 @@
     attempt: jobs.Attempt,
     now: datetime.datetime,
 ) -> Effects:
-    """Update the health of a backend server from an attempt's outcome."""
+    """Update the health of a backend server from an attempt's outcome.
+
+    If the server has restarted since, the outcome tells nothing of its health.
+    """
     backend = state.registry.get(event.backend_id)
     if backend is None:
         return []
     backend.running -= 1
     done: Effects = []
     if event.leaving:
-        done += record_leaving(state, backend, now)
+        done += _record_leaving(state, attempt)
+    if not attempt.is_at(backend.spec):
+        return done
     match outcome:
         case model.TaskOutcome.DONE:
             _record_completed(state, backend, event, job, attempt, now)
@@ -175,17 +180,13 @@
     return [effects.Log("rack.suspect", {"rack": rack})]
 
 
-def record_leaving(
-    state: core_state.State,
-    backend: backends.Backend,
-    now: datetime.datetime,
-) -> Effects:
+def _record_leaving(state: core_state.State, attempt: jobs.Attempt) -> Effects:
     """Mark a server that reports that it is leaving; notify the peers."""
-    incarnation = backend.spec.incarnation
-    if not state.registry.mark_leaving(backend.backend_id, incarnation):
+    backend_id = attempt.backend_id
+    if not state.registry.mark_leaving(backend_id, attempt.incarnation):
         return []
     notice = messages.BackendNotice(
-        backend.backend_id, incarnation, model.BackendState.LEAVING.value
+        backend_id, attempt.incarnation, model.BackendState.LEAVING.value
     )
     return broadcast.broadcast_to_peers(state, notice)
 
--- a/waxwingwalk/routing/overdue.py
+++ b/waxwingwalk/routing/overdue.py
@@ -56,9 +56,10 @@
 ) -> Effects:
     """Mark a server as suspect if it has not answered since a task was sent.
 
-    A single long task is no reason if other tasks complete meanwhile.
+    A single long task is no reason if other tasks complete meanwhile, nor is
+    a task that was sent before the server restarted.
     """
-    if _answered_since(backend, attempt):
+    if not attempt.is_at(backend.spec) or _answered_since(backend, attempt):
         return []
     is_new_suspect = backend.suspect_until is None
     backend.suspect_until = now + health.SUSPECT_TIME
@@ -97,6 +98,8 @@
 
 
 def _answered_since(backend: backends.Backend, attempt: jobs.Attempt) -> bool:
+    if not attempt.is_at(backend.spec):
+        return False
     last = backend.last_reply_at
     return last is not None and last > attempt.sent_at
 
@@ -152,8 +155,8 @@
     itself stays open until its own reply or timeout.
 
     A backend server that does not know the task or does not answer is ejected,
-    unless it has recently completed or rejected another task, or accepts no
-    task at present.
+    unless it has recently completed or rejected another task, accepts no task
+    at present, or has restarted since the task was sent.
     """
     attempt = state.attempts.get((event.job_id, event.index))
     if attempt is None or attempt.number != event.attempt:
@@ -163,8 +166,10 @@
         attempt.silent_since = None
         return [], False
     done: Effects = []
-    if backend.accepts_work(now) and not health.answered_recently(
-        backend, now
+    if (
+        attempt.is_at(backend.spec)
+        and backend.accepts_work(now)
+        and not health.answered_recently(backend, now)
     ):
         done = health.eject(state, backend, now)
     if event.is_known is False:
