Reached tasks where they were sent when their server has moved

Status queries, lease renewals and stops read the address of the backend server at that time. If it had restarted under its id at another address while its former incarnation finished its tasks, these went to the new incarnation, which did not know the task: the job ended as lost while the task ran, leases at the former address ran out, and stops were without effect.

The attempt now keeps the address to which it was sent, and renewals are grouped by address.

The four tests of tests.routing.test_overdue failed before and pass now. Passed: tests.routing, tests.core, tests.jobs, tests.membership.test_pauses and tests.entry.test_backend_faults.

--- a/waxwingwalk/jobs/dispatch.py
+++ b/waxwingwalk/jobs/dispatch.py
@@ -142,6 +142,7 @@
         index=index,
         backend_id=backend.backend_id,
         incarnation=backend.spec.incarnation,
+        address=backend.spec.address,
         sent_at=now,
         estimate=choice.estimate,
         reason=choice.reason,
--- a/waxwingwalk/jobs/ending.py
+++ b/waxwingwalk/jobs/ending.py
@@ -66,16 +66,11 @@
     stops: Effects = []
     for index in sorted(job.running):
         attempt = state.attempts[job.spec.job_id, index]
-        backend = state.registry.get(attempt.backend_id)
-        if backend is not None:
-            stops.append(
-                effects.StopTask(
-                    job.spec.job_id,
-                    index,
-                    attempt.backend_id,
-                    backend.spec.address,
-                )
+        stops.append(
+            effects.StopTask(
+                job.spec.job_id, index, attempt.backend_id, attempt.address
             )
+        )
     return stops
 
 
--- a/waxwingwalk/jobs/job.py
+++ b/waxwingwalk/jobs/job.py
@@ -21,17 +21,19 @@
 class Attempt:
     """One attempt to run a task, with the reason for its placement.
 
-    ``incarnation`` is that of the backend server to which the task was sent,
-    which may have restarted since under its id. ``estimate`` is in seconds.
-    ``status_queried_at`` is the time of the last
-    status query; ``silent_since`` is the end of the first of the successive
-    status queries that got no reply, None if the last one got a reply.
+    ``incarnation`` and ``address`` are those of the backend server to which
+    the task was sent; it may have restarted since under its id, at another
+    address. ``estimate`` is in seconds. ``status_queried_at`` is the time of
+    the last status query; ``silent_since`` is the end of the first of the
+    successive status queries that got no reply, None if the last one got a
+    reply.
     """
 
     number: int
     index: int
     backend_id: str
     incarnation: str
+    address: str
     sent_at: datetime.datetime
     estimate: float
     reason: str
--- a/waxwingwalk/routing/overdue.py
+++ b/waxwingwalk/routing/overdue.py
@@ -12,6 +12,8 @@
 from waxwingwalk.routing import health
 
 Effects = list[effects.Effect]
+# Tasks whose lease is to be renewed, by the id and address of their server.
+Renewals = dict[tuple[str, str], list[tuple[str, int]]]
 # The least time before a task is overdue, however short its estimate.
 OVERDUE_MIN = datetime.timedelta(seconds=0.5)
 # If a backend server answers other tasks, the status of an overdue task is
@@ -24,7 +26,7 @@
 ) -> Effects:
     """Query the status of overdue tasks; renew expiring task leases."""
     done: Effects = []
-    renewals: dict[str, list[tuple[str, int]]] = {}
+    renewals: Renewals = {}
     factor = state.settings.process().overdue_factor
     _clear_suspects(state, now)
     for (job_id, index), attempt in state.attempts.items():
@@ -35,7 +37,7 @@
             done += _mark_suspect(state, backend, attempt, now)
             done.append(
                 effects.ReadTaskStatus(
-                    job_id, index, attempt.number, backend.spec.address
+                    job_id, index, attempt.number, attempt.address
                 )
             )
         _collect_renewal(state, job_id, index, attempt, renewals, now)
@@ -109,30 +111,27 @@
     job_id: str,
     index: int,
     attempt: jobs.Attempt,
-    renewals: dict[str, list[tuple[str, int]]],
+    renewals: Renewals,
     now: datetime.datetime,
 ) -> None:
     service = state.jobs[job_id].spec.service
     lease = state.settings.service(service).task_lease
     if attempt.lease_until - now < lease / 2:
         attempt.lease_until = now + lease
-        renewals.setdefault(attempt.backend_id, []).append((job_id, index))
+        server = (attempt.backend_id, attempt.address)
+        renewals.setdefault(server, []).append((job_id, index))
 
 
 def _renewal_effects(
     state: core_state.State,
-    renewals: dict[str, list[tuple[str, int]]],
+    renewals: Renewals,
     now: datetime.datetime,
 ) -> Effects:
     done: Effects = []
-    for backend_id, tasks in renewals.items():
-        backend = state.registry.get(backend_id)
-        assert backend is not None
+    for (backend_id, address), tasks in renewals.items():
         service = state.jobs[tasks[0][0]].spec.service
         lease = state.settings.service(service).task_lease
-        done.append(
-            effects.RenewLeases(backend_id, backend.spec.address, tasks, lease)
-        )
+        done.append(effects.RenewLeases(backend_id, address, tasks, lease))
     return done
 
 
