Counted no newer incarnation of a process as gone

Membership.is_gone was true of each incarnation but the known one. Until a process had heard of a peer's restart, it answered requests about jobs of the new incarnation with COORDINATOR_LOST and submissions with keys that it had issued with KEY_INCARNATION_GONE, although the peer was live.

Only older incarnations than the known one count as gone. A request for a newer one is forwarded; a process that is another incarnation rejects it.

--- a/waxwingwalk/membership/members.py
+++ b/waxwingwalk/membership/members.py
@@ -108,13 +108,14 @@
     def is_gone(self, process: identity.ProcessId) -> bool:
         """Return whether this incarnation is considered gone.
 
-        Any incarnation other than the one known at its address is.
+        Any that is older than the one known at its address is. One that is
+        newer has not been heard of yet.
         """
         member = self._members.get(process.address)
         if member is None:
             return False
         if member.record.incarnation != process.incarnation:
-            return True
+            return process.incarnation < member.record.incarnation
         return not member.is_present
 
     def set_expected(self, addresses: Iterable[str]) -> None:
