--- a/waxwingwalk/dispatch/reducer.py
+++ b/waxwingwalk/dispatch/reducer.py
@@ -54,10 +54,11 @@
 # after three times as long.
 LINK_CHECK_DELAY_MAX = datetime.timedelta(milliseconds=200)
 # After a pause that is longer than this, callers of this host may have left,
-# and may have repeated their requests at another host, which they do after
-# 1.3 s. No job is routed and no task starts until what their connections
-# received has been read, or until HOLD_LIMIT has passed.
+# and may have repeated their requests at another host: the platform's callers
+# do so 1.3 s after a failure.
 LONG_PAUSE = datetime.timedelta(milliseconds=600)
+# After a long pause no job is routed and no task starts until what callers'
+# connections received has been read, or until this time has passed.
 HOLD_LIMIT = datetime.timedelta(seconds=1)
 # The interval at which the ownership of pools is evaluated, in addition to
 # evaluations at each event that may change it.
@@ -289,7 +290,7 @@
             report.incarnation: report for report in event.reports
         }
         self._backends_listed_at = now
-        self.run_tracker.keep_over(self._backend_reports)
+        self.run_tracker.forget_unlisted(self._backend_reports)
         for report in event.reports:
             self.ownership.add_pool(report.zone)
         return self._reconcile_backends(now)
@@ -364,7 +365,7 @@
         claim = self.ownership.claims.get(backend.report.zone)
         if claim is None or backend.state is backends.BackendState.FENCED:
             # Another scheduler stops the runs that are left there.
-            return self.run_tracker.lose_restarted(backend.incarnation, now)
+            return self.run_tracker.give_up_restarted(backend.incarnation, now)
         report = self._backend_reports.get(successor)
         fence = claim.next_order_fence(successor.backend_id)
         if report is not None:
--- a/waxwingwalk/dispatch/run_tracker.py
+++ b/waxwingwalk/dispatch/run_tracker.py
@@ -75,7 +75,7 @@
             collections.Counter()
         )
         # Incarnations that are over, although the platform may list them.
-        self._over: set[model.BackendIncarnation] = set()
+        self._ended_incarnations: set[model.BackendIncarnation] = set()
         self._detector = outliers.LikelihoodDetector()
         # Ended runs, and log lines caused by them, until the scheduler
         # processes them.
@@ -102,11 +102,13 @@
 
     def is_over(self, incarnation: model.BackendIncarnation) -> bool:
         """Return whether an incarnation is known to be over."""
-        return incarnation in self._over
+        return incarnation in self._ended_incarnations
 
-    def keep_over(self, listed: Iterable[model.BackendIncarnation]) -> None:
+    def forget_unlisted(
+        self, listed: Iterable[model.BackendIncarnation]
+    ) -> None:
         """Forget the incarnations that are over and not listed any more."""
-        self._over.intersection_update(listed)
+        self._ended_incarnations.intersection_update(listed)
 
     def usable(self, now: datetime.datetime) -> list[backends.Backend]:
         """Return the backend servers on which runs may be ordered now."""
@@ -222,7 +224,7 @@
             self._backend_by_run.setdefault(run.order.key, backend)
         return done
 
-    def lose_restarted(
+    def give_up_restarted(
         self, former: model.BackendIncarnation, now: datetime.datetime
     ) -> effects.Effects:
         """Give up a restarted server whose new incarnation is not followed.
@@ -249,7 +251,7 @@
     def _end_former_incarnation(
         self, incarnation: model.BackendIncarnation, now: datetime.datetime
     ) -> effects.Effects:
-        self._over.add(incarnation)
+        self._ended_incarnations.add(incarnation)
         return self.end_incarnation(incarnation, now, "newer life")
 
     def _remove_backend(
@@ -680,7 +682,7 @@
     ) -> effects.Effects:
         """Give up an incarnation that this host can no longer schedule."""
         if outcome is model.CallOutcome.OTHER_INCARNATION:
-            self._over.add(backend.incarnation)
+            self._ended_incarnations.add(backend.incarnation)
             return self.end_incarnation(backend.incarnation, now, "other life")
         return self._mark_fenced(backend, now)
 
--- a/waxwingwalk/host/log_catalogue.py
+++ b/waxwingwalk/host/log_catalogue.py
@@ -22,7 +22,8 @@
     ),
     "process.stopped": LogEvent("the process exits", ("host",)),
     "process.delayed": LogEvent(
-        "the process was paused, or short of processor time, for this long",
+        "the process was paused, or short of processor time, for this long; "
+        "delays of more than 200 ms are logged",
         ("delay_ms",),
     ),
     "drain.started": LogEvent(
@@ -194,9 +195,9 @@
         ("job", "task", "run", "link", "free", "slowness"),
     ),
     "task.ended": LogEvent(
-        "a run ended, as the server reports it or because it cannot still "
-        "run, or was lost to another scheduler; `reason` is the evidence for "
-        "that; `link` leads to the host that offered the task, if one did",
+        "a run ended, as the server reports it or because it is known to be "
+        "over, or was lost to another scheduler; `reason` is the evidence; "
+        "`link` is the link to the host that offered the task, if one did",
         ("job", "task", "run", "end", "where", "reason", "link"),
     ),
     "task.stuck": LogEvent(
