Polled idle servers after unanswered starts, and moved all runs of a restart

Found by the search for other ways to overlapping runs: an order that got no answer and was carried out 2.5 s later started on a server that had restarted under its id, before its new incarnation had seen the higher fence. The task's next run was on the same server or on another one.

For 12 s after an unanswered start, in which the platform may carry it out, a server is polled every 250 ms also while it is idle. All runs of a restarted server move to the new incarnation, and end once that lists no run of their tasks, not only none with their number.

The test failed before for its four lags of the row.

--- a/tests/emulator/test_late_orders.py
+++ b/tests/emulator/test_late_orders.py
@@ -2,6 +2,7 @@
 
 import datetime
 import unittest
+from unittest import mock
 
 from waxwingwalk.dispatch import model
 from waxwingwalk.emulator import fleet as emulated_fleet
@@ -36,6 +37,49 @@
             execute(backend, order, reply)
 
 
+class DelayedOrderTests(unittest.TestCase):
+    """An order that is carried out 2.5 s after it was sent."""
+
+    LATE_SECONDS = 2.5
+    CRASH_MS = 1850
+    DOWN_MS = 100
+    ROW_LAGS_MS = (0, 500, 1000, 2000)
+
+    def play(self, row_lag_ms):
+        """Restart the server before the order; return the violations."""
+        fleet = emulated_fleet.Fleet(seed=1)
+        fleet.do_callers_repeat = False
+        host = fleet.add_host("host", "north")
+        fleet.add_backend("server-0", "north", CAPACITY)
+        fleet.run(milliseconds(3000))
+        fleet.late_share = 1.0
+        fleet.submit(
+            "job",
+            host,
+            1,
+            milliseconds(6000),
+            TASK_RESOURCES,
+            timeout=milliseconds(20_000),
+        )
+        fleet.late_share = 0.0
+        fleet.add_backend("server-1", "north", CAPACITY)
+        fleet.run(milliseconds(self.CRASH_MS))
+        fleet.crash_backend("server-0")
+        fleet.run(milliseconds(self.DOWN_MS))
+        fleet.restart_backend("server-0")
+        fleet.hide_backend("server-0")
+        fleet.run(milliseconds(row_lag_ms))
+        fleet.show_backend("server-0")
+        fleet.run(milliseconds(8000))
+        return fleet.checker.violations
+
+    def test_late_order_starts_nothing_on_a_restarted_idle_server(self):
+        late = (self.LATE_SECONDS, self.LATE_SECONDS)
+        with mock.patch.object(emulated_fleet, "LATE_ORDER_SECONDS", late):
+            violations = {lag: self.play(lag) for lag in self.ROW_LAGS_MS}
+        self.assertEqual(violations, dict.fromkeys(violations, []))
+
+
 class LateOrderTests(unittest.TestCase):
     def setUp(self):
         self.fleet = FreezingFleet(seed=1)
--- a/waxwingwalk/dispatch/backend.py
+++ b/waxwingwalk/dispatch/backend.py
@@ -18,6 +18,11 @@
 CLOCK_DRIFT = 0.02
 # A stop takes up to 50 ms at a backend server; 50 ms are added for its answer.
 STOP_TIME = datetime.timedelta(milliseconds=100)
+# The platform may carry out an unanswered order this long after it was sent.
+# Until then a server is polled at this interval at least, also while it is
+# idle: if it restarts, its new incarnation has to see a higher fence.
+LATE_ORDER_LIMIT = datetime.timedelta(seconds=12)
+CHECK_INTERVAL = datetime.timedelta(milliseconds=250)
 # A lease is not renewed while a stop has been unanswered for longer than this,
 # so that its expiry ends the run that the stop did not end.
 UNANSWERED_STOP_LIMIT = datetime.timedelta(milliseconds=150)
@@ -71,8 +76,8 @@
 class Run:
     """A run that occupies resources until it is known to have ended.
 
-    ``ordered_at`` and ``accepted_at`` are in observed time. ``is_listed`` is
-    set once a poll has listed the run as running.
+    ``ordered_at`` and ``accepted_at`` are in observed time. ``is_moved`` is
+    set if the server has restarted since the order.
     """
 
     order: TaskOrder
@@ -82,7 +87,7 @@
     stop_requested_at: datetime.datetime | None = None
     stop_sent_at: datetime.datetime | None = None
     is_stop_confirmed: bool = False
-    is_listed: bool = False
+    is_moved: bool = False
     # The number of the first poll that was sent after the run was settled.
     settled_by_poll: int | None = None
     is_end_reported: bool = False
@@ -138,6 +143,8 @@
         self.ejected_until: datetime.datetime | None = None
         self.is_releasing = False
         self.missing_since: datetime.datetime | None = None
+        # Until then an unanswered order may still be carried out.
+        self.order_pending_until = now
         self._clock_reading: tuple[int, datetime.datetime] | None = None
         self._slowness = 1.0
         self._slowness_until = now
@@ -210,6 +217,13 @@
         """Return whether listed ends should be acknowledged now."""
         return self.acknowledge_at is not None and now >= self.acknowledge_at
 
+    def is_check_due(self, now: datetime.datetime) -> bool:
+        """Return whether a restart of the server would matter now."""
+        if now >= self.order_pending_until:
+            return False
+        heard_at = self.last_heard_at
+        return heard_at is None or now - heard_at >= CHECK_INTERVAL
+
     def latest_lapse_time(self, now: datetime.datetime) -> datetime.datetime:
         """Return when all runs that were ever ordered have certainly ended.
 
--- a/waxwingwalk/dispatch/run_tracker.py
+++ b/waxwingwalk/dispatch/run_tracker.py
@@ -205,18 +205,18 @@
         """Schedule the new incarnation of a server that has restarted.
 
         An order names the id of a server, not its incarnation, and a server
-        that has just started obeys any fence. A run that the former
-        incarnation has not listed may therefore be active on the new one, or
-        may still start there until that one has seen ``fence``. Such a run
-        moves to the new incarnation, and ends if the first poll does not list
-        it.
+        that has just started obeys any fence. A run that was ordered before
+        may therefore be active on the new incarnation, or may still start
+        there until that one has seen ``fence``. The runs move to the new
+        incarnation, and end when a poll lists no run of their tasks.
         """
-        moved = self._remove_unlisted_runs(former)
+        moved = self._remove_runs(former)
         done = self._end_former_incarnation(former, now)
         done += self.acquire(report, fence, now)
         backend = self._backends[report.incarnation]
         for run in moved:
             run.state = backends.RunState.SETTLED
+            run.is_moved = True
             run.settled_by_poll = backend.poll_count
             run.is_stop_confirmed = False
             run.stop_sent_at = None
@@ -232,21 +232,21 @@
         The outcome of the runs that may be active there is not known.
         """
         backend = self._backends[former]
-        for run in self._remove_unlisted_runs(former):
+        for run in self._remove_runs(former):
             self._report_end(
                 backend, run, model.TaskEnd.LOST, "restarted", now
             )
         return self._end_former_incarnation(former, now)
 
-    def _remove_unlisted_runs(
+    def _remove_runs(
         self, incarnation: model.BackendIncarnation
     ) -> list[backends.Run]:
-        """Remove and return the runs that have not been listed there."""
+        """Remove and return the runs on an incarnation."""
         backend = self._backends[incarnation]
-        unlisted = [run for run in backend.runs.values() if not run.is_listed]
-        for run in unlisted:
+        removed = list(backend.runs.values())
+        for run in removed:
             self._remove_run(backend, run)
-        return unlisted
+        return removed
 
     def _end_former_incarnation(
         self, incarnation: model.BackendIncarnation, now: datetime.datetime
@@ -395,6 +395,7 @@
             backend.runs
             or backend.foreign_runs
             or backend.is_acknowledgement_due(now)
+            or backend.is_check_due(now)
             or backend.state
             in (
                 backends.BackendState.UNVERIFIED,
@@ -492,6 +493,7 @@
         now: datetime.datetime,
     ) -> effects.Effects:
         done = self._mark_suspect(backend, now, "start unanswered")
+        backend.order_pending_until = now + backends.LATE_ORDER_LIMIT
         if run.is_stop_confirmed:
             _settle_by_next_poll(backend, run, now)
             return [*done, *self._poll(backend, now)]
@@ -550,9 +552,6 @@
         backend.failed_polls = 0
         backend.next_poll_at = now
         backend.acknowledge_at = None
-        for key in running:
-            if key in backend.runs:
-                backend.runs[key].is_listed = True
         self._process_ended_runs(backend, ended, now)
         self._free_settled_runs(backend, running, now)
         done = self._verify(backend, running, now)
@@ -585,22 +584,25 @@
         running: tuple[model.RunKey, ...],
         now: datetime.datetime,
     ) -> None:
-        """Free the resources of settled runs that were never started."""
+        """Free the resources of settled runs that are not there."""
         present = set(running)
+        present_tasks = {key.task for key in running}
         for key, run in list(backend.runs.items()):
             poll = run.settled_by_poll
-            if poll is not None and backend.poll_count >= poll:
-                if key in present:
-                    run.settled_by_poll = None
-                    backend.assume_longest_lease()
-                else:
-                    self._end_run(
-                        backend,
-                        run,
-                        model.TaskEnd.NOT_RUN,
-                        "never started",
-                        now,
-                    )
+            if poll is None or backend.poll_count < poll:
+                continue
+            if key in present:
+                run.settled_by_poll = None
+                backend.assume_longest_lease()
+            elif not run.is_moved:
+                self._end_run(
+                    backend, run, model.TaskEnd.NOT_RUN, "never started", now
+                )
+            elif key.task not in present_tasks:
+                # An earlier run of the task may have started late.
+                self._end_run(
+                    backend, run, model.TaskEnd.GONE, "restarted", now
+                )
 
     def _verify(
         self,
