--- a/waxwingwalk/dispatch/backend.py
+++ b/waxwingwalk/dispatch/backend.py
@@ -204,7 +204,7 @@
         return end
 
     def assume_longest_lease(self) -> None:
-        """Take it that the server granted the longest lease just now.
+        """Assume that the server granted the longest lease just now.
 
         This holds for runs whose order was sent to a former incarnation.
         """
@@ -218,7 +218,7 @@
         return self.acknowledge_at is not None and now >= self.acknowledge_at
 
     def is_check_due(self, now: datetime.datetime) -> bool:
-        """Return whether a restart of the server would matter now."""
+        """Return whether a poll has to check that it has not restarted."""
         if now >= self.order_pending_until:
             return False
         heard_at = self.last_heard_at
