Logged what became of servers that did not list the end of a run

The logs said that a lease had expired, and later that the server had another incarnation, but neither which runs were on it nor that a silent server was alive, so a task that crashes servers, its neighbours and the tasks of a server that was only silent looked alike. run.crash_evidence tells them apart. No decision depends on it.

--- a/waxwingwalk/dispatch/backend.py
+++ b/waxwingwalk/dispatch/backend.py
@@ -77,7 +77,9 @@
     """A run that occupies resources until it is known to have ended.
 
     ``ordered_at`` and ``accepted_at`` are in observed time. ``is_moved`` is
-    set if the server has restarted since the order.
+    set if the server has restarted since the order. ``incarnation`` is the
+    one that may have started the run, ``had_company`` is whether other runs
+    were on the server meanwhile. ``fate`` is what was last recorded of it.
     """
 
     order: TaskOrder
@@ -91,6 +93,9 @@
     # The number of the first poll that was sent after the run was settled.
     settled_by_poll: int | None = None
     is_end_reported: bool = False
+    incarnation: model.BackendIncarnation | None = None
+    had_company: bool = False
+    fate: model.ServerFate | None = None
 
 
 class BackendState(enum.Enum):
@@ -174,6 +179,9 @@
 
     def add_run(self, run: Run) -> None:
         """Add a run, which occupies its resources."""
+        run.incarnation = run.incarnation or self.incarnation
+        for other in self.runs.values():
+            run.had_company = other.had_company = True
         self.runs[run.order.key] = run
         self.used = self.used + run.order.resources
         self._free = self.report.capacity - self.used
--- a/waxwingwalk/dispatch/model.py
+++ b/waxwingwalk/dispatch/model.py
@@ -255,6 +255,19 @@
     LOST = "lost"
 
 
+class ServerFate(enum.Enum):
+    """What became of a backend server that did not list the end of a run.
+
+    SILENT has not answered until the run's lease was over, and may have
+    crashed. CRASHED has started again. SOUND has answered since, and lost
+    nothing.
+    """
+
+    SILENT = "silent"
+    CRASHED = "crashed"
+    SOUND = "sound"
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class EndedRun:
     """An entry of a backend server's list of ended runs."""
--- a/waxwingwalk/dispatch/run_tracker.py
+++ b/waxwingwalk/dispatch/run_tracker.py
@@ -210,6 +210,7 @@
         there until that one has seen ``fence``. The runs move to the new
         incarnation, and end when a poll lists no run of their tasks.
         """
+        self._record_fates(self._backends[former], model.ServerFate.SILENT)
         moved = self._remove_runs(former)
         done = self._end_former_incarnation(former, now)
         done += self.acquire(report, fence, now)
@@ -232,6 +233,7 @@
         The outcome of the runs that may be active there is not known.
         """
         backend = self._backends[former]
+        self._record_fates(backend, model.ServerFate.SILENT)
         for run in self._remove_runs(former):
             self._report_end(
                 backend, run, model.TaskEnd.LOST, "restarted", now
@@ -552,6 +554,7 @@
         backend.failed_polls = 0
         backend.next_poll_at = now
         backend.acknowledge_at = None
+        self._record_answer(backend)
         self._process_ended_runs(backend, ended, now)
         self._free_settled_runs(backend, running, now)
         done = self._verify(backend, running, now)
@@ -574,6 +577,7 @@
             backend.foreign_stop_sent_at.pop(key, None)
             run = backend.runs.get(key)
             if run is not None:
+                self._record_presence(backend, run)
                 self._end_run(
                     backend, run, _task_end(entry.end), entry.end.value, now
                 )
@@ -594,12 +598,15 @@
             if key in present:
                 run.settled_by_poll = None
                 backend.assume_longest_lease()
+                self._record_presence(backend, run)
             elif not run.is_moved:
                 self._end_run(
                     backend, run, model.TaskEnd.NOT_RUN, "never started", now
                 )
             elif key.task not in present_tasks:
                 # An earlier run of the task may have started late.
+                if run.fate is model.ServerFate.SILENT:
+                    self._record_fate(run, model.ServerFate.CRASHED)
                 self._end_run(
                     backend, run, model.TaskEnd.GONE, "restarted", now
                 )
@@ -685,6 +692,7 @@
         """Give up an incarnation that this host can no longer schedule."""
         if outcome is model.CallOutcome.OTHER_INCARNATION:
             self._ended_incarnations.add(backend.incarnation)
+            self._record_fates(backend, model.ServerFate.CRASHED)
             return self.end_incarnation(backend.incarnation, now, "other life")
         return self._mark_fenced(backend, now)
 
@@ -696,6 +704,7 @@
             return []
         backend.state = backends.BackendState.FENCED
         self._usable_until = None
+        self._record_answer(backend)
         for run in list(backend.runs.values()):
             self._end_run(backend, run, model.TaskEnd.LOST, "fenced", now)
         backend.foreign_runs.clear()
@@ -794,6 +803,56 @@
                     )
                 )
 
+    # Crashes.
+
+    def _record_fates(
+        self, backend: backends.Backend, fate: model.ServerFate
+    ) -> None:
+        """Record what became of a server for all runs that it did not end.
+
+        A server that drains ends its runs when it leaves, which is no crash.
+        """
+        if backend.report.advertised_state is model.AdvertisedState.DRAINING:
+            return
+        for run in backend.runs.values():
+            self._record_fate(run, fate)
+
+    def _record_answer(self, backend: backends.Backend) -> None:
+        """Record that a server which was silent has not crashed."""
+        for run in backend.runs.values():
+            if (
+                run.fate is model.ServerFate.SILENT
+                and run.incarnation == backend.incarnation
+            ):
+                self._record_fate(run, model.ServerFate.SOUND)
+
+    def _record_presence(
+        self, backend: backends.Backend, run: backends.Run
+    ) -> None:
+        """Record that a moved run was started by the new incarnation."""
+        if run.is_moved and run.incarnation != backend.incarnation:
+            self._record_fate(run, model.ServerFate.SOUND)
+            run.incarnation = backend.incarnation
+            run.fate = None
+
+    def _record_fate(self, run: backends.Run, fate: model.ServerFate) -> None:
+        if run.fate is fate or run.incarnation is None:
+            return
+        run.fate = fate
+        self.pending_logs.append(
+            effects.Log(
+                "run.crash_evidence",
+                {
+                    "task": run.order.ref.name,
+                    "run": run.order.run,
+                    "backend": run.incarnation.backend_id,
+                    "life": run.incarnation.started_ms,
+                    "fate": fate.value,
+                    "was_alone": not run.had_company,
+                },
+            )
+        )
+
     # Time.
 
     def tick(self, now: datetime.datetime) -> effects.Effects:
@@ -819,6 +878,7 @@
         """
         if not backend.runs or now < backend.latest_lapse_time(now):
             return
+        self._record_fates(backend, model.ServerFate.SILENT)
         for run in backend.runs.values():
             run.stop_requested_at = run.stop_requested_at or now
             self._report_end(
--- a/waxwingwalk/host/log_catalogue.py
+++ b/waxwingwalk/host/log_catalogue.py
@@ -208,6 +208,12 @@
         "a server refused to start a run; the run has not started",
         ("task", "run", "backend", "reason"),
     ),
+    "run.crash_evidence": LogEvent(
+        "a server did not list the end of a run: it was `silent` until the "
+        "lease had expired, has `crashed` and started again, or answered "
+        "again and is `sound`; `was_alone` is whether nothing else ran there",
+        ("task", "run", "backend", "life", "fate", "was_alone"),
+    ),
     "log.suppressed": LogEvent(
         "lines were dropped: over the rate limit, or not read in time",
         ("lines",),
