Routed waiting jobs in the order of arrival

They are kept in the order of arrival, and foreign runs are stopped in the order in which the server lists them.

--- a/waxwingwalk/dispatch/front.py
+++ b/waxwingwalk/dispatch/front.py
@@ -55,7 +55,8 @@
         self._ownership = ownership
         self._scheduler = scheduler
         self._pending: dict[str, PendingJob] = {}
-        self._unrouted: set[str] = set()
+        # In the order of arrival.
+        self._unrouted: dict[str, None] = {}
         self._is_held = False
         self._requests = 0
 
@@ -95,13 +96,13 @@
         job = pending.job
         if self._is_held:
             pending.link = None
-            self._unrouted.add(job.job_id)
+            self._unrouted[job.job_id] = None
             return []
         address = self._choose_scheduler(now)
         if address is None:
             return self._wait_for_scheduler(pending, now)
         pending.unrouted_since = None
-        self._unrouted.discard(job.job_id)
+        self._unrouted.pop(job.job_id, None)
         log = effects.Log(
             "job.routed",
             {
@@ -128,7 +129,7 @@
         if pending.unrouted_since is None:
             pending.unrouted_since = now
         if now - pending.unrouted_since < SCHEDULER_WAIT_LIMIT:
-            self._unrouted.add(pending.job.job_id)
+            self._unrouted[pending.job.job_id] = None
             return []
         return self._answer(
             pending.job.job_id,
@@ -213,7 +214,7 @@
         retry_after: datetime.timedelta | None,
     ) -> effects.Effects:
         del self._pending[job_id]
-        self._unrouted.discard(job_id)
+        self._unrouted.pop(job_id, None)
         return [effects.AnswerJob(job_id, outcome, reason, retry_after)]
 
     def abandon(self, job_id: str, now: datetime.datetime) -> effects.Effects:
@@ -222,7 +223,7 @@
         if pending is None:
             return []
         if job_id in self._unrouted:
-            self._unrouted.discard(job_id)
+            self._unrouted.pop(job_id, None)
             return [effects.Log("job.left", {"job": job_id})]
         if pending.link is None:
             return self._scheduler.abandon(job_id, None, now)
--- a/waxwingwalk/dispatch/run_tracker.py
+++ b/waxwingwalk/dispatch/run_tracker.py
@@ -626,7 +626,9 @@
             backend.foreign_runs = {
                 key for key in running if key not in backend.runs
             }
-            for key in backend.foreign_runs:
+            for key in running:
+                if key not in backend.foreign_runs:
+                    continue
                 sent = backend.foreign_stop_sent_at.get(key)
                 if sent is None or now - sent > STOP_RETRY:
                     backend.foreign_stop_sent_at[key] = now
