--- a/waxwingwalk/emulator/backend.py
+++ b/waxwingwalk/emulator/backend.py
@@ -37,7 +37,8 @@
 class TaskDefinition:
     """What a task does; known to the emulation only.
 
-    ``work`` is the run time on a server of slowness 1.
+    ``work`` is the run time on a server of slowness 1. A task with a
+    ``crash_delay`` crashes each server on which it has run that long.
     """
 
     spec: str
@@ -45,6 +46,7 @@
     resources: model.Resources
     work: datetime.timedelta
     fails: bool = False
+    crash_delay: datetime.timedelta | None = None
 
 
 class Observer:
@@ -63,6 +65,11 @@
         ``end`` is the value of a ``RunEnd``, or ``crashed``.
         """
 
+    def server_crashed(
+        self, backend: "EmulatedBackend", key: model.RunKey
+    ) -> None:
+        """Handle that a run is about to crash its server."""
+
 
 class EmulatedBackend:
     """A backend server with a capacity, a fence and a lease.
@@ -150,6 +157,10 @@
         running = RunningTask(order.run, definition.resources)
         self.runs[order.run] = running
         self._observer.run_started(self, order.run, order.spec)
+        if definition.crash_delay is not None:
+            self._timeline.call_later(
+                definition.crash_delay, lambda: self._crash_under(running)
+            )
         if not self.is_stuck:
             end = "failed" if definition.fails or self.fails_all else "done"
             work = definition.work * self.slowness
@@ -238,6 +249,10 @@
 
     # Ends of runs.
 
+    def _crash_under(self, running: RunningTask) -> None:
+        if self.runs.get(running.key) is running:
+            self._observer.server_crashed(self, running.key)
+
     def _extend_lease(self, lease_ends_ms: int) -> None:
         capped = min(lease_ends_ms, self.server_clock_ms + LEASE_MAX_MS)
         self._lease_ends_ms = max(self._lease_ends_ms, capped)
--- a/waxwingwalk/emulator/fleet.py
+++ b/waxwingwalk/emulator/fleet.py
@@ -39,6 +39,9 @@
 # A message that was on its way for longer closes its link when it arrives.
 MESSAGE_DELAY_MAX = datetime.timedelta(milliseconds=600)
 
+# How long a task runs before it crashes its server.
+CRASH_DELAY = datetime.timedelta(milliseconds=20)
+
 SERVICE = "refunds"
 Outcome = model.CallOutcome
 
@@ -108,6 +111,22 @@
         self.has_exited = False
 
 
+class _CrashObserver(guarantees.GuaranteeChecker):
+    """Checks the guarantees, and crashes the servers that tasks crash."""
+
+    def __init__(self, fleet: "Fleet") -> None:
+        super().__init__(fleet.timeline, fleet.task_definitions)
+        self._fleet = fleet
+
+    def server_crashed(
+        self,
+        backend: emulated_backend.EmulatedBackend,
+        key: model.RunKey,
+    ) -> None:
+        super().server_crashed(backend, key)
+        self._fleet.crash_and_restart(backend.report.incarnation.backend_id)
+
+
 class Fleet:
     """Hosts, backend servers and callers on one timeline."""
 
@@ -122,9 +141,7 @@
         self.timeline = emulator_timeline.Timeline()
         self.random = random.Random(seed)
         self.task_definitions: dict[str, emulated_backend.TaskDefinition] = {}
-        self.checker = guarantees.GuaranteeChecker(
-            self.timeline, self.task_definitions
-        )
+        self.checker: guarantees.GuaranteeChecker = _CrashObserver(self)
         self.hosts: dict[str, Host] = {}
         self.backends: dict[str, emulated_backend.EmulatedBackend] = {}
         self.listed_backends: dict[str, model.BackendReport] = {}
@@ -150,6 +167,12 @@
             tuple[model.BackendReport, ...] | None
         ) = None
         self.do_callers_repeat = True
+        # A server that a task has crashed is back after this time, under its
+        # id or under another one at the same address.
+        self.crash_down_time = datetime.timedelta(seconds=3)
+        self.do_servers_keep_ids = True
+        # The ids that have replaced others.
+        self._replacements: dict[str, str] = {}
         self._rows: dict[str, tuple[int, pool_rows.PoolRow]] = {}
         self._last_version = 0
         self._last_link_number = 0
@@ -310,6 +333,45 @@
 
         self.timeline.call_later(ROW_EXPIRY, expire)
 
+    def crash_and_restart(self, backend_id: str) -> None:
+        """Crash a backend server, which is back after ``crash_down_time``."""
+        self.crash_backend(backend_id)
+
+        def restart() -> None:
+            if self.backends[backend_id].is_up:
+                return
+            if self.do_servers_keep_ids:
+                self.restart_backend(backend_id)
+            else:
+                self.replace_backend(backend_id)
+
+        self.timeline.call_later(self.crash_down_time, restart)
+
+    def replace_backend(self, backend_id: str) -> None:
+        """Start a server under a new id at the address of a crashed one."""
+        former = self.backends[backend_id]
+        new_id = f"{backend_id}+"
+        self._replacements[backend_id] = new_id
+        self.listed_backends.pop(backend_id, None)
+        self.add_backend(
+            new_id,
+            former.report.zone,
+            former.report.capacity,
+            former.slowness,
+        )
+
+    def resize_backend(
+        self, backend_id: str, capacity: model.Resources
+    ) -> None:
+        """Change the capacity of a backend server, which says so at once."""
+        backend = self.backends[backend_id]
+        former = backend.report.capacity
+        backend.report = dataclasses.replace(backend.report, capacity=capacity)
+        if backend_id in self.listed_backends:
+            self.listed_backends[backend_id] = backend.report
+        if not capacity.holds(former):
+            self.checker.record_shrinkage(backend_id, former)
+
     def hide_backend(self, backend_id: str) -> None:
         """Remove the row of a backend server, which goes on running."""
         self.listed_backends.pop(backend_id, None)
@@ -350,10 +412,14 @@
         estimate: datetime.timedelta | None = None,
         timeout: datetime.timedelta = datetime.timedelta(seconds=3),
         fails: bool = False,
+        crashing_tasks: int = 0,
         queue: str = "q",
         priority: int = 0,
     ) -> Caller:
-        """Submit a job of equal tasks at a host."""
+        """Submit a job of equal tasks at a host.
+
+        Its first ``crashing_tasks`` tasks crash the servers that start them.
+        """
         now = self.timeline.now()
         estimate = estimate or work
         step = model.Step(tasks, resources, estimate)
@@ -372,7 +438,12 @@
         for index in range(tasks):
             name = model.TaskRef(job_id, 0, index).name
             self.task_definitions[name] = emulated_backend.TaskDefinition(
-                job.spec, SERVICE, resources, work, fails
+                job.spec,
+                SERVICE,
+                resources,
+                work,
+                fails,
+                CRASH_DELAY if index < crashing_tasks else None,
             )
         caller = Caller(job, now, job.due - now, timeout)
         self.callers[job_id] = caller
@@ -461,6 +532,8 @@
         caller.answered_at = self.timeline.now()
         if effect.outcome is outcomes.DONE:
             self.checker.check_done_job(effect.job_id)
+        elif effect.outcome is outcomes.FAILED:
+            self.checker.check_failed_job(effect.job_id)
 
     def check_refused_jobs(self) -> None:
         """Check the jobs whose every attempt was refused as not run.
@@ -761,6 +834,11 @@
             or order.incarnation.backend_id in self.unreachable_backends
             or self._are_zones_partitioned(host.zone, backend.report.zone)
         ):
+            replacement = self._replacements.get(order.incarnation.backend_id)
+            if replacement is not None and self.backends[replacement].is_up:
+                other = _unanswered_event(order, Outcome.OTHER_INCARNATION)
+                self._apply_later(host, LINK_DELAY, other)
+                return
             lost = _unanswered_event(order, Outcome.UNKNOWN)
             self._apply_later(host, CALL_TIMEOUT + wait, lost)
             return
--- a/waxwingwalk/emulator/guarantees.py
+++ b/waxwingwalk/emulator/guarantees.py
@@ -15,6 +15,13 @@
 # learn that a server is draining. Drain violations of all hosts are ignored
 # until contact has been back for this long.
 CONTACT_GRACE = datetime.timedelta(seconds=3)
+# Once this many servers have crashed under a task, it may be started fewer
+# times more than this.
+CRASHES_MAX = 3
+LATER_STARTS_MAX = 3
+# A capacity that has shrunk counts from this time on, which is the time that
+# hosts have to regain contact, and a heartbeat of the server.
+SHRINK_GRACE = CONTACT_GRACE + datetime.timedelta(seconds=1)
 
 
 class Guarantee(enum.Enum):
@@ -29,6 +36,8 @@
     COMPLETENESS = (
         "a job was answered as done before all of its tasks were done"
     )
+    CRASHES = "a task that crashes servers was started again and again"
+    FAILURE = "a job was answered as failed though none of its tasks failed"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -55,6 +64,13 @@
         self._done_tasks: set[str] = set()
         self._unreachable: set[str] = set()
         self._contact_regained_at: datetime.datetime | None = None
+        self._crashes: collections.Counter[str] = collections.Counter()
+        self._later_starts: collections.Counter[str] = collections.Counter()
+        self._failed_jobs: set[str] = set()
+        # Capacities before they shrank, and when that was.
+        self._former_capacities: dict[
+            str, tuple[datetime.datetime, model.Resources]
+        ] = {}
         self.started_jobs: set[str] = set()
         self.starts = 0
         self.violations: list[Violation] = []
@@ -90,6 +106,25 @@
         """Record the restart of a backend server, which ends its drain."""
         self._draining_since.pop(backend_id, None)
 
+    def record_shrinkage(
+        self, backend_id: str, former: model.Resources
+    ) -> None:
+        """Record that a server's capacity is no longer ``former``."""
+        self._former_capacities[backend_id] = (self._timeline.now(), former)
+
+    def _capacity(
+        self, backend: emulated_backend.EmulatedBackend
+    ) -> model.Resources:
+        """Return the capacity that has to be observed now."""
+        report = backend.report
+        former = self._former_capacities.get(report.incarnation.backend_id)
+        if former is not None:
+            shrunk_at, capacity = former
+            elapsed = self._timeline.now() - shrunk_at
+            if elapsed <= SHRINK_GRACE or not self._has_contact:
+                return capacity
+        return report.capacity
+
     def run_started(
         self,
         backend: emulated_backend.EmulatedBackend,
@@ -104,7 +139,7 @@
         used = model.Resources()
         for run in backend.runs.values():
             used = used + run.resources
-        if not backend.report.capacity.holds(used):
+        if not self._capacity(backend).holds(used):
             self._record(Guarantee.CAPACITY, f"{where}: {used}")
         definition = self._task_definitions.get(key.task)
         if definition is None or definition.spec != spec:
@@ -119,6 +154,18 @@
         ):
             self._record(Guarantee.DRAIN, where)
         self.started_jobs.add(key.task.partition(".")[0])
+        if self._crashes[key.task] >= CRASHES_MAX:
+            self._later_starts[key.task] += 1
+            if self._later_starts[key.task] >= LATER_STARTS_MAX:
+                self._record(Guarantee.CRASHES, where)
+
+    def server_crashed(
+        self,
+        backend: emulated_backend.EmulatedBackend,
+        key: model.RunKey,
+    ) -> None:
+        self._crashes[key.task] += 1
+        self._failed_jobs.add(key.task.partition(".")[0])
 
     def run_ended(
         self,
@@ -129,6 +176,8 @@
         self._run_counts[key.task] -= 1
         if end == "done":
             self._done_tasks.add(key.task)
+        elif end == "failed":
+            self._failed_jobs.add(key.task.partition(".")[0])
 
     def check_done_job(self, job_id: str) -> None:
         """Check that all tasks of a job that was answered as done are done."""
@@ -136,6 +185,11 @@
             if task.startswith(f"{job_id}.") and task not in self._done_tasks:
                 self._record(Guarantee.COMPLETENESS, task)
 
+    def check_failed_job(self, job_id: str) -> None:
+        """Check that a task of a job that was answered as failed did fail."""
+        if job_id not in self._failed_jobs:
+            self._record(Guarantee.FAILURE, job_id)
+
     def check_refused_job(self, job_id: str) -> None:
         """Check that no task ran if all attempts were refused as not run."""
         if job_id in self.started_jobs:
--- a/waxwingwalk/emulator/scenario.py
+++ b/waxwingwalk/emulator/scenario.py
@@ -319,6 +319,32 @@
             lambda: self.fleet.unreachable_backends.discard(name),
         )
 
+    def _submit_crashing(self) -> None:
+        host = self._choose_host()
+        if host is None:
+            return
+        self._job_number += 1
+        self.fleet.submit(
+            f"{self._job_number:016x}",
+            host,
+            self._random.randint(1, 4),
+            datetime.timedelta(milliseconds=200),
+            TASK_RESOURCES,
+            timeout=datetime.timedelta(seconds=10),
+            crashing_tasks=1,
+        )
+
+    def _shrink_backend(self) -> None:
+        name = self._choose_backend()
+        if name is None:
+            return
+        shrunk = model.Resources(CAPACITY.processors // 2, CAPACITY.memory)
+        self.fleet.resize_backend(name, shrunk)
+        self._call_later(
+            self._random.uniform(4, 8),
+            lambda: self.fleet.resize_backend(name, CAPACITY),
+        )
+
     def _restart_quickly(self) -> None:
         name = self._choose_backend()
         if name is None:
@@ -386,3 +412,5 @@
 )
 # A server that restarts under its id before its scheduler has noticed.
 RESTART_FAULTS = ("restart_quickly",)
+# Tasks that crash servers, and servers whose capacity shrinks for a while.
+CRASH_FAULTS = ("submit_crashing", "shrink_backend")
