Bounded the starts of tasks that may crash servers

In the emulator a task was started at intervals of 1.1 s until its deadline, on server after server.

A run that ended with its server is now evidence on its task: the server is silent, has crashed or answers again. Hosts send each other this evidence, so that it outlives the scheduler; the start of a suspect task is evidence before its end. One possible crash: the task gets a server of its own if one is idle; two: it runs on no other; three: it is not started until a silent server is found alive, and its job is failed if all three have crashed. So there is no fourth start, but for first starts of which a scheduler told nobody before it was lost. Tasks beside it are done; silence alone never fails a job. Suspect tasks occupy a quarter of the usable servers at most.

--- a/waxwingwalk/dispatch/backend.py
+++ b/waxwingwalk/dispatch/backend.py
@@ -52,7 +52,8 @@
     """One run of a task, as described by the scheduler of its job.
 
     ``requester_link`` is the link to the host that offered the task, None if
-    this host schedules the job.
+    this host schedules the job. The run of a task that ``is_suspect`` may
+    crash its server; one that ``runs_alone`` shares it with no other.
     """
 
     ref: model.TaskRef
@@ -65,6 +66,8 @@
     label: str | None
     max_per_backend: int | None
     requester_link: int | None
+    is_suspect: bool = False
+    runs_alone: bool = False
 
     @property
     def key(self) -> model.RunKey:
@@ -118,6 +121,7 @@
 
     ``foreign_runs`` are runs that a former scheduler started.
     ``acknowledged`` is the serial number of the last end that was processed.
+    ``reserved_for`` is the task for which the server is being emptied.
     """
 
     def __init__(
@@ -147,6 +151,8 @@
         self.learned_slowness = speeds.LearnedSlowness()
         self.ejected_until: datetime.datetime | None = None
         self.is_releasing = False
+        self.is_exclusive = False
+        self.reserved_for: str | None = None
         self.missing_since: datetime.datetime | None = None
         # Until then an unanswered order may still be carried out.
         self.order_pending_until = now
@@ -183,12 +189,16 @@
         for other in self.runs.values():
             run.had_company = other.had_company = True
         self.runs[run.order.key] = run
+        self.is_exclusive = self.is_exclusive or run.order.runs_alone
         self.used = self.used + run.order.resources
         self._free = self.report.capacity - self.used
 
     def remove_run(self, run: Run) -> None:
         """Free the resources of a run that is over."""
         del self.runs[run.order.key]
+        self.is_exclusive = any(
+            other.order.runs_alone for other in self.runs.values()
+        )
         self.used = self.used - run.order.resources
         self._free = self.report.capacity - self.used
 
@@ -277,12 +287,35 @@
 
         A run for an earlier request for the same job may have the same key.
         """
+        if self.is_exclusive or (order.runs_alone and self.runs):
+            return False
+        if self.reserved_for not in (None, order.ref.name):
+            return False
         return (
             self.free.holds(order.resources)
             and order.key not in self.runs
             and self._is_below_step_limit(order)
         )
 
+    @property
+    def is_shared(self) -> bool:
+        """Whether any task may start here beside the others."""
+        return not self.is_exclusive and self.reserved_for is None
+
+    def expected_idle_time(self, now: datetime.datetime) -> datetime.datetime:
+        """Return when the runs that are here now are expected to have ended.
+
+        The time is an observed one.
+        """
+        slowness = self.slowness(now)
+        return max(
+            (
+                run.ordered_at + run.order.estimate * slowness
+                for run in self.runs.values()
+            ),
+            default=self._observed.at(now),
+        )
+
     def can_fit_when_idle(self, order: TaskOrder) -> bool:
         """Return whether a task would fit here if nothing else ran."""
         return (
--- a/waxwingwalk/dispatch/job_record.py
+++ b/waxwingwalk/dispatch/job_record.py
@@ -41,7 +41,8 @@
     ``stuck_on`` are the ids of the servers on which a run of it was stuck.
     ``started_at`` is when its latest run was placed, in observed time.
     ``over_at`` is set if the host to which it is offered was lost: by then
-    its run has certainly ended.
+    its run has certainly ended. ``lost_runs`` counts such runs. A task that
+    ``is_held`` is not started, as it may crash another server.
     """
 
     ref: model.TaskRef
@@ -54,6 +55,8 @@
     refused_by: set[int] = dataclasses.field(default_factory=set)
     stuck_on: set[str] = dataclasses.field(default_factory=set)
     over_at: datetime.datetime | None = None
+    lost_runs: int = 0
+    is_held: bool = False
 
 
 class JobRecord:
@@ -99,15 +102,31 @@
         return not any(self._unfinished)
 
     def ready_tasks(self) -> list[TaskRecord]:
-        """Return the waiting tasks whose preceding steps are complete.
+        """Return the tasks that may start now.
 
         The list must not be modified.
         """
         if self._ready_tasks is None:
-            self._ready_tasks = self._find_ready_tasks()
+            self._ready_tasks = [
+                task for task in self.due_tasks() if not task.is_held
+            ]
         return self._ready_tasks
 
-    def _find_ready_tasks(self) -> list[TaskRecord]:
+    def hold(self, task: TaskRecord, is_held: bool) -> None:
+        """Start a task no more, or allow it again."""
+        if task.is_held is not is_held:
+            task.is_held = is_held
+            self._ready_tasks = None
+
+    def find_task(self, name: str) -> TaskRecord | None:
+        """Return the task with a name, None if there is none."""
+        return next(
+            (each for each in self.tasks.values() if each.ref.name == name),
+            None,
+        )
+
+    def due_tasks(self) -> list[TaskRecord]:
+        """Return the waiting tasks whose preceding steps are complete."""
         steps = self.job.steps
         is_startable = [
             not any(self._unfinished[earlier] for earlier in step.after)
--- a/waxwingwalk/dispatch/messages.py
+++ b/waxwingwalk/dispatch/messages.py
@@ -61,7 +61,10 @@
 
 @dataclasses.dataclass(slots=True)
 class OfferTask:
-    """Asks the receiver to run one task at once; TaskEnded follows."""
+    """Asks the receiver to run one task at once; TaskEnded follows.
+
+    A task that ``must_run_alone`` may crash its server.
+    """
 
     job_id: str
     step: int
@@ -75,6 +78,7 @@
     due_in_ms: float
     label: str | None
     max_per_backend: int | None
+    must_run_alone: bool = False
     kind: Literal["offer_task"] = "offer_task"
 
 
@@ -167,6 +171,14 @@
     kind: Literal["release_backend"] = "release_backend"
 
 
+@dataclasses.dataclass(slots=True)
+class ReportCrashes:
+    """What the sender knows of servers that did not list the end of runs."""
+
+    evidence: list[model.CrashEvidence]
+    kind: Literal["report_crashes"] = "report_crashes"
+
+
 Message = (
     SubmitJob
     | AbandonJob
@@ -178,6 +190,7 @@
     | KeepAlive
     | ShareCatalog
     | ReleaseBackend
+    | ReportCrashes
 )
 
 
--- a/waxwingwalk/dispatch/model.py
+++ b/waxwingwalk/dispatch/model.py
@@ -268,6 +268,15 @@
     SOUND = "sound"
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class CrashEvidence:
+    """What is known of a server that did not list the end of a task's run."""
+
+    task: str
+    incarnation: BackendIncarnation
+    fate: ServerFate
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class EndedRun:
     """An entry of a backend server's list of ended runs."""
--- a/waxwingwalk/dispatch/peer_tasks.py
+++ b/waxwingwalk/dispatch/peer_tasks.py
@@ -60,6 +60,7 @@
         due_in_ms=model.milliseconds(time_left),
         label=order.label,
         max_per_backend=order.max_per_backend,
+        must_run_alone=order.runs_alone,
     )
 
 
@@ -78,6 +79,8 @@
         label=message.label,
         max_per_backend=message.max_per_backend,
         requester_link=link,
+        is_suspect=message.must_run_alone,
+        runs_alone=message.must_run_alone,
     )
 
 
--- a/waxwingwalk/dispatch/reducer.py
+++ b/waxwingwalk/dispatch/reducer.py
@@ -18,6 +18,7 @@
 
 from waxwingwalk.core import clock
 from waxwingwalk.dispatch import backend as backends
+from waxwingwalk.dispatch import crashes
 from waxwingwalk.dispatch import effects
 from waxwingwalk.dispatch import events
 from waxwingwalk.dispatch import front as dispatch_front
@@ -85,11 +86,13 @@
         self.ownership = dispatch_ownership.Ownership(self.hosts)
         self._observed = observed_time.ObservedTime()
         self.run_tracker = run_tracker.RunTracker(self._observed)
+        self._crash_history = crashes.CrashHistory()
         self.scheduler = dispatch_scheduler.Scheduler(
             self.run_tracker,
             job_order or ordering.PriorityThenSlack(),
             placement or dispatch_placement.FastestInTime(),
             self._observed,
+            self._crash_history,
         )
         self.front = dispatch_front.Front(
             self.hosts, self.ownership, self.scheduler
@@ -142,6 +145,7 @@
             messages.KeepAlive: self._handle_keep_alive,
             messages.ShareCatalog: self._decode_peer_catalog,
             messages.ReleaseBackend: self._record_backend_release,
+            messages.ReportCrashes: self._record_reported_crashes,
         }
 
     @property
@@ -188,12 +192,48 @@
                 done.append(effects.ReadConnections(self._pauses))
         done += self._handlers[type(event)](event, now)
         done += self.front.route_waiting(now)
+        done += self._report_crashes(now)
         done += self.scheduler.process_ended_runs(now)
         done += self._answer_local(done, now)
         done += self._announce_claims(now)
         done += self._announce_load(now)
         return done
 
+    def _report_crashes(self, now: datetime.datetime) -> effects.Effects:
+        """Record new evidence of crashes, and send it to linked hosts.
+
+        Links that a host has accepted lead to all hosts that may offer it
+        tasks or ask it for jobs. Over them the evidence on a run arrives
+        before its end.
+        """
+        evidence = self.run_tracker.crash_evidence
+        if not evidence:
+            return []
+        self.run_tracker.crash_evidence = []
+        report = messages.ReportCrashes(evidence)
+        done: effects.Effects = [
+            effects.Send(number, report)
+            for number, link in self._links.items()
+            if not link.is_outbound
+        ]
+        return done + self._record_crashes(evidence, now)
+
+    def _record_reported_crashes(
+        self,
+        message: messages.ReportCrashes,
+        link: int,
+        now: datetime.datetime,
+    ) -> effects.Effects:
+        return self._record_crashes(message.evidence, now)
+
+    def _record_crashes(
+        self, evidence: list[model.CrashEvidence], now: datetime.datetime
+    ) -> effects.Effects:
+        for each in evidence:
+            self._crash_history.record(each, now)
+        tasks = dict.fromkeys(each.task for each in evidence)
+        return self.scheduler.record_crashes(tasks, now)
+
     def _answer_local(
         self, done: effects.Effects, now: datetime.datetime
     ) -> effects.Effects:
@@ -474,6 +514,7 @@
             )
         else:
             self.hosts.inbound_link_opened(event.host, self._observed.at(now))
+        known = self._crash_history.recent(now)
         return [
             effects.Log(
                 "link.opened",
@@ -484,6 +525,11 @@
                 },
             ),
             *self._send_keep_alive(event.link, now),
+            *(
+                [effects.Send(event.link, messages.ReportCrashes(known))]
+                if known
+                else []
+            ),
         ]
 
     def _fail_link(
--- a/waxwingwalk/dispatch/run_tracker.py
+++ b/waxwingwalk/dispatch/run_tracker.py
@@ -81,6 +81,8 @@
         # processes them.
         self.ended: list[EndedTask] = []
         self.pending_logs: effects.Effects = []
+        # What is newly known of servers that did not list the end of a run.
+        self.crash_evidence: list[model.CrashEvidence] = []
         # Counts the changes that may affect the free capacity.
         self.changes = 0
         # Caches: the usable servers, until the state of a server changes
@@ -344,7 +346,11 @@
         lease_end = backend.extend_lease(now)
         if lease_end is None:
             raise ValueError(f"no clock reading from {backend!r} yet")
-        backend.add_run(backends.Run(order, self._observed.at(now)))
+        run = backends.Run(order, self._observed.at(now))
+        backend.add_run(run)
+        if order.is_suspect:
+            # Known elsewhere if this host does not live to see the end.
+            self._record_fate(run, model.ServerFate.SILENT)
         self.changes += 1
         self._backend_by_run[order.key] = backend
         self._active_run_counts[order.ref.name] += 1
@@ -578,6 +584,7 @@
             run = backend.runs.get(key)
             if run is not None:
                 self._record_presence(backend, run)
+                self._record_end(run)
                 self._end_run(
                     backend, run, _task_end(entry.end), entry.end.value, now
                 )
@@ -729,6 +736,8 @@
         now: datetime.datetime,
     ) -> None:
         """Free a run's resources, and report its end if not yet reported."""
+        if end is model.TaskEnd.NOT_RUN:
+            self._record_end(run)
         self._remove_run(backend, run)
         self._report_end(backend, run, end, reason, now)
 
@@ -822,11 +831,13 @@
     def _record_answer(self, backend: backends.Backend) -> None:
         """Record that a server which was silent has not crashed."""
         for run in backend.runs.values():
-            if (
-                run.fate is model.ServerFate.SILENT
-                and run.incarnation == backend.incarnation
-            ):
-                self._record_fate(run, model.ServerFate.SOUND)
+            if run.is_end_reported and run.incarnation == backend.incarnation:
+                self._record_end(run)
+
+    def _record_end(self, run: backends.Run) -> None:
+        """Record that a run did not crash its server."""
+        if run.fate is model.ServerFate.SILENT:
+            self._record_fate(run, model.ServerFate.SOUND)
 
     def _record_presence(
         self, backend: backends.Backend, run: backends.Run
@@ -841,11 +852,15 @@
         if run.fate is fate or run.incarnation is None:
             return
         run.fate = fate
+        evidence = model.CrashEvidence(
+            run.order.ref.name, run.incarnation, fate
+        )
+        self.crash_evidence.append(evidence)
         self.pending_logs.append(
             effects.Log(
                 "run.crash_evidence",
                 {
-                    "task": run.order.ref.name,
+                    "task": evidence.task,
                     "run": run.order.run,
                     "backend": run.incarnation.backend_id,
                     "life": run.incarnation.started_ms,
--- a/waxwingwalk/dispatch/scheduler.py
+++ b/waxwingwalk/dispatch/scheduler.py
@@ -6,6 +6,7 @@
 
 from waxwingwalk.core import clock
 from waxwingwalk.dispatch import backend as backends
+from waxwingwalk.dispatch import crashes
 from waxwingwalk.dispatch import effects
 from waxwingwalk.dispatch import job_record
 from waxwingwalk.dispatch import messages
@@ -52,11 +53,19 @@
 LONG_QUEUE_JOBS = 32
 LONG_QUEUE_DISPATCH_INTERVAL = datetime.timedelta(milliseconds=4)
 
+# The servers that tasks may have for themselves because they may crash them,
+# as a share of the usable ones. There is always one.
+MAX_ALONE_SHARE = 0.25
+
 # The reason of an answer that makes the host to which the caller is connected
 # route the job to another scheduler.
 REASON_LEAVING = "leaving"
 
+# The reason of an answer to a job that is given up for its crashes.
+REASON_CRASHES = "crashes servers"
+
 TaskState = job_record.TaskState
+Suspicion = crashes.Suspicion
 
 
 # Service, required label and resources of a task.
@@ -77,8 +86,12 @@
         job_order: ordering.JobOrder,
         placement: dispatch_placement.Placement,
         observed: observed_time.ObservedTime | None = None,
+        crash_history: crashes.CrashHistory | None = None,
     ) -> None:
         self._observed = observed or observed_time.ObservedTime()
+        self._crash_history = crash_history or crashes.CrashHistory()
+        # Servers that are being emptied for tasks that have to run alone.
+        self._reserved: dict[str, backends.Backend] = {}
         self._run_tracker = run_tracker
         self._job_order = job_order
         self._placement = placement
@@ -132,6 +145,10 @@
         if job.job_id in self._jobs:
             # Another request for the same job has no answer yet.
             return self._answer(record, model.JobOutcome.LOST, "twice", now)
+        if not self._is_allowed_to_run(record):
+            return self._answer(
+                record, model.JobOutcome.FAILED, REASON_CRASHES, now
+            )
         reason = self._refusal_reason(record, now)
         if reason is not None:
             return self._answer(record, model.JobOutcome.NOT_RUN, reason, now)
@@ -308,6 +325,8 @@
     ) -> effects.Effects:
         done: effects.Effects = []
         for task in record.tasks_over_at_lost_peers(now):
+            task.lost_runs += 1
+            record.hold(task, self._suspicion(task) is Suspicion.HELD)
             done += self._record_task_end(
                 task.ref,
                 task.run,
@@ -436,6 +455,7 @@
             for backend in self._run_tracker.usable(now)
             if backend.report.service == service
             and backend.report.zone == pool
+            and backend.is_shared
             and backend.free.processors > 0
         ]
         free_capacity.sort(key=lambda each: each.slowness)
@@ -465,6 +485,7 @@
         """Start tasks of waiting jobs, in the job order."""
         if self._are_starts_held:
             return []
+        self._cancel_reservations(now)
         if (
             self._is_queue_long
             and now - self._dispatched_at < LONG_QUEUE_DISPATCH_INTERVAL
@@ -502,14 +523,22 @@
             if self._has_unfinished_run(task.ref.name):
                 continue
             started = self._start_or_offer(record, task, now)
-            if not started:
+            if not started and self._suspicion(task) is Suspicion.NONE:
+                # The other tasks of the step need as much capacity.
                 break
             done += started
         return done
 
     def _has_ready_tasks(self) -> bool:
-        """Return whether ready tasks of this host's own jobs wait."""
-        return any(record.ready_tasks() for record in self._jobs.values())
+        """Return whether ready tasks of this host's own jobs wait.
+
+        Those that wait for a server of their own leave others free.
+        """
+        return any(
+            task.ref.name not in self._reserved
+            for record in self._jobs.values()
+            for task in record.ready_tasks()
+        )
 
     def _has_unfinished_run(self, task: str) -> bool:
         """Return whether a run for an earlier request may still be active."""
@@ -534,11 +563,15 @@
     ) -> effects.Effects:
         """Start a task here or offer it to a peer; no effects if it waits."""
         order = record.task_order(task, task.run + 1)
-        backend = self._choose_backend(
-            order, record.job.due, now, task.stuck_on
+        suspicion = self._suspicion(task)
+        backend = self._choose_by_suspicion(
+            order, suspicion, record.job.due, now, task.stuck_on
         )
         if backend is None:
+            if order.runs_alone and self._reserve(order, now):
+                return []
             return self._offer_to_peer(record, task, order, now)
+        self._cancel_reservation(task.ref.name)
         record.mark_placed(
             task,
             order.run,
@@ -550,6 +583,120 @@
             *self._run_tracker.start(order, backend, now),
         ]
 
+    def _suspicion(self, task: job_record.TaskRecord) -> Suspicion:
+        return self._crash_history.suspicion(task.ref.name, task.lost_runs)
+
+    def _choose_by_suspicion(
+        self,
+        order: backends.TaskOrder,
+        suspicion: Suspicion,
+        due: datetime.datetime,
+        now: datetime.datetime,
+        avoided: Collection[str] = (),
+    ) -> backends.Backend | None:
+        """Return the server for a task that may crash it, or None.
+
+        The order is marked as suspect, and to run alone if it has to.
+        """
+        if suspicion is not Suspicion.NONE:
+            order.is_suspect = True
+        if suspicion is Suspicion.MUST_RUN_ALONE:
+            order.runs_alone = True
+        elif suspicion is Suspicion.PREFER_ALONE and self._may_isolate(
+            order, now
+        ):
+            order.runs_alone = True
+            backend = self._choose_backend(order, due, now, avoided)
+            if backend is not None:
+                return backend
+            order.runs_alone = False
+        if order.runs_alone and not self._may_isolate(order, now):
+            return None
+        return self._choose_backend(order, due, now, avoided)
+
+    def _may_isolate(
+        self, order: backends.TaskOrder, now: datetime.datetime
+    ) -> bool:
+        """Return whether a task may have a server for itself now."""
+        if order.ref.name in self._reserved:
+            return True
+        usable = self._run_tracker.usable(now)
+        isolated = sum(not each.is_shared for each in usable)
+        return isolated < max(1.0, MAX_ALONE_SHARE * len(usable))
+
+    def _reserve(
+        self, order: backends.TaskOrder, now: datetime.datetime
+    ) -> bool:
+        """Have a server emptied for a task that has to run alone.
+
+        Return whether the task is to wait, which it is not if no server of
+        this host suits it.
+        """
+        suitable = self._suitable_backends(order, now)
+        if order.ref.name not in self._reserved and self._may_isolate(
+            order, now
+        ):
+            shared = [each for each in suitable if each.is_shared]
+            if shared:
+                chosen = min(
+                    shared, key=lambda each: each.expected_idle_time(now)
+                )
+                chosen.reserved_for = order.ref.name
+                self._reserved[order.ref.name] = chosen
+        return bool(suitable)
+
+    def _cancel_reservations(self, now: datetime.datetime) -> None:
+        """Cancel the reservations for tasks that wait no longer."""
+        for task, backend in list(self._reserved.items()):
+            record = self._jobs.get(task.partition(".")[0])
+            is_waiting = record is not None and any(
+                each.ref.name == task for each in record.ready_tasks()
+            )
+            if not is_waiting or not backend.is_usable(now):
+                self._cancel_reservation(task)
+
+    def _cancel_reservation(self, task: str) -> None:
+        backend = self._reserved.pop(task, None)
+        if backend is not None:
+            backend.reserved_for = None
+
+    def _is_allowed_to_run(self, record: job_record.JobRecord) -> bool:
+        """Return whether no task of a new job is known to crash servers.
+
+        Tasks that may do so are held if necessary.
+        """
+        if self._crash_history.is_empty:
+            return True
+        for task in record.tasks.values():
+            suspicion = self._suspicion(task)
+            if suspicion is Suspicion.GIVEN_UP:
+                return False
+            record.hold(task, suspicion is Suspicion.HELD)
+        return True
+
+    def record_crashes(
+        self, tasks: Collection[str], now: datetime.datetime
+    ) -> effects.Effects:
+        """Apply new evidence in the crash history to this host's jobs.
+
+        Jobs with a task that crashes servers are given up.
+        """
+        done: effects.Effects = []
+        for name in tasks:
+            record = self._jobs.get(name.partition(".")[0])
+            task = None
+            if record is not None:
+                task = record.find_task(name)
+            if record is None or task is None:
+                continue
+            suspicion = self._suspicion(task)
+            record.hold(task, suspicion is Suspicion.HELD)
+            if suspicion is Suspicion.GIVEN_UP:
+                done += self._end_job(
+                    record, model.JobOutcome.FAILED, REASON_CRASHES, now
+                )
+        return done
+
     def _choose_backend(
         self,
         order: backends.TaskOrder,
@@ -585,6 +732,8 @@
         ]
         if not candidates:
             return None
+        if order.runs_alone:
+            return min(candidates, key=lambda each: each.slowness(now))
         return self._placement.choose(candidates, suitable, order, due, now)
 
     def _suitable_backends(
@@ -762,7 +911,7 @@
             order.ref.name
         ):
             due = now + message.due_in_ms * model.MILLISECOND
-            backend = self._choose_backend(order, due, now)
+            backend = self._choose_for_offer(order, due, now)
         if backend is None:
             refused = dispatch_run_tracker.EndedTask(
                 order, model.TaskEnd.NOT_RUN, "", model.ZERO, "declined"
@@ -784,6 +933,18 @@
             *self._run_tracker.start(order, backend, now),
         ]
 
+    def _choose_for_offer(
+        self,
+        order: backends.TaskOrder,
+        due: datetime.datetime,
+        now: datetime.datetime,
+    ) -> backends.Backend | None:
+        """Return the server to start a peer's task on, None to decline it."""
+        suspicion = self._crash_history.suspicion(order.ref.name)
+        if suspicion in (Suspicion.HELD, Suspicion.GIVEN_UP):
+            return None
+        return self._choose_by_suspicion(order, suspicion, due, now)
+
     def stop_peer_task(
         self, message: messages.StopTask, link: int, now: datetime.datetime
     ) -> effects.Effects:
@@ -872,7 +1033,7 @@
         ordinary speed if that is faster. A started job with such a task is
         answered at once, and its capacity is freed for other jobs.
         """
-        waiting = record.ready_tasks()
+        waiting = record.due_tasks()
         if not waiting:
             return False
         fastest = min(
--- a/waxwingwalk/emulator/guarantees.py
+++ b/waxwingwalk/emulator/guarantees.py
@@ -67,6 +67,7 @@
         self._crashes: collections.Counter[str] = collections.Counter()
         self._later_starts: collections.Counter[str] = collections.Counter()
         self._failed_jobs: set[str] = set()
+        self._lost_runs: collections.Counter[str] = collections.Counter()
         # Capacities before they shrank, and when that was.
         self._former_capacities: dict[
             str, tuple[datetime.datetime, model.Resources]
@@ -178,6 +179,11 @@
             self._done_tasks.add(key.task)
         elif end == "failed":
             self._failed_jobs.add(key.task.partition(".")[0])
+        elif end == "crashed":
+            # As many crashes under a task may be taken for its own.
+            self._lost_runs[key.task] += 1
+            if self._lost_runs[key.task] >= CRASHES_MAX:
+                self._failed_jobs.add(key.task.partition(".")[0])
 
     def check_done_job(self, job_id: str) -> None:
         """Check that all tasks of a job that was answered as done are done."""
