--- a/waxwingwalk/emulator/fleet.py
+++ b/waxwingwalk/emulator/fleet.py
@@ -106,6 +106,7 @@
         self.freezes_after_event = False
         self.deferred: list[Callable[[], None]] = []
         self.reducer: dispatch_reducer.Reducer | None = None
+        self.list_read_at: datetime.datetime | None = None
         self.links: dict[int, EmulatedLink] = {}
         self.link_targets: frozenset[str] = frozenset()
         self.has_exited = False
@@ -166,6 +167,8 @@
         self.listed_backends_snapshot: (
             tuple[model.BackendReport, ...] | None
         ) = None
+        # Hosts that schedule no pool read the list at this interval.
+        self.idle_list_interval = STORE_READ_INTERVAL
         self.do_callers_repeat = True
         # A server that a task has crashed is back after this time, under its
         # id or under another one at the same address.
@@ -235,6 +238,7 @@
             placement=self._placement,
         )
         host.link_targets = frozenset()
+        host.list_read_at = None
         incarnation = host.incarnation
         self._tick(host, incarnation)
         self._read_store(host, incarnation)
@@ -580,11 +584,23 @@
         self._apply(host, events.CatalogRead(self._catalog, "1"))
         self._apply(host, events.HostsListed(records))
         self._apply(host, events.PoolsListed(dict(self._rows)))
+        if not self._is_list_due(host):
+            return
+        host.list_read_at = self.timeline.now()
         reports = self.listed_backends_snapshot
         if reports is None:
             reports = tuple(self.listed_backends.values())
         self._apply(host, events.BackendsListed(reports))
 
+    def _is_list_due(self, host: Host) -> bool:
+        """Return whether a host reads the list of backend servers now."""
+        if host.list_read_at is None or host.reducer is None:
+            return True
+        if host.reducer.ownership.may_schedule:
+            return True
+        elapsed = self.timeline.now() - host.list_read_at
+        return elapsed >= self.idle_list_interval
+
     def _apply(self, host: Host, event: events.Event) -> None:
         """Apply an event to the reducer of a host and execute the effects."""
         if host.is_frozen:
