--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -15,6 +15,8 @@
 # Long tasks outlast the grace of backend servers that are not listed.
 LONG_WORK = 6000 * model.MILLISECOND
 LONG_DEADLINE_SECONDS = 11.0
+# How long a task runs before it crashes its server.
+CRASH_DELAY = 20 * model.MILLISECOND
 # The platform's callers retry a failed request after this delay.
 RETRY_SECONDS = 1.3
 ATTEMPTS_MAX = 5
@@ -127,9 +129,11 @@
         self.failures = []
         self.counts = RequestCounts()
 
-    def submit(self, *, is_long=False):
+    def submit(self, *, is_long=False, crashes=False):
         """Submit a job in the background."""
-        task = asyncio.create_task(self.run_job(is_long=is_long))
+        task = asyncio.create_task(
+            self.run_job(is_long=is_long, crashes=crashes)
+        )
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
@@ -141,7 +145,7 @@
             self._checker.check_refused_job(job_id)
         self._refused_jobs.clear()
 
-    def _draw_job(self, is_long):
+    def _draw_job(self, is_long, crashes):
         """Return the id and body of a new job and record its tasks."""
         self.counts.jobs += 1
         job_id = f"{self.counts.jobs:016x}"
@@ -157,6 +161,7 @@
             resources,
             work_ms * model.MILLISECOND,
             fails,
+            CRASH_DELAY if crashes else None,
         )
         for index in range(count):
             self._task_definitions[model.TaskRef(job_id, 0, index).name] = (
@@ -171,9 +176,12 @@
         body = {"spec": definition.spec, "steps": [step], "best_effort": True}
         return job_id, body
 
-    async def run_job(self, *, is_long=False):
-        """Submit a job, with retries; return whether it is done."""
-        job_id, body = self._draw_job(is_long)
+    async def run_job(self, *, is_long=False, crashes=False):
+        """Submit a job, with retries; return whether it is done.
+
+        The task of a job that ``crashes`` crashes the servers that start it.
+        """
+        job_id, body = self._draw_job(is_long, crashes)
         deadline = LONG_DEADLINE_SECONDS if is_long else DEADLINE_SECONDS
         caller = self._random.choice(self._callers)
         attempts = refusals = 0
@@ -222,6 +230,7 @@
             self._checker.check_done_job(job_id)
             return True
         self.counts.failed += 1
+        self._checker.check_failed_job(job_id)
         return False
 
 
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import contextlib
+import dataclasses
 
 from tests.soak import proxy
 from waxwingwalk.dispatch import model
@@ -354,6 +355,23 @@
     backend.slowness = slowness
 
 
+async def crashing_job(cluster, random):
+    """Submit a job whose task crashes each server that starts it."""
+    cluster.load.submit(is_long=True, crashes=True)
+
+
+async def shrink_server(cluster, random):
+    """Halve the capacity of a backend server for some seconds."""
+    name = _choose_server(cluster, random)
+    if name is None or name in cluster.cut_off_from_store:
+        return
+    capacity = cluster.endpoints[name].backend.report.capacity
+    halved = dataclasses.replace(capacity, processors=capacity.processors // 2)
+    cluster.resize_server(name, halved)
+    await asyncio.sleep(random.uniform(4, 7))
+    cluster.resize_server(name, capacity)
+
+
 _FIRST = (
     kill,
     pause,
@@ -377,12 +395,14 @@
     bad_server,
 )
 _LATER = (pause_and_reset, restart_server, unlist_server, stall_paths)
-ALL = {fault.__name__: fault for fault in (*_FIRST, *_LATER)}
+_CRASHES = (crashing_job, shrink_server)
+ALL = {fault.__name__: fault for fault in (*_FIRST, *_LATER, *_CRASHES)}
 # Routine work of operators, which must not break a request.
 PLANNED = ("terminate", "roll", "change_config")
 # Earlier seeds draw from the first faults only, so that they still play the
 # faults that they were kept for.
 FIRST_SEED_WITH_LATER = 400
+FIRST_SEED_WITH_CRASHES = 600
 
 
 def has_later(seed):
@@ -391,6 +411,11 @@
 
 
 def kinds(seed):
-    """Return the names that a seed draws from, half of them later ones."""
+    """Return the names that a seed draws from.
+
+    The first faults, the later ones and crashes are drawn equally often.
+    """
     later = _LATER * (len(_FIRST) // len(_LATER)) if has_later(seed) else ()
+    if seed >= FIRST_SEED_WITH_CRASHES:
+        later += _CRASHES * (len(_FIRST) // len(_CRASHES))
     return [fault.__name__ for fault in (*_FIRST, *later)]
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -31,6 +31,8 @@
 REGISTRATION_INTERVAL_SECONDS = 0.5
 # The row of a crashed backend server is removed after this time.
 ROW_EXPIRY_SECONDS = 1.5
+# A server that a task has crashed restarts after this time.
+CRASH_DOWN_SECONDS = 2.0
 JOBS_PER_SECOND = 20
 # The users' limit on the time until callers are served after a full outage.
 RECOVERY_LIMIT_SECONDS = 12.0
@@ -77,7 +79,7 @@
         self.timeline = platform.MonotonicTimeline()
         self.task_definitions = {}
         self.checker = guarantees.GuaranteeChecker(
-            self.timeline, self.task_definitions
+            self.timeline, self.task_definitions, self.crash_server
         )
         self.platform = platform.FaultyStore(self.random)
         self.endpoints = {}
@@ -92,6 +94,7 @@
         self._served_routes = {}
         self._runners = []
         self._background_tasks = []
+        self._restarts = set()
         self._crashed_at = {}
         # The loopback addresses depend on the process id of the soak and on
         # the seed, so that several soaks can run at the same time.
@@ -194,6 +197,10 @@
             state=report.advertised_state.value,
             born=report.incarnation.started_ms,
             seq=self.platform.version,
+            room={
+                "cpu": report.capacity.processors,
+                "mem_mb": report.capacity.memory,
+            },
         )
         row |= fields
         row = {key: value for key, value in row.items() if value is not None}
@@ -217,6 +224,31 @@
         ]
         self.platform.put("op", "config", document)
 
+    def crash_server(self, name):
+        """Crash a server under a task; it restarts under the same id."""
+        self.endpoints[name].backend.crash()
+        self.server_proxies[name].reset()
+        task = asyncio.create_task(self._restart_crashed_server(name))
+        self._restarts.add(task)
+        task.add_done_callback(self._restarts.discard)
+
+    async def _restart_crashed_server(self, name):
+        await asyncio.sleep(CRASH_DOWN_SECONDS)
+        backend = self.endpoints[name].backend
+        self.timeline.run_due()
+        if not backend.is_up:
+            backend.restart()
+            self.checker.record_restart(name)
+
+    def resize_server(self, name, capacity):
+        """Change the capacity of a server, which says so in its row."""
+        backend = self.endpoints[name].backend
+        former = backend.report.capacity
+        backend.report = dataclasses.replace(backend.report, capacity=capacity)
+        if not capacity.holds(former):
+            self.checker.record_shrinkage(name, former)
+        self.register(name)
+
     async def _renew_registrations(self):
         """Renew the rows of running servers; remove those of crashed ones."""
         while True:
@@ -285,9 +317,10 @@
 
     async def stop(self):
         """Stop all processes and servers of the soak."""
-        for task in self._background_tasks:
+        tasks = [*self._background_tasks, *self._restarts]
+        for task in tasks:
             task.cancel()
-        await asyncio.gather(*self._background_tasks, return_exceptions=True)
+        await asyncio.gather(*tasks, return_exceptions=True)
         for host in self.hosts:
             await host.stop()
         for caller in self.callers:
--- a/waxwingwalk/emulator/fleet.py
+++ b/waxwingwalk/emulator/fleet.py
@@ -112,22 +112,6 @@
         self.has_exited = False
 
 
-class _CrashObserver(guarantees.GuaranteeChecker):
-    """Checks the guarantees, and crashes the servers that tasks crash."""
-
-    def __init__(self, fleet: "Fleet") -> None:
-        super().__init__(fleet.timeline, fleet.task_definitions)
-        self._fleet = fleet
-
-    def server_crashed(
-        self,
-        backend: emulated_backend.EmulatedBackend,
-        key: model.RunKey,
-    ) -> None:
-        super().server_crashed(backend, key)
-        self._fleet.crash_and_restart(backend.report.incarnation.backend_id)
-
-
 class Fleet:
     """Hosts, backend servers and callers on one timeline."""
 
@@ -142,7 +126,9 @@
         self.timeline = emulator_timeline.Timeline()
         self.random = random.Random(seed)
         self.task_definitions: dict[str, emulated_backend.TaskDefinition] = {}
-        self.checker: guarantees.GuaranteeChecker = _CrashObserver(self)
+        self.checker = guarantees.GuaranteeChecker(
+            self.timeline, self.task_definitions, self.crash_and_restart
+        )
         self.hosts: dict[str, Host] = {}
         self.backends: dict[str, emulated_backend.EmulatedBackend] = {}
         self.listed_backends: dict[str, model.BackendReport] = {}
--- a/waxwingwalk/emulator/guarantees.py
+++ b/waxwingwalk/emulator/guarantees.py
@@ -1,6 +1,7 @@
 """Checks the guarantees of the product against all runs in an emulation."""
 
 import collections
+from collections.abc import Callable
 import dataclasses
 import datetime
 import enum
@@ -50,15 +51,20 @@
 
 
 class GuaranteeChecker(emulated_backend.Observer):
-    """Watches runs and answers, and collects violations."""
+    """Watches runs and answers, and collects violations.
+
+    ``crash_backend`` crashes the server of an id, for the tasks that do.
+    """
 
     def __init__(
         self,
         timeline: emulator_timeline.Timeline,
         task_definitions: dict[str, emulated_backend.TaskDefinition],
+        crash_backend: Callable[[str], None],
     ) -> None:
         self._timeline = timeline
         self._task_definitions = task_definitions
+        self._crash_backend = crash_backend
         self._run_counts: collections.Counter[str] = collections.Counter()
         self._draining_since: dict[str, datetime.datetime] = {}
         self._done_tasks: set[str] = set()
@@ -167,6 +173,7 @@
     ) -> None:
         self._crashes[key.task] += 1
         self._failed_jobs.add(key.task.partition(".")[0])
+        self._crash_backend(backend.report.incarnation.backend_id)
 
     def run_ended(
         self,
