Counted no crash under a run that cannot have caused it

A run that was ordered after its server had started, by the server's own clock, is no evidence. A start without an answer remains a possible crash, which holds a task after three but never fails its job. A start that a server of another id answers has not run.

The checker takes a job for rightly failed if two servers crashed under one of its tasks, which is what the users' rules say; it had been three.

Three new tests fail before.

--- a/tests/dispatch/test_crash_evidence.py
+++ b/tests/dispatch/test_crash_evidence.py
@@ -110,6 +110,40 @@
         done = self.apply(builders.polled(self.restarted, 200), 402)
         self.assertEqual(evidence(done), [("j.0.0.0", "crashed", True)])
 
+    def test_order_sent_after_the_restart_did_not_cause_it(self):
+        self.submit()
+        self.poll(Outcome.OTHER_INCARNATION, 400, self.restarted.incarnation)
+        # The server had started before the run was ordered.
+        done = self.apply(builders.polled(self.restarted, 500), 402)
+        self.assertEqual(evidence(done), [("j.0.0.0", "sound", True)])
+
+    def test_start_without_an_answer_stays_a_possible_crash(self):
+        job = builders.job(estimate=2000)
+        self.apply(events.JobSubmitted(job), 2)
+        done = self.poll(Outcome.OTHER_INCARNATION, 400)
+        self.assertEqual(evidence(done), [("j.0.0.0", "silent", True)])
+
+    def test_start_that_another_server_answers_has_not_run(self):
+        job = builders.job(estimate=2000)
+        done = self.apply(events.JobSubmitted(job), 2)
+        (start,) = builders.of_type(done, effects.StartRun)
+        done = self.apply(
+            events.RunStarted(
+                self.report.incarnation,
+                start.run,
+                Outcome.OTHER_INCARNATION,
+                None,
+            ),
+            3,
+        )
+        self.assertEqual(evidence(done), [])
+        (end,) = [
+            each.fields["end"]
+            for each in builders.of_type(done, effects.Log)
+            if each.event == "task.ended"
+        ]
+        self.assertEqual(end, "not_run")
+
     def test_run_on_the_new_incarnation_did_not_crash_the_former_one(self):
         (run,) = self.submit()
         self.poll(Outcome.OTHER_INCARNATION, 400, self.restarted.incarnation)
--- a/waxwingwalk/dispatch/backend.py
+++ b/waxwingwalk/dispatch/backend.py
@@ -79,14 +79,15 @@
 class Run:
     """A run that occupies resources until it is known to have ended.
 
-    ``ordered_at`` and ``accepted_at`` are in observed time. ``is_moved`` is
-    set if the server has restarted since the order. ``incarnation`` is the
+    ``ordered_at`` and ``accepted_at`` are in observed time, ``sent_at`` is on
+    the clock. ``is_moved`` is set if the server has restarted since the order. ``incarnation`` is the
     one that may have started the run, ``had_company`` is whether other runs
     were on the server meanwhile. ``fate`` is what was last recorded of it.
     """
 
     order: TaskOrder
     ordered_at: datetime.datetime
+    sent_at: datetime.datetime
     state: RunState = RunState.ORDERED
     accepted_at: datetime.datetime | None = None
     stop_requested_at: datetime.datetime | None = None
@@ -208,6 +209,13 @@
         """Record what the server's clock showed just before ``now``."""
         self._clock_reading = (server_clock_ms, now)
 
+    def uptime(self, now: datetime.datetime) -> datetime.timedelta | None:
+        """Return for how long the server has run at least, if it is known."""
+        if self._clock_reading is None:
+            return None
+        server_clock_ms, read_at = self._clock_reading
+        return server_clock_ms * model.MILLISECOND + (now - read_at)
+
     def extend_lease(self, now: datetime.datetime) -> int | None:
         """Return the end of a new lease on the server's clock, in ms.
 
--- a/waxwingwalk/dispatch/run_tracker.py
+++ b/waxwingwalk/dispatch/run_tracker.py
@@ -212,7 +212,7 @@
         there until that one has seen ``fence``. The runs move to the new
         incarnation, and end when a poll lists no run of their tasks.
         """
-        self._record_fates(self._backends[former], model.ServerFate.SILENT)
+        self._record_silence(self._backends[former])
         moved = self._remove_runs(former)
         done = self._end_former_incarnation(former, now)
         done += self.acquire(report, fence, now)
@@ -235,7 +235,7 @@
         The outcome of the runs that may be active there is not known.
         """
         backend = self._backends[former]
-        self._record_fates(backend, model.ServerFate.SILENT)
+        self._record_silence(backend)
         for run in self._remove_runs(former):
             self._report_end(
                 backend, run, model.TaskEnd.LOST, "restarted", now
@@ -346,7 +346,7 @@
         lease_end = backend.extend_lease(now)
         if lease_end is None:
             raise ValueError(f"no clock reading from {backend!r} yet")
-        run = backends.Run(order, self._observed.at(now))
+        run = backends.Run(order, self._observed.at(now), now)
         backend.add_run(run)
         if order.is_suspect:
             # Known elsewhere if this host does not live to see the end.
@@ -471,7 +471,12 @@
                 return []
             case outcomes.UNKNOWN:
                 return self._handle_unanswered_start(backend, run, now)
-            case outcomes.FENCED | outcomes.OTHER_INCARNATION:
+            case outcomes.FENCED:
+                return self._handle_lost_backend(backend, outcome, now)
+            case outcomes.OTHER_INCARNATION:
+                self._end_run(
+                    backend, run, model.TaskEnd.NOT_RUN, outcome.value, now
+                )
                 return self._handle_lost_backend(backend, outcome, now)
             case outcomes.UNHEALTHY | outcomes.NOT_SENT:
                 self._end_run(
@@ -612,8 +617,10 @@
                 )
             elif key.task not in present_tasks:
                 # An earlier run of the task may have started late.
-                if run.fate is model.ServerFate.SILENT:
-                    self._record_fate(run, model.ServerFate.CRASHED)
+                if not _is_older(run, backend, now):
+                    self._record_end(run)
+                elif run.fate is model.ServerFate.SILENT:
+                    self._record_crash(run)
                 self._end_run(
                     backend, run, model.TaskEnd.GONE, "restarted", now
                 )
@@ -701,7 +708,7 @@
         """Give up an incarnation that this host can no longer schedule."""
         if outcome is model.CallOutcome.OTHER_INCARNATION:
             self._ended_incarnations.add(backend.incarnation)
-            self._record_fates(backend, model.ServerFate.CRASHED)
+            self._record_crashes(backend)
             return self.end_incarnation(backend.incarnation, now, "other life")
         return self._mark_fenced(backend, now)
 
@@ -816,17 +823,30 @@
 
     # Crashes.
 
-    def _record_fates(
-        self, backend: backends.Backend, fate: model.ServerFate
-    ) -> None:
-        """Record what became of a server for all runs that it did not end.
+    def _record_silence(self, backend: backends.Backend) -> None:
+        """Record that a server may have crashed under its runs.
 
         A server that drains ends its runs when it leaves, which is no crash.
         """
-        if backend.report.advertised_state is model.AdvertisedState.DRAINING:
-            return
-        for run in backend.runs.values():
-            self._record_fate(run, fate)
+        if backend.report.advertised_state is model.AdvertisedState.READY:
+            for run in backend.runs.values():
+                self._record_fate(run, model.ServerFate.SILENT)
+
+    def _record_crashes(self, backend: backends.Backend) -> None:
+        """Record that a server has crashed under its runs."""
+        if backend.report.advertised_state is model.AdvertisedState.READY:
+            for run in backend.runs.values():
+                self._record_crash(run)
+
+    def _record_crash(self, run: backends.Run) -> None:
+        """Record that a server has crashed under a run.
+
+        A start without an answer may have been sent to a server that was down
+        already, so it stays a possible crash.
+        """
+        is_answered = run.accepted_at is not None
+        fates = model.ServerFate
+        self._record_fate(run, fates.CRASHED if is_answered else fates.SILENT)
 
     def _record_answer(self, backend: backends.Backend) -> None:
         """Record that a server which was silent has not crashed."""
@@ -895,7 +915,7 @@
         """
         if not backend.runs or now < backend.latest_lapse_time(now):
             return
-        self._record_fates(backend, model.ServerFate.SILENT)
+        self._record_silence(backend)
         for run in backend.runs.values():
             run.stop_requested_at = run.stop_requested_at or now
             self._report_end(
@@ -911,6 +931,17 @@
     )
 
 
+def _is_older(
+    run: backends.Run, backend: backends.Backend, now: datetime.datetime
+) -> bool:
+    """Return whether a run was ordered before its server started.
+
+    A server's clock counts from its start, and is not fast.
+    """
+    uptime = backend.uptime(now)
+    return uptime is None or now - run.sent_at > uptime
+
+
 def _settle_by_next_poll(
     backend: backends.Backend, run: backends.Run, now: datetime.datetime
 ) -> None:
--- a/waxwingwalk/emulator/guarantees.py
+++ b/waxwingwalk/emulator/guarantees.py
@@ -20,6 +20,8 @@
 # times more than this.
 CRASHES_MAX = 3
 LATER_STARTS_MAX = 3
+# A task that has lost this many runs to crashes may be given up.
+LOST_RUNS_MAX = 2
 # A capacity that has shrunk counts from this time on, which is the time that
 # hosts have to regain contact, and a heartbeat of the server.
 SHRINK_GRACE = CONTACT_GRACE + datetime.timedelta(seconds=1)
@@ -187,9 +189,8 @@
         elif end == "failed":
             self._failed_jobs.add(key.task.partition(".")[0])
         elif end == "crashed":
-            # As many crashes under a task may be taken for its own.
             self._lost_runs[key.task] += 1
-            if self._lost_runs[key.task] >= CRASHES_MAX:
+            if self._lost_runs[key.task] >= LOST_RUNS_MAX:
                 self._failed_jobs.add(key.task.partition(".")[0])
 
     def check_done_job(self, job_id: str) -> None:
