--- a/tests/emulator/test_scenario.py
+++ b/tests/emulator/test_scenario.py
@@ -1,3 +1,4 @@
+import datetime
 import unittest
 
 from tests.emulator import mutations
@@ -14,6 +15,11 @@
 # Servers restart under their ids at this interval, in seconds, one by one.
 RESTART_INTERVAL = 1.1
 RESTARTS = 10
+# Servers restart behind cuts at this interval, in seconds, and calls of them
+# take up to CALL_DELAY longer.
+CUT_INTERVAL = 2.4
+CUTS = 5
+CALL_DELAY = datetime.timedelta(milliseconds=300)
 # Seeds that found overlapping runs.
 RESTART_SEEDS = (18, 20, 29)
 
@@ -49,6 +55,19 @@
                 self.assertEqual(result.violations, ())
                 self.assertGreater(result.done, 0)
 
+    def test_no_guarantee_is_violated_when_servers_restart_behind_cuts(self):
+        planned = [
+            (number * CUT_INTERVAL, *scenario.CUT_RESTART_FAULTS)
+            for number in range(CUTS)
+        ]
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                played = scenario.Scenario(seed, planned=planned)
+                played.fleet.call_delay = CALL_DELAY
+                result = played.run()
+                self.assertEqual(result.violations, ())
+                self.assertGreater(result.done, 0)
+
     def test_every_waiting_caller_is_served_without_faults(self):
         result = scenario.Scenario(0, faults=0).run()
         answered = result.done + result.refused + result.failed
--- a/waxwingwalk/emulator/fleet.py
+++ b/waxwingwalk/emulator/fleet.py
@@ -139,6 +139,8 @@
         self.late_share = 0.0
         # Share of calls of backend servers whose request or reply is lost.
         self.call_loss_share = 0.0
+        # Calls of backend servers, and their replies, take up to this longer.
+        self.call_delay = model.ZERO
         # Backend servers to which orders to stop a run are lost.
         self.stops_are_lost: set[str] = set()
         # Backend servers that no host can reach.
@@ -891,12 +893,26 @@
                 is_finished = True
                 self._apply(host, _unanswered_event(order, Outcome.UNKNOWN))
 
+        def reply_later(event: events.Event) -> None:
+            self.timeline.call_later(
+                self._draw_call_delay(), lambda: reply(event)
+            )
+
         if not is_request_lost:
             self.timeline.call_later(
-                LINK_DELAY, lambda: self._execute_order(backend, order, reply)
+                LINK_DELAY + self._draw_call_delay(),
+                lambda: self._execute_order(
+                    backend, order, reply_later if self.call_delay else reply
+                ),
             )
         self.timeline.call_later(CALL_TIMEOUT + wait, time_out)
 
+    def _draw_call_delay(self) -> datetime.timedelta:
+        if not self.call_delay:
+            return model.ZERO
+        # Most calls are fast, so that those that are not are overtaken.
+        return self.random.random() ** 4 * self.call_delay
+
     def _execute_order(
         self,
         backend: emulated_backend.EmulatedBackend,
--- a/waxwingwalk/emulator/scenario.py
+++ b/waxwingwalk/emulator/scenario.py
@@ -364,6 +364,35 @@
             lambda: self.fleet.show_backend(name),
         )
 
+    def _restart_behind_cut(self) -> None:
+        """Restart servers that are cut off from the store under their ids."""
+        up = [name for name, each in self.fleet.backends.items() if each.is_up]
+        for name in self._random.sample(up, min(len(up), BACKENDS_PER_ZONE)):
+            self._restart_unlisted(name)
+
+    def _restart_unlisted(self, name: str) -> None:
+        backend = self.fleet.backends[name]
+
+        def crash() -> None:
+            if backend.is_up:
+                self.fleet.crash_backend(name)
+
+        def restart() -> None:
+            if backend.is_up:
+                return
+            listed = self.fleet.listed_backends.get(name)
+            self.fleet.restart_backend(name)
+            if listed is not None:
+                self.fleet.listed_backends[name] = listed
+
+        crash_at = self._random.uniform(0, 0.5)
+        self._call_later(crash_at, crash)
+        self._call_later(crash_at + self._random.uniform(0.01, 0.6), restart)
+        self._call_later(
+            self._random.uniform(1.2, 2.2),
+            lambda: self.fleet.show_backend(name),
+        )
+
     def _result(self) -> Result:
         outcomes = [
             caller.answer.outcome
@@ -412,5 +441,7 @@
 )
 # A server that restarts under its id before its scheduler has noticed.
 RESTART_FAULTS = ("restart_quickly",)
+# Several servers at a time that do so while their rows stay as they are.
+CUT_RESTART_FAULTS = ("restart_behind_cut",)
 # Tasks that crash servers, and servers whose capacity shrinks for a while.
 CRASH_FAULTS = ("submit_crashing", "shrink_backend")
