--- a/tests/dispatch/test_run_tracker.py
+++ b/tests/dispatch/test_run_tracker.py
@@ -63,6 +63,23 @@
         self.poll(201, ended=[ended])
         self.assertTrue(backend.is_usable(builders.at(202)))
 
+    def test_lease_of_a_run_that_a_restarted_server_accepted_ends(self):
+        self.acquire()
+        order = builders.order(estimate=builders.milliseconds(5000))
+        self.run_tracker.polled(
+            self.incarnation, Outcome.ACCEPTED, 900_000, (), (), builders.at(1)
+        )
+        self.start(order)
+        # The clock of the server has started anew.
+        self.answer_start(order.key, Outcome.ACCEPTED, server_clock_ms=20)
+        self.run_tracker.polled(
+            self.incarnation, Outcome.UNKNOWN, None, (), (), builders.at(400)
+        )
+        self.run_tracker.tick(builders.at(900))
+        self.assertEqual(self.ends(), [])
+        self.run_tracker.tick(builders.at(1300))
+        self.assertEqual(self.ends(), [End.GONE])
+
     def test_lease_is_not_renewed_while_foreign_runs_are_left(self):
         self.run_tracker.acquire(self.report, FENCE, builders.START)
         self.poll(1, running=[model.RunKey("other.0.0.0", 3)])
--- a/tests/emulator/test_late_orders.py
+++ b/tests/emulator/test_late_orders.py
@@ -45,7 +45,7 @@
     DOWN_MS = 100
     ROW_LAGS_MS = (0, 500, 1000, 2000)
 
-    def play(self, row_lag_ms):
+    def play(self, row_lag_ms, crash_ms=CRASH_MS, down_ms=DOWN_MS):
         """Restart the server before the order; return the violations."""
         fleet = emulated_fleet.Fleet(seed=1)
         fleet.do_callers_repeat = False
@@ -63,9 +63,9 @@
         )
         fleet.late_share = 0.0
         fleet.add_backend("server-1", "north", CAPACITY)
-        fleet.run(milliseconds(self.CRASH_MS))
+        fleet.run(milliseconds(crash_ms))
         fleet.crash_backend("server-0")
-        fleet.run(milliseconds(self.DOWN_MS))
+        fleet.run(milliseconds(down_ms))
         fleet.restart_backend("server-0")
         fleet.hide_backend("server-0")
         fleet.run(milliseconds(row_lag_ms))
@@ -79,6 +79,19 @@
             violations = {lag: self.play(lag) for lag in self.ROW_LAGS_MS}
         self.assertEqual(violations, dict.fromkeys(violations, []))
 
+    def test_late_order_starts_nothing_on_a_server_that_was_silent_before(
+        self,
+    ):
+        late = (self.LATE_SECONDS, self.LATE_SECONDS)
+        # The server restarts 50 ms before the order reaches it. Its leases
+        # have ended long before, by the clock of its former incarnation.
+        with mock.patch.object(emulated_fleet, "LATE_ORDER_SECONDS", late):
+            violations = {
+                lag: self.play(lag, crash_ms=100, down_ms=2350)
+                for lag in self.ROW_LAGS_MS
+            }
+        self.assertEqual(violations, dict.fromkeys(violations, []))
+
 
 class LateOrderTests(unittest.TestCase):
     def setUp(self):
