Repeated no unanswered start when the lease that it carried is over

Cause: a start carries the end of its lease on the clock of the incarnation that was meant, and a scheduler that heard nothing took the run for over by that clock. A server that restarts under its id starts its clock anew and knows no fence, so it takes the order seconds late.

The end of a lease now bounds only runs that are known to have been started. A start without an answer is settled by an answer: of the same incarnation to a poll after the confirmed stop, or of a new one to a poll under its own fence; without any after 13.1 s, when no late order can run any more. A job that cannot wait for that is answered as lost at once. A server that is released to another scheduler is not waited for longer than before.

Three tests had left a start unanswered without being about that; their starts are now answered, and what they assert is unchanged. Left: a server that restarts after it has confirmed the stop, within 250 ms before the order reaches it.

--- a/tests/dispatch/test_overlapping_runs.py
+++ b/tests/dispatch/test_overlapping_runs.py
@@ -25,6 +25,13 @@
         self.first = self.add_server("server-1")
         self.order = builders.order()
         self.run_tracker.start(self.order, self.first, builders.at(2))
+        self.run_tracker.started(
+            self.first.incarnation,
+            self.order.key,
+            Outcome.ACCEPTED,
+            1001,
+            builders.at(2),
+        )
         self.run_tracker.polled(
             self.first.incarnation,
             Outcome.UNKNOWN,
--- a/tests/dispatch/test_scheduler.py
+++ b/tests/dispatch/test_scheduler.py
@@ -1,6 +1,7 @@
 import unittest
 
 from tests.dispatch import builders
+from waxwingwalk.dispatch import backend as backends
 from waxwingwalk.dispatch import effects
 from waxwingwalk.dispatch import messages
 from waxwingwalk.dispatch import model
@@ -91,10 +92,27 @@
         (again,) = self.starts(self.end(start, model.RunEnd.LAPSED, 50))
         self.assertEqual(again.run.run, 2)
 
-    def test_lapsed_task_of_an_unresponsive_server_restarts_elsewhere(self):
+    def submit_to_unresponsive_server(self, *, is_answered, **fields):
+        """Start a task on a server that does not answer later calls."""
         self.add_server("server-1")
         self.add_server("server-2")
-        (start,) = self.starts(self.submit(builders.job()))
+        (start,) = self.starts(self.submit(builders.job(**fields)))
+        if is_answered:
+            self.run_tracker.started(
+                start.incarnation,
+                start.run,
+                model.CallOutcome.ACCEPTED,
+                1003,
+                builders.at(3),
+            )
+        else:
+            self.run_tracker.started(
+                start.incarnation,
+                start.run,
+                model.CallOutcome.UNKNOWN,
+                None,
+                builders.at(352),
+            )
         self.run_tracker.polled(
             start.incarnation,
             model.CallOutcome.UNKNOWN,
@@ -103,6 +121,10 @@
             (),
             builders.at(600),
         )
+        return start
+
+    def test_lapsed_task_of_an_unresponsive_server_restarts_elsewhere(self):
+        start = self.submit_to_unresponsive_server(is_answered=True)
         self.run_tracker.tick(builders.at(900))
         self.assertEqual(
             self.starts(self.scheduler.tick(builders.at(900))), []
@@ -113,6 +135,50 @@
         self.assertNotEqual(again.incarnation, start.incarnation)
         self.assertEqual(again.run.run, 2)
 
+    def tick(self, at):
+        self.run_tracker.tick(builders.at(at))
+        return [
+            *self.scheduler.process_ended_runs(builders.at(at)),
+            *self.scheduler.tick(builders.at(at)),
+        ]
+
+    def test_unanswered_start_is_not_repeated_when_its_lease_is_over(self):
+        start = self.submit_to_unresponsive_server(
+            is_answered=False, expires=builders.at(60_000)
+        )
+        limit = backends.LATE_RUN_LIMIT / model.MILLISECOND
+        for at in range(400, int(limit), 200):
+            self.assertEqual(self.starts(self.tick(at)), [])
+        (again,) = self.starts(self.tick(int(limit) + 3))
+        self.assertNotEqual(again.incarnation, start.incarnation)
+
+    def test_unanswered_start_is_repeated_when_the_server_has_not_run_it(self):
+        start = self.submit_to_unresponsive_server(
+            is_answered=False, expires=builders.at(60_000)
+        )
+        self.tick(1200)
+        self.run_tracker.stopped(
+            start.incarnation,
+            start.run,
+            model.CallOutcome.ACCEPTED,
+            builders.at(1300),
+        )
+        self.poll(start.incarnation, 1301)
+        self.poll(start.incarnation, 1302)
+        done = self.scheduler.process_ended_runs(builders.at(1302))
+        self.assertEqual(len(self.starts(done)), 1)
+
+    def test_job_that_cannot_await_an_unanswered_start_is_answered_at_once(
+        self,
+    ):
+        self.submit_to_unresponsive_server(
+            is_answered=False, expires=builders.at(2000)
+        )
+        self.assertEqual(self.answers(self.tick(1880)), [])
+        self.assertEqual(
+            self.answers(self.tick(1910)), [(Outcome.LOST, "too late")]
+        )
+
     def test_jobs_that_start_at_once_add_no_backlog(self):
         for number in range(4):
             self.add_server(f"server-{number}")
--- a/waxwingwalk/dispatch/backend.py
+++ b/waxwingwalk/dispatch/backend.py
@@ -23,6 +23,8 @@
 # idle: if it restarts, its new incarnation has to see a higher fence.
 LATE_ORDER_LIMIT = datetime.timedelta(seconds=12)
 CHECK_INTERVAL = datetime.timedelta(milliseconds=250)
+# A run of an order that was carried out late has ended by then.
+LATE_RUN_LIMIT = LATE_ORDER_LIMIT + 1.1 * LEASE_MAX
 # A lease is not renewed while a stop has been unanswered for longer than this,
 # so that its expiry ends the run that the stop did not end.
 UNANSWERED_STOP_LIMIT = datetime.timedelta(milliseconds=150)
@@ -100,6 +102,20 @@
     incarnation: model.BackendIncarnation | None = None
     had_company: bool = False
     fate: model.ServerFate | None = None
+    # Whether it has ended unless its server has restarted.
+    has_lapsed: bool = False
+
+    def may_start(self, now: datetime.datetime) -> bool:
+        """Return whether the order may still be carried out, or have been.
+
+        A lease ends on the clock of the incarnation that was ordered. If the
+        server has restarted, its clock has, too, so the lease bounds only a
+        run that is known to have been started.
+        """
+        is_known = self.accepted_at is not None or (
+            self.state is RunState.SETTLED and self.settled_by_poll is None
+        )
+        return not is_known and now - self.sent_at < LATE_RUN_LIMIT
 
 
 class BackendState(enum.Enum):
@@ -176,7 +192,18 @@
 
     @property
     def has_active_runs(self) -> bool:
-        """Whether a run ordered here may still complete."""
+        """Whether a run ordered here may still complete.
+
+        One that has lapsed may do so only if the server has restarted.
+        """
+        return any(
+            not run.is_end_reported and not run.has_lapsed
+            for run in self.runs.values()
+        )
+
+    @property
+    def has_unsettled_runs(self) -> bool:
+        """Whether the end of a run ordered here is not known."""
         return any(not run.is_end_reported for run in self.runs.values())
 
     def update_report(self, report: model.BackendReport) -> None:
--- a/waxwingwalk/dispatch/run_tracker.py
+++ b/waxwingwalk/dispatch/run_tracker.py
@@ -149,6 +149,11 @@
         """
         return self._active_run_counts[task] > 0
 
+    def has_lapsed(self, key: model.RunKey) -> bool:
+        """Return whether it depends on a silent server how a run has ended."""
+        backend = self._backend_by_run.get(key)
+        return backend is not None and backend.runs[key].has_lapsed
+
     # Backend servers.
 
     def acquire(
@@ -330,7 +335,7 @@
                 "not listed",
                 now,
             )
-        if backend.has_active_runs:
+        if backend.has_unsettled_runs:
             return []
         return self.end_incarnation(incarnation, now, "not listed")
 
@@ -912,15 +917,19 @@
         """Report the end of runs whose lease has certainly expired.
 
         Their resources stay occupied, as the server has not listed their ends.
+        A start without an answer may yet be carried out by an incarnation of
+        the server that knows neither the fence nor the stop.
         """
         if not backend.runs or now < backend.latest_lapse_time(now):
             return
         self._record_silence(backend)
         for run in backend.runs.values():
             run.stop_requested_at = run.stop_requested_at or now
-            self._report_end(
-                backend, run, model.TaskEnd.GONE, "lease expired", now
-            )
+            run.has_lapsed = True
+            if not run.may_start(now):
+                self._report_end(
+                    backend, run, model.TaskEnd.GONE, "lease expired", now
+                )
 
 
 def _is_stop_due(run: backends.Run, now: datetime.datetime) -> bool:
--- a/waxwingwalk/dispatch/scheduler.py
+++ b/waxwingwalk/dispatch/scheduler.py
@@ -1046,13 +1046,26 @@
     def _cannot_finish_in_time(
         self, record: job_record.JobRecord, now: datetime.datetime
     ) -> bool:
-        """Return whether a ready task cannot end before the job expires.
+        """Return whether a task cannot end before the job expires.
+
+        It is one that is ready, or would start again if the end of its run on
+        a silent server were known.
 
         The task is assumed to run on the fastest usable server, or at
         ordinary speed if that is faster. A started job with such a task is
         answered at once, and its capacity is freed for other jobs.
         """
-        waiting = record.due_tasks()
+        waiting = [
+            *record.due_tasks(),
+            *(
+                task
+                for task in record.tasks.values()
+                if task.state is TaskState.PLACED
+                and self._run_tracker.has_lapsed(
+                    model.RunKey(task.ref.name, task.run)
+                )
+            ),
+        ]
         if not waiting:
             return False
         fastest = min(
