Waited for silent servers that may start a settled order late

An unanswered start that its server had refused for good (the stop was confirmed, and a poll did not list it) counted as settled even when the server was silent afterwards. If it restarts under its id, it knows nothing of the stop and takes the late order until it has seen a higher fence.

While a server with an unanswered start of a task, not older than 13.1 s, does not answer, the task is not started.

--- a/tests/dispatch/test_scheduler.py
+++ b/tests/dispatch/test_scheduler.py
@@ -157,6 +157,12 @@
             is_answered=False, expires=builders.at(60_000)
         )
         self.tick(1200)
+        self.settle(start)
+        done = self.scheduler.process_ended_runs(builders.at(1302))
+        self.assertEqual(len(self.starts(done)), 1)
+
+    def settle(self, start):
+        """Have a server confirm that it has not run an unanswered start."""
         self.run_tracker.stopped(
             start.incarnation,
             start.run,
@@ -165,8 +171,41 @@
         )
         self.poll(start.incarnation, 1301)
         self.poll(start.incarnation, 1302)
-        done = self.scheduler.process_ended_runs(builders.at(1302))
-        self.assertEqual(len(self.starts(done)), 1)
+
+    def fail_poll(self, incarnation, at):
+        self.run_tracker.polled(
+            incarnation,
+            model.CallOutcome.UNKNOWN,
+            None,
+            (),
+            (),
+            builders.at(at),
+        )
+
+    def test_settled_start_counts_again_while_its_server_is_silent(self):
+        start = self.submit_to_unresponsive_server(
+            is_answered=False, expires=builders.at(60_000)
+        )
+        task = start.run.task
+        self.settle(start)
+        self.assertFalse(
+            self.run_tracker.may_start_late(task, builders.at(1303))
+        )
+        # It may have restarted, and then knows nothing of the stop.
+        self.fail_poll(start.incarnation, 1700)
+        done = self.scheduler.process_ended_runs(builders.at(1701))
+        self.assertEqual(self.starts(done), [])
+        self.poll(start.incarnation, 1900)
+        self.assertEqual(len(self.starts(self.tick(1901))), 1)
+
+    def test_settled_start_is_forgotten_when_it_can_no_longer_run(self):
+        start = self.submit_to_unresponsive_server(
+            is_answered=False, expires=builders.at(60_000)
+        )
+        self.settle(start)
+        self.fail_poll(start.incarnation, 1700)
+        self.assertEqual(self.starts(self.tick(13_000)), [])
+        self.assertEqual(len(self.starts(self.tick(13_200))), 1)
 
     def test_job_that_cannot_await_an_unanswered_start_is_answered_at_once(
         self,
--- a/waxwingwalk/dispatch/run_tracker.py
+++ b/waxwingwalk/dispatch/run_tracker.py
@@ -74,6 +74,9 @@
         self._active_run_counts: collections.Counter[str] = (
             collections.Counter()
         )
+        # Until when an unanswered start of a task may be carried out late, by
+        # the id of the server.
+        self._late_starts: dict[str, dict[str, datetime.datetime]] = {}
         # Incarnations that are over, although the platform may list them.
         self._ended_incarnations: set[model.BackendIncarnation] = set()
         self._detector = outliers.LikelihoodDetector()
@@ -149,6 +152,31 @@
         """
         return self._active_run_counts[task] > 0
 
+    def may_start_late(self, task: str, now: datetime.datetime) -> bool:
+        """Return whether an unanswered start of a task may be carried out.
+
+        A server that answers refuses it: it knows of the stop, or of a higher
+        fence if it has restarted since. A silent one may have restarted.
+        """
+        limits = self._late_starts.get(task)
+        if limits is None:
+            return False
+        for backend_id, limit in list(limits.items()):
+            if now >= limit:
+                del limits[backend_id]
+        if not limits:
+            del self._late_starts[task]
+            return False
+        return any(
+            backend.incarnation.backend_id in limits
+            and backend.state
+            in (
+                backends.BackendState.UNVERIFIED,
+                backends.BackendState.SUSPECT,
+            )
+            for backend in self._backends.values()
+        )
+
     def has_lapsed(self, key: model.RunKey) -> bool:
         """Return whether it depends on a silent server how a run has ended."""
         backend = self._backend_by_run.get(key)
@@ -512,6 +540,10 @@
     ) -> effects.Effects:
         done = self._mark_suspect(backend, now, "start unanswered")
         backend.order_pending_until = now + backends.LATE_ORDER_LIMIT
+        limits = self._late_starts.setdefault(run.order.ref.name, {})
+        limits[backend.incarnation.backend_id] = (
+            run.sent_at + backends.LATE_RUN_LIMIT
+        )
         if run.is_stop_confirmed:
             _settle_by_next_poll(backend, run, now)
             return [*done, *self._poll(backend, now)]
@@ -899,6 +931,7 @@
 
     def tick(self, now: datetime.datetime) -> effects.Effects:
         """Repeat unanswered stops, poll, and report runs of expired leases."""
+        self._forget_late_starts(now)
         done: effects.Effects = []
         for backend in list(self._backends.values()):
             if backend.state is backends.BackendState.FENCED:
@@ -911,6 +944,14 @@
             done += self._poll(backend, now)
         return done
 
+    def _forget_late_starts(self, now: datetime.datetime) -> None:
+        """Forget the oldest starts that can no longer be carried out."""
+        while self._late_starts:
+            task, limits = next(iter(self._late_starts.items()))
+            if any(now < limit for limit in limits.values()):
+                return
+            del self._late_starts[task]
+
     def _report_lapsed_runs(
         self, backend: backends.Backend, now: datetime.datetime
     ) -> None:
--- a/waxwingwalk/dispatch/scheduler.py
+++ b/waxwingwalk/dispatch/scheduler.py
@@ -533,7 +533,7 @@
         """Start or offer ready tasks of a job while there is capacity."""
         done: effects.Effects = []
         for task in list(record.ready_tasks()):
-            if self._has_unfinished_run(task.ref.name):
+            if self._has_unfinished_run(task.ref.name, now):
                 continue
             if task.retry_at is not None and now < task.retry_at:
                 continue
@@ -555,11 +555,12 @@
             for task in record.ready_tasks()
         )
 
-    def _has_unfinished_run(self, task: str) -> bool:
-        """Return whether a run for an earlier request may still be active."""
+    def _has_unfinished_run(self, task: str, now: datetime.datetime) -> bool:
+        """Return whether an earlier run may still be active, or may start."""
         return (
             self._run_tracker.has_active_run(task)
             or task in self._stopping_at_peers
+            or self._run_tracker.may_start_late(task, now)
         )
 
     def _free_processor_share(self, now: datetime.datetime) -> float:
@@ -927,7 +928,7 @@
         has_ready_tasks = self._has_ready_tasks()
         backend = None
         if not has_ready_tasks and not self._has_unfinished_run(
-            order.ref.name
+            order.ref.name, now
         ):
             due = now + message.due_in_ms * model.MILLISECOND
             backend = self._choose_for_offer(order, due, now)
