Ended leases on the clock of the incarnation that accepted the run

A clock that goes back by more than a reply can be overtaken by shows the restart: leases granted since last a second at most.

--- a/tests/dispatch/test_run_tracker.py
+++ b/tests/dispatch/test_run_tracker.py
@@ -80,6 +80,20 @@
         self.run_tracker.tick(builders.at(1300))
         self.assertEqual(self.ends(), [End.GONE])
 
+    def test_overtaken_reply_does_not_shorten_the_lease(self):
+        self.acquire()
+        order = builders.order(estimate=builders.milliseconds(5000))
+        self.poll(1, server_clock_ms=900_000)
+        self.start(order)
+        self.answer_start(order.key, Outcome.ACCEPTED, server_clock_ms=899_000)
+        self.run_tracker.polled(
+            self.incarnation, Outcome.UNKNOWN, None, (), (), builders.at(400)
+        )
+        self.run_tracker.tick(builders.at(1300))
+        self.assertEqual(self.ends(), [])
+        self.run_tracker.tick(builders.at(2200))
+        self.assertEqual(self.ends(), [End.GONE])
+
     def test_lease_is_not_renewed_while_foreign_runs_are_left(self):
         self.run_tracker.acquire(self.report, FENCE, builders.START)
         self.poll(1, running=[model.RunKey("other.0.0.0", 3)])
--- a/waxwingwalk/dispatch/backend.py
+++ b/waxwingwalk/dispatch/backend.py
@@ -16,6 +16,9 @@
 LEASE_MAX = datetime.timedelta(seconds=1)
 # The platform allows a backend server's clock to be slow by this share.
 CLOCK_DRIFT = 0.02
+# A reply that was overtaken shows an earlier time. No call is waited for longer
+# than this.
+CLOCK_OVERTAKING_MS = 2000
 # A stop takes up to 50 ms at a backend server; 50 ms are added for its answer.
 STOP_TIME = datetime.timedelta(milliseconds=100)
 # The platform may carry out an unanswered order this long after it was sent.
@@ -233,7 +236,16 @@
     def record_clock(
         self, server_clock_ms: int, now: datetime.datetime
     ) -> None:
-        """Record what the server's clock showed just before ``now``."""
+        """Record what the server's clock showed just before ``now``.
+
+        If it has gone back, the server has restarted. What it runs was
+        started since, with leases on its new clock.
+        """
+        if self._clock_reading is not None:
+            former_ms, _ = self._clock_reading
+            if server_clock_ms < former_ms - CLOCK_OVERTAKING_MS:
+                longest_ms = int(LEASE_MAX / model.MILLISECOND)
+                self.lease_ends_ms = server_clock_ms + longest_ms
         self._clock_reading = (server_clock_ms, now)
 
     def uptime(self, now: datetime.datetime) -> datetime.timedelta | None:
