--- a/waxwingwalk/dispatch/backend.py
+++ b/waxwingwalk/dispatch/backend.py
@@ -302,6 +302,15 @@
         # An upper bound of left / (1 - CLOCK_DRIFT), which a slow clock takes.
         return read_at + left * (1 + 1.1 * CLOCK_DRIFT) + STOP_TIME
 
+    def have_foreign_lapsed(self, now: datetime.datetime) -> bool:
+        """Return whether the leases of foreign runs have certainly expired.
+
+        Their scheduler could not renew them after the first poll here.
+        """
+        heard_at = self.last_heard_at
+        longest = LEASE_MAX * (1 + 1.1 * CLOCK_DRIFT) + STOP_TIME
+        return heard_at is not None and now - heard_at > longest
+
     def may_extend_lease(self, now: datetime.datetime) -> bool:
         """Return whether the lease may be renewed.
 
--- a/waxwingwalk/dispatch/run_tracker.py
+++ b/waxwingwalk/dispatch/run_tracker.py
@@ -152,6 +152,18 @@
         """
         return self._active_run_counts[task] > 0
 
+    def has_foreign_run(self, task: str, now: datetime.datetime) -> bool:
+        """Return whether a run that another scheduler started may be active.
+
+        Its lease is not renewed, so it ends even if its server is silent.
+        """
+        return any(
+            key.task == task
+            for backend in self._backends.values()
+            if backend.foreign_runs and not backend.have_foreign_lapsed(now)
+            for key in backend.foreign_runs
+        )
+
     def may_start_late(self, task: str, now: datetime.datetime) -> bool:
         """Return whether an unanswered start of a task may be carried out.
 
--- a/waxwingwalk/dispatch/scheduler.py
+++ b/waxwingwalk/dispatch/scheduler.py
@@ -559,6 +559,7 @@
         """Return whether an earlier run may still be active, or may start."""
         return (
             self._run_tracker.has_active_run(task)
+            or self._run_tracker.has_foreign_run(task, now)
             or task in self._stopping_at_peers
             or self._run_tracker.may_start_late(task, now)
         )
