Acknowledged ends only where none can be unread

Ends are now acknowledged only in a poll that follows an answer at once, or while nothing runs there, and then no run is ordered until that is answered.

--- a/waxwingwalk/dispatch/backend.py
+++ b/waxwingwalk/dispatch/backend.py
@@ -163,6 +163,9 @@
         self.acknowledged = 0
         self.acknowledge_at: datetime.datetime | None = None
         self.is_polling = False
+        # Whether ends are being acknowledged while nothing runs: a run that
+        # ended before a late acknowledgement arrives would be forgotten.
+        self.is_acknowledging = False
         self.poll_count = 0
         self.next_poll_at = now
         self.last_heard_at: datetime.datetime | None = None
@@ -343,7 +346,9 @@
 
         A run for an earlier request for the same job may have the same key.
         """
-        if self.is_exclusive or (order.runs_alone and self.runs):
+        if self.is_exclusive or self.is_acknowledging:
+            return False
+        if order.runs_alone and self.runs:
             return False
         if self.reserved_for not in (None, order.ref.name):
             return False
--- a/waxwingwalk/dispatch/run_tracker.py
+++ b/waxwingwalk/dispatch/run_tracker.py
@@ -28,8 +28,8 @@
 POLL_RETRY = datetime.timedelta(milliseconds=60)
 POLL_RETRY_MAX = datetime.timedelta(milliseconds=500)
 # Ends on a server on which nothing runs any more are acknowledged after this
-# time, or with the next poll if a run is ordered before. This saves a call to
-# a busy server. The platform expects the acknowledgement within seconds.
+# time, or with a poll after the next one if a run is ordered before. This saves
+# a call to a busy server. The platform expects the acknowledgement within seconds.
 ACKNOWLEDGE_DELAY = datetime.timedelta(milliseconds=250)
 # An unanswered stop is sent again after this time.
 STOP_RETRY = datetime.timedelta(milliseconds=150)
@@ -461,12 +461,15 @@
             return []
         backend.is_polling = True
         backend.poll_count += 1
-        # Ends are acknowledged once, and only to a server that answers: one
-        # that has restarted counts its ends anew.
+        # A server that has restarted counts its ends anew, so ends are
+        # acknowledged only to one that has just answered, or while nothing can
+        # have ended there since.
         acknowledges = (
             backend.acknowledge_at is not None
             and backend.state is backends.BackendState.READY
+            and (not backend.runs or backend.last_heard_at == now)
         )
+        backend.is_acknowledging = acknowledges and not backend.runs
         may_extend = backend.runs and backend.may_extend_lease(now)
         may_wait = (
             backend.runs
@@ -599,6 +602,9 @@
         if backend is None:
             return []
         backend.is_polling = False
+        if backend.is_acknowledging:
+            backend.is_acknowledging = False
+            self.changes += 1
         if backend.state is backends.BackendState.FENCED:
             # The poll was answered before the newer scheduler's first call.
             return []
