Polled a server that restarts again for late orders

After an unanswered start a server is polled every 250 ms, so that a new incarnation sees a higher fence before the order reaches it. This ended with the first restart, and polls that failed were delayed up to 0.5 s. The limit now passes to the new incarnation, and failed polls are repeated every 60 ms until it is over.

--- a/tests/dispatch/test_restarted_servers.py
+++ b/tests/dispatch/test_restarted_servers.py
@@ -114,6 +114,41 @@
         done = self.reveal_restart(10)
         self.assertEqual(self.ends(done), [("lost", "restarted")])
 
+    def leave_start_unanswered(self):
+        job = builders.job("late", estimate=2000)
+        (start,) = builders.of_type(
+            self.apply(events.JobSubmitted(job), 4), effects.StartRun
+        )
+        unanswered = events.RunStarted(
+            self.report.incarnation, start.run, Outcome.UNKNOWN, None
+        )
+        return self.apply(unanswered, 360)
+
+    def test_server_that_restarts_again_is_polled_while_an_order_may_be_late(
+        self,
+    ):
+        self.leave_start_unanswered()
+        self.reveal_restart(400)
+        self.poll_restarted(402)
+        done = []
+        for at in range(425, 2500, 25):
+            done += self.apply(events.Ticked(), at)
+            if self.polls(done):
+                break
+        self.assertTrue(self.polls(done))
+
+    def test_failed_polls_are_not_delayed_while_an_order_may_be_late(self):
+        self.leave_start_unanswered()
+        at = 400
+        for _ in range(5):
+            self.apply(
+                events.BackendPolled(self.report.incarnation, Outcome.UNKNOWN),
+                at,
+            )
+            polls = self.polls(self.apply(events.Ticked(), at + 75))
+            self.assertEqual(len(polls), 1)
+            at += 425
+
     def test_server_that_does_not_answer_gets_no_acknowledgement(self):
         ended = model.EndedRun(7, self.run.task, 1, model.RunEnd.DONE)
         self.apply(builders.polled(self.report, ended=[ended]), 10)
--- a/waxwingwalk/dispatch/run_tracker.py
+++ b/waxwingwalk/dispatch/run_tracker.py
@@ -24,7 +24,8 @@
 # renewed at the same interval, which leaves time for two failed polls before
 # the lease expires.
 POLL_WAIT = datetime.timedelta(milliseconds=300)
-# A failed poll is repeated after this time, doubled up to the maximum.
+# A failed poll is repeated after this time, doubled up to the maximum unless an
+# order may be carried out late: a new incarnation has to see the higher fence.
 POLL_RETRY = datetime.timedelta(milliseconds=60)
 POLL_RETRY_MAX = datetime.timedelta(milliseconds=500)
 # Ends on a server on which nothing runs any more are acknowledged after this
@@ -257,11 +258,14 @@
         there until that one has seen ``fence``. The runs move to the new
         incarnation, and end when a poll lists no run of their tasks.
         """
+        pending_until = self._backends[former].order_pending_until
         self._record_silence(self._backends[former])
         moved = self._remove_runs(former)
         done = self._end_former_incarnation(former, now)
         done += self.acquire(report, fence, now)
         backend = self._backends[report.incarnation]
+        # It may restart again before the order arrives.
+        backend.order_pending_until = pending_until
         for run in moved:
             run.state = backends.RunState.SETTLED
             run.is_moved = True
@@ -729,7 +733,9 @@
         outcome: model.CallOutcome,
     ) -> effects.Effects:
         backend.failed_polls += 1
-        delay = POLL_RETRY * 2 ** min(backend.failed_polls - 1, 8)
+        delay = POLL_RETRY
+        if now >= backend.order_pending_until:
+            delay *= 2 ** min(backend.failed_polls - 1, 8)
         backend.next_poll_at = now + min(delay, POLL_RETRY_MAX)
         return self._mark_suspect(backend, now, f"look {outcome.value}")
 
