--- a/tests/dispatch/test_suspect_tasks.py
+++ b/tests/dispatch/test_suspect_tasks.py
@@ -161,6 +161,20 @@
         )
         self.assertEqual(len(builders.of_type(done, effects.StopRun)), 1)
 
+    def test_done_task_does_not_fail_its_job(self):
+        step = model.Step(1, SMALL, builders.milliseconds(400))
+        self.submit("j")
+        job = builders.job("two", steps=(step, step), estimate=400)
+        done = self.apply(events.JobSubmitted(job), 3)
+        (start, _) = builders.of_type(done, effects.StartRun)
+        self.assertEqual(start.run.task, "two.0.0.0")
+        self.end("two.0.0.0", start.incarnation.backend_id, 50)
+        crashed = [
+            evidence(number, Fate.CRASHED, task="two.0.0.0")
+            for number in range(3)
+        ]
+        self.assertEqual(self.answers(self.report_crashes(*crashed)), [])
+
     def test_job_whose_task_has_crashed_servers_is_not_started_again(self):
         self.report_crashes(
             *(evidence(number, Fate.CRASHED) for number in range(3))
--- a/waxwingwalk/dispatch/backend.py
+++ b/waxwingwalk/dispatch/backend.py
@@ -16,8 +16,8 @@
 LEASE_MAX = datetime.timedelta(seconds=1)
 # The platform allows a backend server's clock to be slow by this share.
 CLOCK_DRIFT = 0.02
-# A reply that was overtaken shows an earlier time. No call is waited for longer
-# than this.
+# A reply that was overtaken shows an earlier time. No call is waited for
+# longer than this.
 CLOCK_OVERTAKING_MS = 2000
 # A stop takes up to 50 ms at a backend server; 50 ms are added for its answer.
 STOP_TIME = datetime.timedelta(milliseconds=100)
@@ -85,9 +85,10 @@
     """A run that occupies resources until it is known to have ended.
 
     ``ordered_at`` and ``accepted_at`` are in observed time, ``sent_at`` is on
-    the clock. ``is_moved`` is set if the server has restarted since the order. ``incarnation`` is the
-    one that may have started the run, ``had_company`` is whether other runs
-    were on the server meanwhile. ``fate`` is what was last recorded of it.
+    the clock. ``is_moved`` is set if the server has restarted since the order.
+    ``incarnation`` is the one that may have started the run, ``had_company``
+    is whether other runs were on the server meanwhile. ``fate`` is what was
+    last recorded of it.
     """
 
     order: TaskOrder
--- a/waxwingwalk/dispatch/run_tracker.py
+++ b/waxwingwalk/dispatch/run_tracker.py
@@ -24,13 +24,15 @@
 # renewed at the same interval, which leaves time for two failed polls before
 # the lease expires.
 POLL_WAIT = datetime.timedelta(milliseconds=300)
-# A failed poll is repeated after this time, doubled up to the maximum unless an
-# order may be carried out late: a new incarnation has to see the higher fence.
+# A failed poll is repeated after this time, doubled up to the maximum unless
+# an order may be carried out late: a new incarnation has to see the higher
+# fence.
 POLL_RETRY = datetime.timedelta(milliseconds=60)
 POLL_RETRY_MAX = datetime.timedelta(milliseconds=500)
 # Ends on a server on which nothing runs any more are acknowledged after this
-# time, or with a poll after the next one if a run is ordered before. This saves
-# a call to a busy server. The platform expects the acknowledgement within seconds.
+# time, or with a poll after the next one if a run is ordered before. This
+# saves a call to a busy server. The platform expects the acknowledgement
+# within seconds.
 ACKNOWLEDGE_DELAY = datetime.timedelta(milliseconds=250)
 # An unanswered stop is sent again after this time.
 STOP_RETRY = datetime.timedelta(milliseconds=150)
--- a/waxwingwalk/dispatch/scheduler.py
+++ b/waxwingwalk/dispatch/scheduler.py
@@ -706,6 +706,8 @@
                 task = record.find_task(name)
             if record is None or task is None:
                 continue
+            if task.state is TaskState.DONE:
+                continue
             suspicion = self._suspicion(task)
             record.hold(task, suspicion is Suspicion.HELD)
             if suspicion is Suspicion.GIVEN_UP:
