Let the checker of guarantees know of capacities that grow again

Two faults had halved the same server's capacity, 16000, 8000 and 4000; the first one ended with 16000 again, within the 4 s for which a former capacity counts, and the checker held starts against the former 8000 although the server had 16000. The hosts' logs show that they knew of 16000 (free_before 9200 beside one run of 6800). A start is allowed within the capacity in force, and for a while within the one before it shrank. The new test fails without the change.

--- a/tests/emulator/test_capacity.py
+++ b/tests/emulator/test_capacity.py
@@ -93,6 +93,19 @@
             self.build()
             self.assertNotEqual(self.play(), [])
 
+    def test_capacity_that_has_grown_soon_after_it_shrank_may_be_used(self):
+        self.build()
+        self.shrink()
+        self.fleet.run(milliseconds(500))
+        smaller = model.Resources(processors=4000, memory=65_536)
+        self.shrink(smaller)
+        self.fleet.run(milliseconds(1500))
+        self.shrink(CAPACITY)
+        self.submit_jobs(seconds=1)
+        self.fleet.run(milliseconds(1500))
+        self.assertEqual(self.fleet.checker.violations, [])
+        self.assertGreater(self.fleet.checker.starts, 20)
+
     def test_shrunk_capacity_is_observed_after_a_hand_over(self):
         for delay_ms in (100, 1000, 2500, 4100):
             with self.subTest(delay_ms=delay_ms):
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -86,6 +86,8 @@
         self.server_proxies = {}
         # The rows of these servers stay as they are.
         self.cut_off_from_store = set()
+        # Servers whose capacity is halved.
+        self.shrunk = set()
         # Whether no jobs are submitted.
         self.is_quiet = False
         self.version = 0
--- a/waxwingwalk/emulator/guarantees.py
+++ b/waxwingwalk/emulator/guarantees.py
@@ -121,18 +121,23 @@
         """Record that a server's capacity is no longer ``former``."""
         self._former_capacities[backend_id] = (self._timeline.now(), former)
 
-    def _capacity(
-        self, backend: emulated_backend.EmulatedBackend
-    ) -> model.Resources:
-        """Return the capacity that has to be observed now."""
+    def _holds(
+        self, backend: emulated_backend.EmulatedBackend, used: model.Resources
+    ) -> bool:
+        """Return whether resources in use are within the server's capacity.
+
+        The capacity before it shrank counts as well for a while.
+        """
         report = backend.report
+        if report.capacity.holds(used):
+            return True
         former = self._former_capacities.get(report.incarnation.backend_id)
-        if former is not None:
-            shrunk_at, capacity = former
-            elapsed = self._timeline.now() - shrunk_at
-            if elapsed <= SHRINK_GRACE or not self._has_contact:
-                return capacity
-        return report.capacity
+        if former is None:
+            return False
+        shrunk_at, capacity = former
+        elapsed = self._timeline.now() - shrunk_at
+        is_recent = elapsed <= SHRINK_GRACE or not self._has_contact
+        return is_recent and capacity.holds(used)
 
     def run_started(
         self,
@@ -148,7 +153,7 @@
         used = model.Resources()
         for run in backend.runs.values():
             used = used + run.resources
-        if not self._capacity(backend).holds(used):
+        if not self._holds(backend, used):
             self._record(Guarantee.CAPACITY, f"{where}: {used}")
         definition = self._task_definitions.get(key.task)
         if definition is None or definition.spec != spec:
