--- a/tests/emulator/test_late_orders.py
+++ b/tests/emulator/test_late_orders.py
@@ -45,8 +45,13 @@
     DOWN_MS = 100
     ROW_LAGS_MS = (0, 500, 1000, 2000)
 
-    def play(self, row_lag_ms, crash_ms=CRASH_MS, down_ms=DOWN_MS):
-        """Restart the server before the order; return the violations."""
+    def play(
+        self, row_lag_ms, crash_ms=CRASH_MS, down_ms=DOWN_MS, drains=False
+    ):
+        """Restart the server before the order; return the violations.
+
+        If it drains before, the task runs on the other one.
+        """
         fleet = emulated_fleet.Fleet(seed=1)
         fleet.do_callers_repeat = False
         host = fleet.add_host("host", "north")
@@ -63,6 +68,8 @@
         )
         fleet.late_share = 0.0
         fleet.add_backend("server-1", "north", CAPACITY)
+        if drains:
+            fleet.drain_backend("server-0")
         fleet.run(milliseconds(crash_ms))
         fleet.crash_backend("server-0")
         fleet.run(milliseconds(down_ms))
@@ -92,6 +99,16 @@
             }
         self.assertEqual(violations, dict.fromkeys(violations, []))
 
+    def test_late_order_starts_nothing_on_a_server_that_has_just_restarted(
+        self,
+    ):
+        late = (self.LATE_SECONDS, self.LATE_SECONDS)
+        # The server had confirmed the stop. It restarts 50 ms before the
+        # order reaches it, and was down for less than the polls are apart.
+        with mock.patch.object(emulated_fleet, "LATE_ORDER_SECONDS", late):
+            violations = self.play(0, crash_ms=2350, down_ms=100, drains=True)
+        self.assertEqual(violations, [])
+
 
 class LateOrderTests(unittest.TestCase):
     def setUp(self):
