--- a/tests/dispatch/test_crash_evidence.py
+++ b/tests/dispatch/test_crash_evidence.py
@@ -73,7 +73,7 @@
         done = self.apply(
             builders.polled(self.report, 3000, ended=[ended]), 2000
         )
-        self.assertEqual(evidence(done), [("j.0.0.0", "sound", True)])
+        self.assertEqual(evidence(done), [("j.0.0.0", "alive", True)])
 
     def test_server_of_another_id_at_the_address_shows_a_crash(self):
         self.submit(tasks=2)
@@ -115,7 +115,7 @@
         self.poll(Outcome.OTHER_INCARNATION, 400, self.restarted.incarnation)
         # The server had started before the run was ordered.
         done = self.apply(builders.polled(self.restarted, 500), 402)
-        self.assertEqual(evidence(done), [("j.0.0.0", "sound", True)])
+        self.assertEqual(evidence(done), [("j.0.0.0", "alive", True)])
 
     def test_start_without_an_answer_stays_a_possible_crash(self):
         job = builders.job(estimate=2000)
@@ -150,4 +150,4 @@
         done = self.apply(
             builders.polled(self.restarted, 200, running=[run]), 402
         )
-        self.assertEqual(evidence(done), [("j.0.0.0", "sound", True)])
+        self.assertEqual(evidence(done), [("j.0.0.0", "alive", True)])
--- a/tests/dispatch/test_crashes.py
+++ b/tests/dispatch/test_crashes.py
@@ -29,7 +29,7 @@
     def test_suspicion_follows_from_what_is_known(self):
         crashed = [evidence(number, Fate.CRASHED) for number in (0, 1, 2)]
         silent = [evidence(number, Fate.SILENT) for number in (3, 4, 5)]
-        sound = evidence(6, Fate.SOUND)
+        sound = evidence(6, Fate.ALIVE)
         cases = (
             ((), Suspicion.NONE),
             ((sound,), Suspicion.NONE),
@@ -57,11 +57,11 @@
         self.assertIs(self.history.suspicion(TASK), Suspicion.PREFER_ALONE)
 
     def test_crash_is_not_overruled_by_late_evidence(self):
-        self.record(evidence(0, Fate.CRASHED), evidence(0, Fate.SOUND))
+        self.record(evidence(0, Fate.CRASHED), evidence(0, Fate.ALIVE))
         self.assertIs(self.history.suspicion(TASK), Suspicion.PREFER_ALONE)
 
     def test_server_that_was_silent_and_answers_does_not_count(self):
-        self.record(evidence(0, Fate.SILENT), evidence(0, Fate.SOUND))
+        self.record(evidence(0, Fate.SILENT), evidence(0, Fate.ALIVE))
         self.assertIs(self.history.suspicion(TASK), Suspicion.NONE)
 
     def test_lost_runs_at_other_hosts_count_as_possible_crashes(self):
--- a/tests/dispatch/test_suspect_tasks.py
+++ b/tests/dispatch/test_suspect_tasks.py
@@ -138,7 +138,7 @@
         done = self.submit("j")
         done += self.tick_until(400, 25)
         self.assertEqual(self.started_on(done), [])
-        done = self.report_crashes(evidence(0, Fate.SOUND), at=401)
+        done = self.report_crashes(evidence(0, Fate.ALIVE), at=401)
         done += self.apply(events.Ticked(), 402)
         self.assertEqual(len(self.started_on(done)), 1)
 
--- a/waxwingwalk/dispatch/backend.py
+++ b/waxwingwalk/dispatch/backend.py
@@ -86,8 +86,8 @@
 
     ``ordered_at`` and ``accepted_at`` are in observed time, ``sent_at`` is on
     the clock. ``is_moved`` is set if the server has restarted since the order.
-    ``incarnation`` is the one that may have started the run, ``had_company``
-    is whether other runs were on the server meanwhile. ``fate`` is what was
+    ``incarnation`` is the one that may have started the run, ``was_shared`` is
+    whether other runs were on the server meanwhile. ``fate`` is what was
     last recorded of it.
     """
 
@@ -104,7 +104,7 @@
     settled_by_poll: int | None = None
     is_end_reported: bool = False
     incarnation: model.BackendIncarnation | None = None
-    had_company: bool = False
+    was_shared: bool = False
     fate: model.ServerFate | None = None
     # Whether it has ended unless its server has restarted.
     has_lapsed: bool = False
@@ -222,7 +222,7 @@
         """Add a run, which occupies its resources."""
         run.incarnation = run.incarnation or self.incarnation
         for other in self.runs.values():
-            run.had_company = other.had_company = True
+            run.was_shared = other.was_shared = True
         self.runs[run.order.key] = run
         self.is_exclusive = self.is_exclusive or run.order.runs_alone
         self.used = self.used + run.order.resources
--- a/waxwingwalk/dispatch/crashes.py
+++ b/waxwingwalk/dispatch/crashes.py
@@ -76,7 +76,7 @@
         known = history.fates.get(evidence.incarnation)
         if known in (evidence.fate, model.ServerFate.CRASHED):
             return
-        if evidence.fate is model.ServerFate.SOUND:
+        if evidence.fate is model.ServerFate.ALIVE:
             history.fates.pop(evidence.incarnation, None)
         else:
             history.fates[evidence.incarnation] = evidence.fate
--- a/waxwingwalk/dispatch/job_record.py
+++ b/waxwingwalk/dispatch/job_record.py
@@ -117,7 +117,7 @@
         return self._ready_tasks
 
     def hold(self, task: TaskRecord, is_held: bool) -> None:
-        """Start a task no more, or allow it again."""
+        """Set whether a task is held back, so that it is not ready."""
         if task.is_held is not is_held:
             task.is_held = is_held
             self._ready_tasks = None
--- a/waxwingwalk/dispatch/model.py
+++ b/waxwingwalk/dispatch/model.py
@@ -259,13 +259,13 @@
     """What became of a backend server that did not list the end of a run.
 
     SILENT has not answered until the run's lease was over, and may have
-    crashed. CRASHED has started again. SOUND has answered since, and lost
+    crashed. CRASHED has started again. ALIVE has answered since, and lost
     nothing.
     """
 
     SILENT = "silent"
     CRASHED = "crashed"
-    SOUND = "sound"
+    ALIVE = "alive"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/waxwingwalk/dispatch/run_tracker.py
+++ b/waxwingwalk/dispatch/run_tracker.py
@@ -920,14 +920,14 @@
     def _record_end(self, run: backends.Run) -> None:
         """Record that a run did not crash its server."""
         if run.fate is model.ServerFate.SILENT:
-            self._record_fate(run, model.ServerFate.SOUND)
+            self._record_fate(run, model.ServerFate.ALIVE)
 
     def _record_presence(
         self, backend: backends.Backend, run: backends.Run
     ) -> None:
         """Record that a moved run was started by the new incarnation."""
         if run.is_moved and run.incarnation != backend.incarnation:
-            self._record_fate(run, model.ServerFate.SOUND)
+            self._record_fate(run, model.ServerFate.ALIVE)
             run.incarnation = backend.incarnation
             run.fate = None
 
@@ -948,7 +948,7 @@
                     "backend": run.incarnation.backend_id,
                     "life": run.incarnation.started_ms,
                     "fate": fate.value,
-                    "was_alone": not run.had_company,
+                    "was_alone": not run.was_shared,
                 },
             )
         )
--- a/waxwingwalk/host/log_catalogue.py
+++ b/waxwingwalk/host/log_catalogue.py
@@ -211,7 +211,7 @@
     "run.crash_evidence": LogEvent(
         "a server did not list the end of a run: it was `silent` until the "
         "lease had expired, has `crashed` and started again, or answered "
-        "again and is `sound`; `was_alone` is whether nothing else ran there. "
+        "again and is `alive`; `was_alone` is whether nothing else ran there. "
         "The run of a task that lost one before is `silent` from its start",
         ("task", "run", "backend", "life", "fate", "was_alone"),
     ),
