--- a/tests/dispatch/test_run_tracker.py
+++ b/tests/dispatch/test_run_tracker.py
@@ -312,6 +312,18 @@
         (poll,) = builders.of_type(done, effects.PollBackend)
         self.assertEqual(poll.acknowledged, 4)
 
+    def test_reply_to_a_start_does_not_tell_which_incarnation_answers(self):
+        self.poll_with_end()
+        first = builders.order(job_id="k")
+        self.start(first, at=120)
+        # Its poll is answered before, so that the next order is polled for.
+        backend = self.run_tracker.get(self.incarnation)
+        backend.is_polling = False
+        self.answer_start(first.key, Outcome.OLD_RUN, at=130)
+        done = self.start(builders.order(job_id="l"), at=130)
+        (poll,) = builders.of_type(done, effects.PollBackend)
+        self.assertEqual(poll.acknowledged, 0)
+
     def test_no_run_is_ordered_while_ends_are_acknowledged(self):
         self.poll_with_end()
         backend = self.run_tracker.get(self.incarnation)
--- a/waxwingwalk/dispatch/backend.py
+++ b/waxwingwalk/dispatch/backend.py
@@ -170,6 +170,9 @@
         self.poll_count = 0
         self.next_poll_at = now
         self.last_heard_at: datetime.datetime | None = None
+        # When this incarnation last answered a poll. Other replies do not
+        # tell which incarnation of the server answers.
+        self.last_polled_at: datetime.datetime | None = None
         self.failed_polls = 0
         self.lease_ends_ms = 0
         self.learned_slowness = speeds.LearnedSlowness()
--- a/waxwingwalk/dispatch/run_tracker.py
+++ b/waxwingwalk/dispatch/run_tracker.py
@@ -400,7 +400,7 @@
         run = backends.Run(order, self._observed.at(now), now)
         backend.add_run(run)
         if order.is_suspect:
-            # Known elsewhere if this host does not live to see the end.
+            # Peers know of the run if this host is lost before its end.
             self._record_fate(run, model.ServerFate.SILENT)
         self.changes += 1
         self._backend_by_run[order.key] = backend
@@ -468,12 +468,12 @@
         backend.is_polling = True
         backend.poll_count += 1
         # A server that has restarted counts its ends anew, so ends are
-        # acknowledged only to one that has just answered, or while nothing can
-        # have ended there since.
+        # acknowledged only to one that has just answered a poll, or while
+        # nothing can have ended there since.
         acknowledges = (
             backend.acknowledge_at is not None
             and backend.state is backends.BackendState.READY
-            and (not backend.runs or backend.last_heard_at == now)
+            and (not backend.runs or backend.last_polled_at == now)
         )
         backend.is_acknowledging = acknowledges and not backend.runs
         may_extend = backend.runs and backend.may_extend_lease(now)
@@ -622,7 +622,7 @@
         ):
             return self._poll_failed(backend, now, outcome)
         backend.record_clock(server_clock_ms, now)
-        backend.last_heard_at = now
+        backend.last_heard_at = backend.last_polled_at = now
         backend.failed_polls = 0
         backend.next_poll_at = now
         backend.acknowledge_at = None
