Added settings for decisions under heavy load, all off by default

The new parts must act only where a deployment asks for them. The settings are a validated YAML mapping in WAXWINGWALK_DISPATCH, which a role of the deploy file can set; a mistake is reported with its name. No part reads them yet.

--- a/tests/platform/test_boot.py
+++ b/tests/platform/test_boot.py
@@ -57,6 +57,20 @@
                 self.assertIsInstance(decoded, result.Failure)
                 self.assertIn(name, decoded.failure())
 
+    def test_dispatch_settings_are_off_unless_enabled(self):
+        config = boot.decode(settings()).unwrap()
+        self.assertFalse(config.dispatch.look_ahead)
+        config = boot.decode(settings(), "{look_ahead: true}").unwrap()
+        self.assertTrue(config.dispatch.look_ahead)
+        self.assertFalse(config.dispatch.job_admission)
+
+    def test_errors_name_the_dispatch_setting(self):
+        for content in ("{look_ahed: true}", "{look_ahead: 2}", "[1", "5"):
+            with self.subTest(content=content):
+                decoded = boot.decode(settings(), content)
+                self.assertIsInstance(decoded, result.Failure)
+                self.assertIn("WAXWINGWALK_DISPATCH", decoded.failure())
+
     def test_file_without_a_mapping_is_rejected(self):
         for content in (None, [], "text"):
             with self.subTest(content=content):
--- a/waxwingwalk/dispatch/reducer.py
+++ b/waxwingwalk/dispatch/reducer.py
@@ -33,6 +33,7 @@
 from waxwingwalk.dispatch import pool_rows
 from waxwingwalk.dispatch import run_tracker
 from waxwingwalk.dispatch import scheduler as dispatch_scheduler
+from waxwingwalk.dispatch import settings as dispatch_settings
 
 TICK_INTERVAL = datetime.timedelta(milliseconds=25)
 # The tick interval of an idle host. It must be short compared with the silence
@@ -78,8 +79,10 @@
         *,
         job_order: ordering.JobOrder | None = None,
         placement: dispatch_placement.Placement | None = None,
+        settings: dispatch_settings.DispatchSettings | None = None,
     ) -> None:
         self.local_host = local_host
+        self.settings = settings or dispatch_settings.DispatchSettings()
         self.catalog: model.Catalog | None = None
         self.catalog_document = ""
         self.hosts = dispatch_hosts.Hosts(local_host)
--- a/waxwingwalk/host/config.py
+++ b/waxwingwalk/host/config.py
@@ -3,6 +3,8 @@
 import dataclasses
 import datetime
 
+from waxwingwalk.dispatch import settings as dispatch_settings
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class HostConfig:
@@ -13,7 +15,7 @@
     SIGKILL. ``linger`` is the time after SIGTERM during which new connections
     may still arrive and are served. ``advertised`` is the address at which
     peers reach this host if it is not ``peers``, for example behind a port
-    mapping.
+    mapping. ``dispatch`` enables decisions under heavy load.
     """
 
     name: str
@@ -30,6 +32,9 @@
     log_level: str = "info"
     advertised: str | None = None
     linger: datetime.timedelta = datetime.timedelta()
+    dispatch: dispatch_settings.DispatchSettings = (
+        dispatch_settings.DispatchSettings()
+    )
 
     @property
     def peer_address(self) -> str:
--- a/waxwingwalk/host/wiring.py
+++ b/waxwingwalk/host/wiring.py
@@ -39,7 +39,9 @@
         zone=config.zone,
         processors=config.processors,
     )
-    reducer = dispatch_reducer.Reducer(local_host, now)
+    reducer = dispatch_reducer.Reducer(
+        local_host, now, settings=config.dispatch
+    )
     return host_engine.Engine(reducer, time, log, host_metrics)
 
 
--- a/waxwingwalk/platform/boot.py
+++ b/waxwingwalk/platform/boot.py
@@ -10,10 +10,14 @@
 from returns import result
 import yaml
 
+from waxwingwalk.dispatch import settings
 from waxwingwalk.host import config
 
 # The environment variable that contains the path of the settings file.
 SETTINGS_VARIABLE = "WAXWINGWALK_BOOT"
+# The environment variable with the settings of dispatch, a YAML mapping:
+# "{look_ahead: true}". It can be set for a role of the deployment.
+DISPATCH_VARIABLE = "WAXWINGWALK_DISPATCH"
 # The port for metrics; deploy/system.toml must name the same one.
 METRICS_PORT = 9464
 # The platform sends new connections until two consecutive readiness checks
@@ -47,6 +51,16 @@
     address: str
 
 
+class _Dispatch(pydantic.BaseModel):
+    model_config = pydantic.ConfigDict(extra="forbid", strict=True)
+
+    look_ahead: bool = False
+    job_admission: bool = False
+    zone_balance: bool = False
+    run_progress: bool = False
+    fast_settlement: bool = False
+
+
 class _Settings(pydantic.BaseModel):
     node: str
     ip: str
@@ -78,7 +92,10 @@
             found = path.stat()
             state = (found.st_mtime_ns, found.st_size)
             if self._loaded is None or state != self._file_state:
-                self._loaded = decode(yaml.safe_load(path.read_text()))
+                self._loaded = decode(
+                    yaml.safe_load(path.read_text()),
+                    os.environ.get(DISPATCH_VARIABLE, ""),
+                )
                 self._file_state = state
         except OSError as error:
             return result.Failure(f"{path}: {error.strerror}")
@@ -87,27 +104,47 @@
         return self._loaded
 
 
-def decode(content: Any) -> result.Result[config.HostConfig, str]:
-    """Return the host's configuration, or a description of the error."""
+def decode(
+    content: Any, dispatch: str = ""
+) -> result.Result[config.HostConfig, str]:
+    """Return the host's configuration, or a description of the error.
+
+    ``dispatch`` holds the settings of dispatch as a YAML mapping.
+    """
+    dispatch_settings = decode_dispatch(dispatch)
+    if not isinstance(dispatch_settings, result.Success):
+        return result.Failure(dispatch_settings.failure())
     try:
-        settings = _Settings.model_validate(content)
+        decoded = _Settings.model_validate(content)
     except pydantic.ValidationError as error:
         return result.Failure(str(error))
-    limits = settings.limits
+    limits = decoded.limits
     return result.Success(
         config.HostConfig(
-            name=settings.node,
-            zone=settings.zone,
-            region=settings.region,
-            callers=settings.listen.front,
-            readiness=settings.listen.ready,
-            peers=settings.listen.control,
-            metrics=f"{settings.ip}:{METRICS_PORT}",
-            store=settings.platform.address,
-            seeds=tuple(settings.seeds),
+            name=decoded.node,
+            zone=decoded.zone,
+            region=decoded.region,
+            callers=decoded.listen.front,
+            readiness=decoded.listen.ready,
+            peers=decoded.listen.control,
+            metrics=f"{decoded.ip}:{METRICS_PORT}",
+            store=decoded.platform.address,
+            seeds=tuple(decoded.seeds),
             processors=round(limits.cpu_share * limits.cores, 3),
-            grace=datetime.timedelta(seconds=settings.bounds.grace_s),
-            advertised=settings.listen.control_advertised,
+            grace=datetime.timedelta(seconds=decoded.bounds.grace_s),
+            advertised=decoded.listen.control_advertised,
             linger=LINGER,
+            dispatch=dispatch_settings.unwrap(),
         )
     )
+
+
+def decode_dispatch(
+    content: str,
+) -> result.Result[settings.DispatchSettings, str]:
+    """Return the settings of dispatch, or a description of the error."""
+    try:
+        decoded = _Dispatch.model_validate(yaml.safe_load(content) or {})
+    except (yaml.YAMLError, pydantic.ValidationError) as error:
+        return result.Failure(f"{DISPATCH_VARIABLE}: {error}")
+    return result.Success(settings.DispatchSettings(**decoded.model_dump()))
