Ran groups of tests in several processes

Without arguments, python -m tests now runs its modules in groups, half as many at a time as there are processors, and adds up their outcomes. The tests and the handling of KNOWN-RED.txt are the same.

--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -1,11 +1,18 @@
 """Runs the tests with nose2 and prints the number of each outcome.
 
+Without arguments, all tests run, several groups at a time, each in a process
+of its own. With arguments, which nose2 takes, the tests run in this process.
+
 A failing test that is listed in KNOWN-RED.txt is printed and does not change
 the exit status. Any other failure makes it 1, and so does a run in which no
 test passed. The counts are the last line of the output.
 """
 
+from concurrent import futures
+import os
 import pathlib
+import re
+import subprocess
 import sys
 
 import nose2
@@ -15,6 +22,13 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 KNOWN_FAILURES_FILE = ROOT / "KNOWN-RED.txt"
 TEST_PREFIX = "test: "
+COUNTS = re.compile(r"^(\d+) passed, (\d+) failed(?:, (\d+) skipped)?$", re.M)
+# Packages whose tests take longest. Their modules run as groups of their own,
+# and first.
+SLOW_PACKAGES = ("emulator", "soak", "host", "platform")
+# Tests with real processes need most of a processor each, so some are left
+# free.
+PROCESSES = max(1, (os.cpu_count() or 2) // 2)
 
 
 def read_known_failures():
@@ -28,8 +42,56 @@
     }
 
 
+def find_groups():
+    """Return lists of the names of test modules, the slow ones first."""
+    slow, fast = [], []
+    for package in sorted((ROOT / "tests").iterdir()):
+        modules = [
+            f"tests.{package.name}.{path.stem}"
+            for path in sorted(package.glob("test_*.py"))
+        ]
+        if package.name in SLOW_PACKAGES:
+            slow += [[module] for module in modules]
+        elif modules:
+            fast.append(modules)
+    return slow + fast
+
+
+def run_group(modules):
+    """Run test modules in a process of their own; return what it did."""
+    return subprocess.run(
+        [sys.executable, "-m", "tests", *modules],
+        cwd=ROOT,
+        stdout=subprocess.PIPE,
+        stderr=subprocess.STDOUT,
+        text=True,
+        errors="replace",
+    )
+
+
+def run_all():
+    """Run all tests in several processes; return the exit status."""
+    has_failed = False
+    totals = [0, 0, 0]
+    groups = find_groups()
+    with futures.ThreadPoolExecutor(PROCESSES) as pool:
+        for modules, done in zip(groups, pool.map(run_group, groups)):
+            counts = COUNTS.findall(done.stdout)
+            print(f"== {' '.join(modules)}: exit status {done.returncode}")
+            print(COUNTS.sub(r"  \g<0>", done.stdout).strip(), flush=True)
+            has_failed = has_failed or done.returncode != 0 or not counts
+            for index, count in enumerate(counts[-1] if counts else ()):
+                totals[index] += int(count or 0)
+    passed, failed, skipped = totals
+    line = f"{passed} passed, {failed} failed"
+    print(f"{line}, {skipped} skipped" if skipped else line, flush=True)
+    return 1 if has_failed else 0
+
+
 def main():
     """Run the tests; return the exit status."""
+    if not sys.argv[1:]:
+        return run_all()
     program = nose2.main(
         module=None,
         argv=["nose2", "-s", str(ROOT), "-t", str(ROOT), *sys.argv[1:]],
