Decoded messages and rows of the dispatch host with msgspec

Frames between hosts, rows of the store, replies of servers, callers' jobs and the settings file are now msgspec structs, decoded through core/decoding.py, whose errors name the field. pydantic stays for the product's other interfaces.

test_hostile_input.py expects the error of the new decoder; its checks are the same.

--- a/tests/platform/test_boot.py
+++ b/tests/platform/test_boot.py
@@ -71,6 +71,15 @@
                 self.assertIsInstance(decoded, result.Failure)
                 self.assertIn("WAXWINGWALK_DISPATCH", decoded.failure())
 
+    def test_fields_whose_names_are_not_strings_are_ignored(self):
+        # YAML allows such names, and a later platform may use them.
+        limits = {"cores": 2, 7: None}
+        decoded = boot.decode(settings(limits=limits) | {1: "a"})
+        self.assertEqual(decoded.unwrap().processors, 2)
+        self.assertIsInstance(
+            boot.decode(settings(), "{1: 2}"), result.Failure
+        )
+
     def test_file_without_a_mapping_is_rejected(self):
         for content in (None, [], "text"):
             with self.subTest(content=content):
--- a/tests/platform/test_hostile_input.py
+++ b/tests/platform/test_hostile_input.py
@@ -6,10 +6,10 @@
 import hypothesis
 from hypothesis import strategies
 import orjson
-import pydantic
 from returns import result
 
 from tests.platform import stand_in
+from waxwingwalk.core import decoding
 from waxwingwalk.dispatch import messages
 from waxwingwalk.host import records
 from waxwingwalk.platform import boot
@@ -155,7 +155,7 @@
         text = orjson.dumps(content).decode()
         try:
             frame, errors = messages.decode_separately(text)
-        except pydantic.ValidationError:
+        except decoding.MalformedError:
             return
         self.assertEqual(
             len(frame.messages) + len(errors), len(content["messages"])
--- /dev/null
+++ b/waxwingwalk/core/decoding.py
@@ -0,0 +1,65 @@
+"""Decodes and validates JSON from outside the process."""
+
+import re
+from typing import Any
+from typing import Generic
+from typing import TypeVar
+
+import msgspec
+
+T = TypeVar("T")
+# ``msgspec`` ends a message with the place of the value: "- at `$.steps[0]`".
+_PLACE = re.compile(r"(?P<reason>.*) - at `(?:key in )?\$(?P<path>.*)`", re.S)
+_INDEX = re.compile(r"\[([^\]]*)\]")
+# Unreadable text and values nested too deeply are errors of other libraries.
+_ERRORS = (msgspec.MsgspecError, UnicodeError, RecursionError)
+
+
+class MalformedError(ValueError):
+    """Input is not as required; the message names the field.
+
+    ::
+
+        steps.0.count: Expected `int` >= 1
+    """
+
+
+class Decoder(Generic[T]):
+    """Decodes JSON into a type.
+
+    Unknown fields are ignored. Unless the decoder is strict, numbers and
+    Boolean values may be written as strings.
+
+    ::
+
+        Decoder(Job).decode(b'{"spec": "s", "steps": [{"count": "2"}]}')
+    """
+
+    def __init__(self, kind: Any, *, strict: bool = False) -> None:
+        self._decoder: msgspec.json.Decoder[T] = msgspec.json.Decoder(
+            kind, strict=strict
+        )
+
+    def decode(self, content: bytes | str) -> T:
+        """Return the decoded value; raise ``MalformedError``."""
+        try:
+            return self._decoder.decode(content)
+        except _ERRORS as error:
+            raise MalformedError(_describe(error)) from error
+
+
+def convert(value: Any, kind: type[T], *, strict: bool = False) -> T:
+    """Return a parsed document as a type; raise ``MalformedError``."""
+    try:
+        return msgspec.convert(value, kind, strict=strict)
+    except _ERRORS as error:
+        raise MalformedError(_describe(error)) from error
+
+
+def _describe(error: Exception) -> str:
+    """Return the message, with the place of the value before it."""
+    found = _PLACE.fullmatch(str(error))
+    if found is None:
+        return str(error)
+    path = _INDEX.sub(r".\1", found["path"]).lstrip(".")
+    return f"{path}: {found['reason']}"
--- a/waxwingwalk/dispatch/messages.py
+++ b/waxwingwalk/dispatch/messages.py
@@ -5,18 +5,22 @@
 requested over it ends, whichever side notices first.
 """
 
-import dataclasses
-from typing import Annotated
-from typing import Any
-from typing import Literal
-
-import pydantic
+import msgspec
 
+from waxwingwalk.core import decoding
 from waxwingwalk.dispatch import model
 
 
-@dataclasses.dataclass(slots=True)
-class SubmitJob:
+class _Tagged(msgspec.Struct, tag_field="kind"):
+    """A message, which has its ``kind`` in a field of that name."""
+
+    @property
+    def kind(self) -> str:
+        """The name of the type of the message."""
+        return str(self.__struct_config__.tag)
+
+
+class SubmitJob(_Tagged, tag="submit_job"):
     """Asks the receiver to schedule a job; JobEnded follows.
 
     Clocks differ between hosts, so times are in milliseconds from now. A
@@ -35,20 +39,16 @@
     due_in_ms: float
     expires_in_ms: float
     request: int = 0
-    kind: Literal["submit_job"] = "submit_job"
 
 
-@dataclasses.dataclass(slots=True)
-class AbandonJob:
+class AbandonJob(_Tagged, tag="abandon_job"):
     """Stops a job whose answer is no longer awaited."""
 
     job_id: str
     request: int = 0
-    kind: Literal["abandon_job"] = "abandon_job"
 
 
-@dataclasses.dataclass(slots=True)
-class JobEnded:
+class JobEnded(_Tagged, tag="job_ended"):
     """The answer to a request for a job."""
 
     job_id: str
@@ -56,11 +56,9 @@
     reason: str
     return_in_ms: float | None
     request: int = 0
-    kind: Literal["job_ended"] = "job_ended"
 
 
-@dataclasses.dataclass(slots=True)
-class OfferTask:
+class OfferTask(_Tagged, tag="offer_task"):
     """Asks the receiver to run one task at once; TaskEnded follows.
 
     A task that ``must_run_alone`` may crash its server.
@@ -79,22 +77,18 @@
     label: str | None
     max_per_backend: int | None
     must_run_alone: bool = False
-    kind: Literal["offer_task"] = "offer_task"
 
 
-@dataclasses.dataclass(slots=True)
-class StopTask:
+class StopTask(_Tagged, tag="stop_task"):
     """Stops a task that was offered."""
 
     job_id: str
     step: int
     index: int
     run: int
-    kind: Literal["stop_task"] = "stop_task"
 
 
-@dataclasses.dataclass(slots=True)
-class TaskEnded:
+class TaskEnded(_Tagged, tag="task_ended"):
     """How an offered task ended, NOT_RUN if the offer was declined."""
 
     job_id: str
@@ -102,19 +96,16 @@
     index: int
     run: int
     end: model.TaskEnd
-    kind: Literal["task_ended"] = "task_ended"
 
 
-@dataclasses.dataclass(slots=True)
-class FreeRoom:
+class FreeRoom(msgspec.Struct):
     """Free capacity of a backend server, and how slow the server is."""
 
     room: model.Resources
     slowness: float
 
 
-@dataclasses.dataclass(slots=True)
-class PoolLoad:
+class PoolLoad(msgspec.Struct):
     """The load of a pool's backend servers of one service.
 
     ``free`` is the free capacity of the fastest of these, sent only to hosts
@@ -129,8 +120,7 @@
     backlog_ms: float
 
 
-@dataclasses.dataclass(slots=True)
-class HostStatus:
+class HostStatus(_Tagged, tag="host_status"):
     """The status and keep-alive of the host that accepted the link.
 
     ``releasing`` are the pools that the sender no longer schedules, but of
@@ -141,42 +131,33 @@
     is_leaving: bool
     catalog_version: int
     releasing: list[str] | None = None
-    kind: Literal["host_status"] = "host_status"
 
 
-@dataclasses.dataclass(slots=True)
-class KeepAlive:
+class KeepAlive(_Tagged, tag="keep_alive"):
     """The keep-alive of the host that opened the link."""
 
     catalog_version: int
-    kind: Literal["keep_alive"] = "keep_alive"
 
 
-@dataclasses.dataclass(slots=True)
-class ShareCatalog:
+class ShareCatalog(_Tagged, tag="share_catalog"):
     """A version of the catalog, as the operators' document."""
 
     version: int
     document: str
-    kind: Literal["share_catalog"] = "share_catalog"
 
 
-@dataclasses.dataclass(slots=True)
-class ReleaseBackend:
+class ReleaseBackend(_Tagged, tag="release_backend"):
     """The sender no longer schedules a backend server; the receiver may."""
 
     pool: str
     backend_id: str
     started_ms: int
-    kind: Literal["release_backend"] = "release_backend"
 
 
-@dataclasses.dataclass(slots=True)
-class ReportCrashes:
+class ReportCrashes(_Tagged, tag="report_crashes"):
     """What the sender knows of servers that did not list the end of runs."""
 
     evidence: list[model.CrashEvidence]
-    kind: Literal["report_crashes"] = "report_crashes"
 
 
 Message = (
@@ -203,8 +184,7 @@
         message.due_in_ms -= delay_ms
 
 
-@dataclasses.dataclass(slots=True)
-class Frame:
+class Frame(msgspec.Struct):
     """Messages that were sent together.
 
     ``sent_ms`` is the time of sending, in milliseconds since the sender's end
@@ -212,39 +192,50 @@
     """
 
     sent_ms: float
-    messages: list[Annotated[Message, pydantic.Field(discriminator="kind")]]
+    messages: list[Message]
 
 
-@dataclasses.dataclass(slots=True)
-class _RawFrame:
+class _RawFrame(msgspec.Struct):
     """A frame whose messages are not decoded."""
 
     sent_ms: float
-    messages: list[Any]
+    messages: list[msgspec.Raw]
 
 
-decoder: pydantic.TypeAdapter[Frame] = pydantic.TypeAdapter(Frame)
+class _FrameCodec:
+    """Converts frames to JSON and back."""
 
-_frame_decoder: pydantic.TypeAdapter[_RawFrame] = pydantic.TypeAdapter(
-    _RawFrame
-)
-_message_decoder: pydantic.TypeAdapter[Message] = pydantic.TypeAdapter(
-    Annotated[Message, pydantic.Field(discriminator="kind")]
-)
+    def __init__(self) -> None:
+        self._decoder: decoding.Decoder[Frame] = decoding.Decoder(Frame)
+        self._encoder = msgspec.json.Encoder()
+
+    def dump_json(self, frame: Frame) -> bytes:
+        """Return a frame as JSON."""
+        return self._encoder.encode(frame)
+
+    def validate_json(self, content: bytes | str) -> Frame:
+        """Return the frame; raise ``decoding.MalformedError``."""
+        return self._decoder.decode(content)
+
+
+decoder = _FrameCodec()
+
+_frame_decoder: decoding.Decoder[_RawFrame] = decoding.Decoder(_RawFrame)
+_message_decoder: decoding.Decoder[Message] = decoding.Decoder(Message)
 
 
 def decode_separately(content: str) -> tuple[Frame, list[str]]:
     """Return a frame without the messages that are malformed, and the errors.
 
-    Raise ``pydantic.ValidationError`` if the content is not a frame. This is
+    Raise ``decoding.MalformedError`` if the content is not a frame. This is
     for frames that ``decoder`` does not take, as it is much slower.
     """
-    raw = _frame_decoder.validate_json(content)
+    raw = _frame_decoder.decode(content)
     frame = Frame(raw.sent_ms, [])
     errors = []
     for each in raw.messages:
         try:
-            frame.messages.append(_message_decoder.validate_python(each))
-        except pydantic.ValidationError as error:
+            frame.messages.append(_message_decoder.decode(bytes(each)))
+        except decoding.MalformedError as error:
             errors.append(str(error))
     return frame, errors
--- a/waxwingwalk/host/links.py
+++ b/waxwingwalk/host/links.py
@@ -14,9 +14,9 @@
 
 import aiohttp
 from aiohttp import web
-import pydantic
 
 from waxwingwalk.core import clock
+from waxwingwalk.core import decoding
 from waxwingwalk.dispatch import events
 from waxwingwalk.dispatch import links as dispatch_links
 from waxwingwalk.dispatch import messages
@@ -293,11 +293,11 @@
         """
         try:
             return messages.decoder.validate_json(content)
-        except pydantic.ValidationError as error:
+        except decoding.MalformedError as error:
             first = str(error)
         frame = None
         errors = [first]
-        with contextlib.suppress(pydantic.ValidationError):
+        with contextlib.suppress(decoding.MalformedError):
             frame, errors = messages.decode_separately(content)
         self._log.error(
             "link.not_understood",
--- a/waxwingwalk/host/records.py
+++ b/waxwingwalk/host/records.py
@@ -3,9 +3,9 @@
 import dataclasses
 
 import orjson
-import pydantic
 from returns import result
 
+from waxwingwalk.core import decoding
 from waxwingwalk.dispatch import model
 from waxwingwalk.dispatch import pool_rows
 
@@ -14,8 +14,12 @@
 HOSTS_TABLE = "waxwingwalk_hosts"
 POOLS_TABLE = "waxwingwalk_pools"
 
-_host = pydantic.TypeAdapter(model.HostRecord)
-_pool = pydantic.TypeAdapter(pool_rows.PoolRow)
+_host_decoder: decoding.Decoder[model.HostRecord] = decoding.Decoder(
+    model.HostRecord
+)
+_pool_decoder: decoding.Decoder[pool_rows.PoolRow] = decoding.Decoder(
+    pool_rows.PoolRow
+)
 
 
 def encode(record: model.HostRecord | pool_rows.PoolRow) -> bytes:
@@ -26,16 +30,16 @@
 def decode_host(value: bytes) -> result.Result[model.HostRecord, str]:
     """Return the host that a row describes, or an error message."""
     try:
-        return result.Success(_host.validate_json(value))
-    except pydantic.ValidationError as error:
+        return result.Success(_host_decoder.decode(value))
+    except decoding.MalformedError as error:
         return result.Failure(str(error))
 
 
 def decode_pool(value: bytes) -> result.Result[pool_rows.PoolRow, str]:
     """Return a pool's row, or an error message."""
     try:
-        row = _pool.validate_json(value)
-    except pydantic.ValidationError as error:
+        row = _pool_decoder.decode(value)
+    except decoding.MalformedError as error:
         return result.Failure(str(error))
     if not row.order:
         return result.Failure("the pool's order of hosts is empty")
--- a/waxwingwalk/platform/backends.py
+++ b/waxwingwalk/platform/backends.py
@@ -3,14 +3,14 @@
 import asyncio
 import datetime
 import time
-from typing import Annotated
 from typing import Any
 from typing import TypeVar
 
 import aiohttp
+import msgspec
 import orjson
-import pydantic
 
+from waxwingwalk.core import decoding
 from waxwingwalk.dispatch import effects
 from waxwingwalk.dispatch import events
 from waxwingwalk.dispatch import model
@@ -31,7 +31,7 @@
 KEEPALIVE_TIMEOUT = datetime.timedelta(seconds=30)
 
 Outcome = model.CallOutcome
-ModelT = TypeVar("ModelT", bound=pydantic.BaseModel)
+T = TypeVar("T")
 # Outcomes by the reason that a worker gives for refusing a start.
 REFUSAL_OUTCOMES = {
     "fence": Outcome.FENCED,
@@ -47,33 +47,38 @@
 }
 
 
-class _Reply(pydantic.BaseModel):
+class _Reply(msgspec.Struct):
     clock_ms: int
     reason: str = ""
 
 
-def _first_columns(count: int) -> pydantic.BeforeValidator:
-    """Return a validator that drops the columns of a row after the first."""
+class _RunningRow(msgspec.Struct, array_like=True):
+    """A row of running tasks; checkpoint, percent and load follow."""
 
-    def cut(row: Any) -> Any:
-        return row[:count] if isinstance(row, list) else row
+    task: str
+    run: int
 
-    return pydantic.BeforeValidator(cut)
 
+class _EndedRow(msgspec.Struct, array_like=True):
+    """A row of ended runs; a checkpoint follows."""
 
-# Task and run; checkpoint, percent and load follow.
-_RunningRow = Annotated[tuple[str, int], _first_columns(2)]
-# Serial number, task, run and how the run ended; a checkpoint follows.
-_EndedRow = Annotated[tuple[int, str, int, str], _first_columns(4)]
+    serial: int
+    task: str
+    run: int
+    end: str
 
 
-class _RunLists(pydantic.BaseModel):
+class _RunLists(msgspec.Struct):
     clock_ms: int
     born: int | None = None
     running: list[_RunningRow] = []
     ended: list[_EndedRow] = []
 
 
+_reply_decoder: decoding.Decoder[_Reply] = decoding.Decoder(_Reply)
+_lists_decoder: decoding.Decoder[_RunLists] = decoding.Decoder(_RunLists)
+
+
 class PlatformBackends:
     """Calls the platform's workers over HTTP."""
 
@@ -105,7 +110,7 @@
         outcome, content = await self._call(
             "start", order.address, "/run-start", order.incarnation, body
         )
-        reply = _parse(_Reply, content)
+        reply = _parse(_reply_decoder, content)
         return events.RunStarted(
             order.incarnation,
             order.run,
@@ -149,7 +154,7 @@
             return events.BackendPolled(
                 order.incarnation, outcome, fence=order.fence
             )
-        return _to_polled_event(order, _parse(_RunLists, content))
+        return _to_polled_event(order, _parse(_lists_decoder, content))
 
     async def accepts_connections(self, address: str) -> bool:
         """Return whether a worker accepts a connection."""
@@ -210,7 +215,7 @@
         case 200:
             return Outcome.ACCEPTED
         case 409:
-            reply = _parse(_Reply, content)
+            reply = _parse(_reply_decoder, content)
             reason = "" if reply is None else reply.reason
             return REFUSAL_OUTCOMES.get(reason, Outcome.INVALID)
         case 400 | 404:
@@ -244,19 +249,22 @@
         incarnation,
         Outcome.ACCEPTED,
         lists.clock_ms,
-        tuple(model.RunKey(task, run) for task, run in lists.running),
+        tuple(model.RunKey(row.task, row.run) for row in lists.running),
         tuple(
             model.EndedRun(
-                serial, task, run, RUN_ENDS.get(end, model.RunEnd.STOPPED)
+                row.serial,
+                row.task,
+                row.run,
+                RUN_ENDS.get(row.end, model.RunEnd.STOPPED),
             )
-            for serial, task, run, end in lists.ended
+            for row in lists.ended
         ),
         order.fence,
     )
 
 
-def _parse(kind: type[ModelT], content: bytes) -> ModelT | None:
+def _parse(decoder: decoding.Decoder[T], content: bytes) -> T | None:
     try:
-        return kind.model_validate_json(content)
-    except pydantic.ValidationError:
+        return decoder.decode(content)
+    except decoding.MalformedError:
         return None
--- a/waxwingwalk/platform/boot.py
+++ b/waxwingwalk/platform/boot.py
@@ -6,10 +6,11 @@
 from typing import Annotated
 from typing import Any
 
-import pydantic
+import msgspec
 from returns import result
 import yaml
 
+from waxwingwalk.core import decoding
 from waxwingwalk.dispatch import settings
 from waxwingwalk.host import config
 
@@ -28,7 +29,7 @@
 GRACE_SECONDS_MAX = 3600
 
 
-class _Listen(pydantic.BaseModel):
+class _Listen(msgspec.Struct):
     front: str
     ready: str
     control: str
@@ -37,23 +38,21 @@
     control_advertised: str | None = None
 
 
-class _Limits(pydantic.BaseModel):
+class _Limits(msgspec.Struct):
     cpu_share: float = 1.0
     # Speed of the processor as a multiple of the speed of a standard core.
     cores: float = 1.0
 
 
-class _Bounds(pydantic.BaseModel):
-    grace_s: Annotated[float, pydantic.Field(ge=0, le=GRACE_SECONDS_MAX)] = 6.0
+class _Bounds(msgspec.Struct):
+    grace_s: Annotated[float, msgspec.Meta(ge=0, le=GRACE_SECONDS_MAX)] = 6.0
 
 
-class _Store(pydantic.BaseModel):
+class _Store(msgspec.Struct):
     address: str
 
 
-class _Dispatch(pydantic.BaseModel):
-    model_config = pydantic.ConfigDict(extra="forbid", strict=True)
-
+class _Dispatch(msgspec.Struct, forbid_unknown_fields=True):
     look_ahead: bool = False
     job_admission: bool = False
     zone_balance: bool = False
@@ -61,7 +60,7 @@
     fast_settlement: bool = False
 
 
-class _Settings(pydantic.BaseModel):
+class _Settings(msgspec.Struct, kw_only=True):
     node: str
     ip: str
     zone: str
@@ -69,8 +68,8 @@
     listen: _Listen
     # Peer addresses of some hosts; the list may be out of date.
     seeds: list[str] = []
-    limits: _Limits = _Limits()
-    bounds: _Bounds = _Bounds()
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+    bounds: _Bounds = msgspec.field(default_factory=_Bounds)
     platform: _Store
 
 
@@ -115,8 +114,8 @@
     if not isinstance(dispatch_settings, result.Success):
         return result.Failure(dispatch_settings.failure())
     try:
-        decoded = _Settings.model_validate(content)
-    except pydantic.ValidationError as error:
+        decoded = decoding.convert(_without_other_keys(content), _Settings)
+    except decoding.MalformedError as error:
         return result.Failure(str(error))
     limits = decoded.limits
     return result.Success(
@@ -139,12 +138,32 @@
     )
 
 
+def _without_other_keys(value: Any) -> Any:
+    """Return a document without fields whose names are not strings.
+
+    YAML allows them. They are unknown fields, which are ignored.
+    """
+    if isinstance(value, dict):
+        return {
+            key: _without_other_keys(each)
+            for key, each in value.items()
+            if isinstance(key, str)
+        }
+    if isinstance(value, list):
+        return [_without_other_keys(each) for each in value]
+    return value
+
+
 def decode_dispatch(
     content: str,
 ) -> result.Result[settings.DispatchSettings, str]:
     """Return the settings of dispatch, or a description of the error."""
     try:
-        decoded = _Dispatch.model_validate(yaml.safe_load(content) or {})
-    except (yaml.YAMLError, pydantic.ValidationError) as error:
+        decoded = decoding.convert(
+            yaml.safe_load(content) or {}, _Dispatch, strict=True
+        )
+    except (yaml.YAMLError, decoding.MalformedError) as error:
         return result.Failure(f"{DISPATCH_VARIABLE}: {error}")
-    return result.Success(settings.DispatchSettings(**decoded.model_dump()))
+    return result.Success(
+        settings.DispatchSettings(**msgspec.structs.asdict(decoded))
+    )
--- a/waxwingwalk/platform/callers.py
+++ b/waxwingwalk/platform/callers.py
@@ -2,13 +2,15 @@
 
 import datetime
 import re
+from typing import Annotated
 from typing import Any
 
 from aiohttp import web
+import msgspec
 import orjson
-import pydantic
 from returns import result
 
+from waxwingwalk.core import decoding
 from waxwingwalk.core import results
 from waxwingwalk.dispatch import effects
 from waxwingwalk.dispatch import model
@@ -25,13 +27,18 @@
 ResultCode = results.ResultCode
 
 
-class _Step(pydantic.BaseModel):
-    count: int = pydantic.Field(1, ge=1, le=100_000)
+_Count = Annotated[int, msgspec.Meta(ge=0)]
+
+
+class _Step(msgspec.Struct):
+    count: Annotated[int, msgspec.Meta(ge=1, le=100_000)] = 1
     # Thousandths of a core.
-    cpu: int = pydantic.Field(0, ge=0)
-    mem_mb: int = pydantic.Field(0, ge=0)
-    gpu: int = pydantic.Field(0, ge=0)
-    est_ms: float = pydantic.Field(0, ge=0, le=catalog.MILLISECONDS_MAX)
+    cpu: _Count = 0
+    mem_mb: _Count = 0
+    gpu: _Count = 0
+    est_ms: Annotated[
+        float, msgspec.Meta(ge=0, le=catalog.MILLISECONDS_MAX)
+    ] = 0.0
     after: list[int] = []
     requires: str | None = None
     preferred_rack: str | None = None
@@ -43,15 +50,18 @@
     fills: bool = False
 
 
-class _Job(pydantic.BaseModel):
+class _Job(msgspec.Struct):
     spec: str
-    steps: list[_Step] = pydantic.Field(min_length=1)
+    steps: Annotated[list[_Step], msgspec.Meta(min_length=1)]
     # If true, the answer is only sent in the response and is not stored.
     best_effort: bool = False
     # Number of times that the steps run, for scheduled jobs.
     times: int = 0
 
 
+_job_decoder: decoding.Decoder[_Job] = decoding.Decoder(_Job)
+
+
 class CallersApi:
     """Accepts jobs over HTTP and responds when they have ended."""
 
@@ -162,13 +172,9 @@
 ) -> result.Result[_Job, tuple[ResultCode, str]]:
     """Return the submitted job, or the code and reason of its refusal."""
     try:
-        job = _Job.model_validate_json(content)
-    except pydantic.ValidationError as error:
-        first = error.errors()[0]
-        place = ".".join(str(each) for each in first["loc"])
-        return result.Failure(
-            (ResultCode.INVALID_REQUEST, f"{place}: {first['msg']}")
-        )
+        job = _job_decoder.decode(content)
+    except decoding.MalformedError as error:
+        return result.Failure((ResultCode.INVALID_REQUEST, str(error)))
     size = len(job.spec.encode())
     if size > SPEC_MAX:
         return result.Failure(
--- a/waxwingwalk/platform/catalog.py
+++ b/waxwingwalk/platform/catalog.py
@@ -2,13 +2,12 @@
 
 import datetime
 from typing import Annotated
-from typing import Any
 from typing import Literal
 
-import orjson
-import pydantic
+import msgspec
 from returns import result
 
+from waxwingwalk.core import decoding
 from waxwingwalk.dispatch import model
 from waxwingwalk.store import follower
 from waxwingwalk.store import rows as store_rows
@@ -34,18 +33,18 @@
 # into the types of the standard library.
 MILLISECONDS_MAX = 10**9
 Milliseconds = Annotated[
-    float, pydantic.Field(ge=-MILLISECONDS_MAX, le=MILLISECONDS_MAX)
+    float, msgspec.Meta(ge=-MILLISECONDS_MAX, le=MILLISECONDS_MAX)
 ]
 
 
-class _Route(pydantic.BaseModel):
+class _Route(msgspec.Struct):
     name: str
     host: str
     prefix: str
     # The service whose backend servers run the queue's tasks.
     backend: str
     priority: int = 1
-    attempts: int = pydantic.Field(1, ge=1)
+    attempts: Annotated[int, msgspec.Meta(ge=1)] = 1
     stretch: float = 1.6
     # A job's target response time is ``stretch`` times the duration of its
     # critical path, plus this time.
@@ -53,31 +52,31 @@
     timeout_ms: Milliseconds = 1500.0
 
 
-class _Service(pydantic.BaseModel):
+class _Service(msgspec.Struct):
     name: str
 
 
-class _RequestLimits(pydantic.BaseModel):
+class _RequestLimits(msgspec.Struct):
     max_header_bytes: int = 16384
     max_body_bytes: int = 262144
     idle_timeout_ms: Milliseconds = 15000.0
 
 
-class _Config(pydantic.BaseModel):
+class _Config(msgspec.Struct):
     version: int
     routes: list[_Route] = []
     backends: list[_Service] = []
-    limits: _RequestLimits = _RequestLimits()
+    limits: _RequestLimits = msgspec.field(default_factory=_RequestLimits)
 
 
-class _Room(pydantic.BaseModel):
+class _Room(msgspec.Struct):
     # Thousandths of a core.
     cpu: int = 0
     mem_mb: int = 0
     gpu: int = 0
 
 
-class _Worker(pydantic.BaseModel):
+class _Worker(msgspec.Struct):
     backend: str
     address: str
     zone: str
@@ -88,11 +87,17 @@
     born: int = 0
 
 
+_config_decoder: decoding.Decoder[_Config] = decoding.Decoder(_Config)
+_worker_decoder: decoding.Decoder[_Worker] = decoding.Decoder(
+    _Worker, strict=True
+)
+
+
 def decode_catalog(document: bytes | str) -> result.Result[model.Catalog, str]:
     """Return the catalog in the operators' document, or an error message."""
     try:
-        content = _Config.model_validate_json(document)
-    except pydantic.ValidationError as error:
+        content = _config_decoder.decode(document)
+    except decoding.MalformedError as error:
         return result.Failure(str(error))
     return result.Success(
         model.Catalog(
@@ -127,9 +132,8 @@
 ) -> result.Result[model.BackendReport, str]:
     """Return the report in a backend server's row, or an error message."""
     try:
-        content: Any = orjson.loads(value)
-        worker = _Worker.model_validate(content, strict=True)
-    except (orjson.JSONDecodeError, pydantic.ValidationError) as error:
+        worker = _worker_decoder.decode(value)
+    except decoding.MalformedError as error:
         return result.Failure(str(error))
     room = worker.room
     return result.Success(
--- a/waxwingwalk/platform/store.py
+++ b/waxwingwalk/platform/store.py
@@ -8,10 +8,11 @@
 from typing import Any
 
 import aiohttp
+import msgspec
 import orjson
-import pydantic
 from returns import result
 
+from waxwingwalk.core import decoding
 from waxwingwalk.host import metrics
 from waxwingwalk.store import rows as store_rows
 
@@ -26,7 +27,7 @@
 Failure = store_rows.StoreFailure
 
 
-class _Row(pydantic.BaseModel):
+class _Row(msgspec.Struct):
     key: str
     ver: int
     # In Base64; absent if the row was removed.
@@ -34,12 +35,15 @@
     tombstone: bool = False
 
 
-class _Rows(pydantic.BaseModel):
+class _Rows(msgspec.Struct):
     rows: list[_Row] = []
     ver: int = 0
     has_more: bool = False
 
 
+_rows_decoder: decoding.Decoder[_Rows] = decoding.Decoder(_Rows)
+
+
 class PlatformStore:
     """Calls the store over HTTP."""
 
@@ -205,8 +209,8 @@
 
 def _parse_page(content: bytes) -> _Rows | None:
     try:
-        return _Rows.model_validate_json(content)
-    except pydantic.ValidationError:
+        return _rows_decoder.decode(content)
+    except decoding.MalformedError:
         return None
 
 
