Dispatch: stopped pushing the configuration over links

Cause: Reducer._push_catalog ran on each KeepAlive and HostStatus and sent the document to every linked host whose last known version was older. A status that a host had sent before it processed the document set that version back, and a link that had just opened counted as version 0, so the same document was sent again, in front of the messages of jobs. The links missed their keep-alives of 0.6 s, closed, opened again, and got the document once more.

Change: hosts only tell their version. A host that does not get a newer one from the store within 600 ms requests it from one linked host, in parts of at most 8 KiB with one request outstanding (dispatch/catalog_sharing.py; messages request_catalog and catalog_part). share_catalog is understood, not sent. Documents are decoded in steps, and unchanged queues are used again; Catalog.find uses an index by host name and prefix. The emulator has a bandwidth for each host with a queue, and counts bytes sent and links closed.

--- a/waxwingwalk/dispatch/effects.py
+++ b/waxwingwalk/dispatch/effects.py
@@ -106,7 +106,10 @@
 
 @dataclasses.dataclass(slots=True)
 class DecodeCatalog:
-    """Decode the operators' document; CatalogRead follows if it is valid."""
+    """Decode the operators' document.
+
+    CatalogRead follows, or CatalogRejected if it is malformed.
+    """
 
     document: str
 
--- a/waxwingwalk/dispatch/events.py
+++ b/waxwingwalk/dispatch/events.py
@@ -35,6 +35,13 @@
     document: str
 
 
+@dataclasses.dataclass(slots=True)
+class CatalogRejected:
+    """A document of the catalog is malformed."""
+
+    document: str
+
+
 @dataclasses.dataclass(slots=True)
 class BackendsListed:
     """All registered backend servers were listed."""
@@ -181,6 +188,7 @@
     | JobSubmitted
     | JobAbandoned
     | CatalogRead
+    | CatalogRejected
     | BackendsListed
     | HostsListed
     | PoolsListed
--- a/waxwingwalk/dispatch/links.py
+++ b/waxwingwalk/dispatch/links.py
@@ -35,7 +35,6 @@
         self.last_heard_at = now
         self.keep_alive_sent_at = now - IDLE_KEEP_ALIVE_INTERVAL
         self.busy_since: datetime.datetime | None = None
-        self.catalog_version = 0
 
     def is_timed_out(self, now: datetime.datetime) -> bool:
         """Return whether the far end has missed its keep-alives."""
--- a/waxwingwalk/dispatch/messages.py
+++ b/waxwingwalk/dispatch/messages.py
@@ -152,9 +152,39 @@
     kind: Literal["keep_alive"] = "keep_alive"
 
 
+@dataclasses.dataclass(slots=True)
+class RequestCatalog:
+    """Asks for a part of the operators' document; CatalogPart follows.
+
+    ``offset`` counts characters.
+    """
+
+    version: int
+    offset: int
+    kind: Literal["request_catalog"] = "request_catalog"
+
+
+@dataclasses.dataclass(slots=True)
+class CatalogPart:
+    """A part of a version of the operators' document.
+
+    ``offset`` and ``total``, the length of the document, count characters. A
+    ``total`` of 0 means that the sender does not send the document now.
+    """
+
+    version: int
+    offset: int
+    total: int
+    content: str
+    kind: Literal["catalog_part"] = "catalog_part"
+
+
 @dataclasses.dataclass(slots=True)
 class ShareCatalog:
-    """A version of the catalog, as the operators' document."""
+    """A version of the catalog, as the operators' document.
+
+    Only hosts of the previous version send it.
+    """
 
     version: int
     document: str
@@ -188,12 +218,18 @@
     | TaskEnded
     | HostStatus
     | KeepAlive
+    | RequestCatalog
+    | CatalogPart
     | ShareCatalog
     | ReleaseBackend
     | ReportCrashes
 )
 
 
+# Messages that are sent after all others that wait for a link.
+BULK_MESSAGES = (RequestCatalog, CatalogPart)
+
+
 def deduct_delay(message: Message, delay_ms: float) -> None:
     """Make times that were relative to the sending relative to now."""
     if isinstance(message, SubmitJob):
--- a/waxwingwalk/dispatch/model.py
+++ b/waxwingwalk/dispatch/model.py
@@ -1,9 +1,11 @@
 """Data model of dispatch: jobs, queues, hosts and backend servers."""
 
+import bisect
 from collections.abc import Sequence
 import dataclasses
 import datetime
 import enum
+import operator
 
 MILLISECOND = datetime.timedelta(milliseconds=1)
 ZERO = datetime.timedelta()
@@ -78,26 +80,76 @@
     idle: datetime.timedelta = datetime.timedelta(seconds=15)
 
 
+class QueueIndex:
+    """Queues by host name and prefix.
+
+    ::
+
+        index = QueueIndex()
+        index.add(queue)
+        index.find("shop.example", "/refund/17")
+    """
+
+    def __init__(self) -> None:
+        self._by_prefix: dict[str, dict[str, Queue]] = {}
+        # The lengths of the prefixes of each host name, longest first.
+        self._lengths: dict[str, list[int]] = {}
+
+    @property
+    def is_empty(self) -> bool:
+        """Whether no queue was added."""
+        return not self._by_prefix
+
+    def add(self, queue: Queue) -> None:
+        """Add a queue; the first one of a host name and prefix prevails."""
+        prefixes = self._by_prefix.setdefault(queue.host, {})
+        if prefixes.setdefault(queue.prefix, queue) is not queue:
+            return
+        lengths = self._lengths.setdefault(queue.host, [])
+        length = len(queue.prefix)
+        if length not in lengths:
+            bisect.insort(lengths, length, key=operator.neg)
+
+    def find(self, host: str, path: str) -> Queue | None:
+        """Return the queue with the longest prefix of a path, if any."""
+        prefixes = self._by_prefix.get(host)
+        if prefixes is None:
+            return None
+        for length in self._lengths[host]:
+            if length <= len(path):
+                queue = prefixes.get(path[:length])
+                if queue is not None:
+                    return queue
+        return None
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Catalog:
-    """One version of the operators' configuration: queues and services."""
+    """One version of the operators' configuration: queues and services.
+
+    ``index`` holds the queues; it is built from them if it is not given.
+    """
 
     version: int
     queues: tuple[Queue, ...]
     services: frozenset[str]
     limits: RequestLimits = RequestLimits()
+    index: QueueIndex = dataclasses.field(
+        default_factory=QueueIndex, compare=False, repr=False
+    )
+
+    def __post_init__(self) -> None:
+        if not self.index.is_empty:
+            return
+        for queue in self.queues:
+            self.index.add(queue)
 
     def find(self, host: str, path: str) -> Queue | None:
         """Return the queue for a caller's request, if any.
 
         ``host`` is the host name in the request.
         """
-        best: Queue | None = None
-        for queue in self.queues:
-            if queue.host == host and path.startswith(queue.prefix):
-                if best is None or len(queue.prefix) > len(best.prefix):
-                    best = queue
-        return best
+        return self.index.find(host, path)
 
 
 class AdvertisedState(enum.Enum):
--- a/waxwingwalk/dispatch/reducer.py
+++ b/waxwingwalk/dispatch/reducer.py
@@ -18,6 +18,7 @@
 
 from waxwingwalk.core import clock
 from waxwingwalk.dispatch import backend as backends
+from waxwingwalk.dispatch import catalog_sharing
 from waxwingwalk.dispatch import crashes
 from waxwingwalk.dispatch import effects
 from waxwingwalk.dispatch import events
@@ -84,7 +85,9 @@
         self.local_host = local_host
         self.settings = settings or dispatch_settings.DispatchSettings()
         self.catalog: model.Catalog | None = None
-        self.catalog_document = ""
+        self.catalog_sharing = catalog_sharing.CatalogSharing(
+            local_host.address
+        )
         self.hosts = dispatch_hosts.Hosts(local_host)
         self.ownership = dispatch_ownership.Ownership(self.hosts)
         self._observed = observed_time.ObservedTime()
@@ -120,6 +123,7 @@
             events.JobSubmitted: self._submit,
             events.JobAbandoned: self._abandon,
             events.CatalogRead: self._adopt_catalog,
+            events.CatalogRejected: self._reject_catalog,
             events.BackendsListed: self._update_backends,
             events.HostsListed: self._update_hosts,
             events.PoolsListed: self._update_pools,
@@ -146,6 +150,8 @@
             messages.TaskEnded: self.scheduler.handle_peer_task_end,
             messages.HostStatus: self._handle_host_status,
             messages.KeepAlive: self._handle_keep_alive,
+            messages.RequestCatalog: self._send_catalog_part,
+            messages.CatalogPart: self._handle_catalog_part,
             messages.ShareCatalog: self._decode_peer_catalog,
             messages.ReleaseBackend: self._record_backend_release,
             messages.ReportCrashes: self._record_reported_crashes,
@@ -293,39 +299,38 @@
     ) -> effects.Effects:
         """Adopt a newer catalog; older versions are ignored."""
         known = self.catalog
-        if known is not None and event.catalog.version <= known.version:
-            return []
+        version = event.catalog.version
+        done = self.catalog_sharing.finish_decoding(
+            event.document, version, self._observed.at(now)
+        )
+        if known is not None and version <= known.version:
+            return done
         self.catalog = event.catalog
-        self.catalog_document = event.document
-        return [
+        done += [
             effects.Log(
                 "catalog.adopted",
                 {
-                    "version": event.catalog.version,
+                    "version": version,
                     "was": None if known is None else known.version,
                     "queues": len(event.catalog.queues),
                 },
             ),
-            *self._push_catalog(),
+            *self.catalog_sharing.adopt(
+                version, event.document, self._observed.at(now)
+            ),
         ]
-
-    def _push_catalog(self) -> effects.Effects:
-        """Send the catalog to linked hosts that have an older version."""
-        if self.catalog is None:
-            return []
-        version = self.catalog.version
-        done: effects.Effects = []
-        for number, link in self._links.items():
-            if link.catalog_version < version:
-                link.catalog_version = version
-                done.append(
-                    effects.Send(
-                        number,
-                        messages.ShareCatalog(version, self.catalog_document),
-                    )
-                )
+        # Hosts that do not reach the store learn of the version by this.
+        for number in self._links:
+            done += self._send_keep_alive(number, now)
         return done
 
+    def _reject_catalog(
+        self, event: events.CatalogRejected, now: datetime.datetime
+    ) -> effects.Effects:
+        return self.catalog_sharing.finish_decoding(
+            event.document, None, self._observed.at(now)
+        )
+
     def _update_backends(
         self, event: events.BackendsListed, now: datetime.datetime
     ) -> effects.Effects:
@@ -567,6 +572,9 @@
         else:
             self.hosts.inbound_link_closed(link.host)
         done += self.scheduler.close_link(event.link, now)
+        done += self.catalog_sharing.close_link(
+            event.link, self._observed.at(now)
+        )
         return [*done, *self._reevaluate_ownership(now)]
 
     def _reevaluate_ownership(self, now: datetime.datetime) -> effects.Effects:
@@ -661,8 +669,7 @@
         former = peer.status
         peer.update_status(message)
         self.scheduler.update_peer_status(link, message.loads)
-        self._links[link].catalog_version = message.catalog_version
-        done: effects.Effects = self._push_catalog()
+        done = self._record_catalog_version(message, link, now)
         changed = (
             former is None
             or former.is_leaving != message.is_leaving
@@ -680,8 +687,40 @@
         link: int,
         now: datetime.datetime,
     ) -> effects.Effects:
-        self._links[link].catalog_version = message.catalog_version
-        return self._push_catalog()
+        return self._record_catalog_version(message, link, now)
+
+    def _record_catalog_version(
+        self,
+        message: messages.HostStatus | messages.KeepAlive,
+        link: int,
+        now: datetime.datetime,
+    ) -> effects.Effects:
+        return self.catalog_sharing.record_version(
+            link,
+            self._links[link].host.address,
+            message.catalog_version,
+            self._observed.at(now),
+        )
+
+    def _send_catalog_part(
+        self,
+        message: messages.RequestCatalog,
+        link: int,
+        now: datetime.datetime,
+    ) -> effects.Effects:
+        return self.catalog_sharing.handle_request(
+            message, link, self._observed.at(now)
+        )
+
+    def _handle_catalog_part(
+        self,
+        message: messages.CatalogPart,
+        link: int,
+        now: datetime.datetime,
+    ) -> effects.Effects:
+        return self.catalog_sharing.handle_part(
+            message, link, self._observed.at(now)
+        )
 
     def _decode_peer_catalog(
         self,
@@ -689,11 +728,7 @@
         link: int,
         now: datetime.datetime,
     ) -> effects.Effects:
-        """Decode a peer's catalog if newer; CatalogRead follows."""
-        known = self.catalog
-        if known is not None and message.version <= known.version:
-            return []
-        return [effects.DecodeCatalog(message.document)]
+        return self.catalog_sharing.handle_document(message, link)
 
     def _record_backend_release(
         self,
@@ -775,6 +810,7 @@
             and now - self._held_since > HOLD_LIMIT
         ):
             done += self._resume(now)
+        done += self.catalog_sharing.tick(self._observed.at(now))
         done += self.run_tracker.tick(now)
         done += self.scheduler.tick(now)
         if now - self._ownership_evaluated_at < OWNERSHIP_INTERVAL:
--- a/waxwingwalk/emulator/fleet.py
+++ b/waxwingwalk/emulator/fleet.py
@@ -5,6 +5,7 @@
 execute orders late; the store goes down.
 """
 
+import collections
 from collections.abc import Callable
 import dataclasses
 import datetime
@@ -36,6 +37,8 @@
 CALLER_RETRY_DELAY = datetime.timedelta(milliseconds=1300)
 # Range of the delay of late orders, in seconds.
 LATE_ORDER_SECONDS = (2.0, 12.0)
+# Time from a document's arrival to the version that it holds.
+DECODE_DELAY = datetime.timedelta(milliseconds=20)
 # A message that was on its way for longer closes its link when it arrives.
 MESSAGE_DELAY_MAX = datetime.timedelta(milliseconds=600)
 
@@ -110,6 +113,8 @@
         self.links: dict[int, EmulatedLink] = {}
         self.link_targets: frozenset[str] = frozenset()
         self.has_exited = False
+        # When the last message has left the queue of its network interface.
+        self.uplink_free_at: datetime.datetime | None = None
 
 
 class Fleet:
@@ -167,7 +172,19 @@
         self._rows: dict[str, tuple[int, pool_rows.PoolRow]] = {}
         self._last_version = 0
         self._last_link_number = 0
-        self._catalog = model.Catalog(1, (), frozenset({SERVICE}))
+        # Bits a second that a host can send over all its links together, if
+        # limited. What it cannot send at once waits in the order of sending.
+        self.uplink_bits_per_second: float | None = None
+        # Hosts that cannot reach the store.
+        self.hosts_without_store: set[str] = set()
+        # Bytes and messages sent over links by kind, and links closed.
+        self.sent_bytes: collections.Counter[str] = collections.Counter()
+        self.sent_messages: collections.Counter[str] = collections.Counter()
+        self.closed_links = 0
+        # The catalogs that documents hold; other documents are malformed.
+        self.catalogs: dict[str, model.Catalog] = {}
+        self.document = ""
+        self.write_catalog(1)
 
     # Building.
 
@@ -206,6 +223,17 @@
         self.listed_backends[backend_id] = report
         return backend
 
+    def write_catalog(self, version: int, size: int = 1) -> str:
+        """Write a version of the catalog to the store; return its document.
+
+        The document has about ``size`` bytes.
+        """
+        self.document = f"{version}:".ljust(size, "q")
+        self.catalogs[self.document] = model.Catalog(
+            version, (), frozenset({SERVICE})
+        )
+        return self.document
+
     def _unix_ms(self) -> int:
         return int(self.timeline.now().timestamp() * 1000)
 
@@ -241,6 +269,7 @@
         host.is_frozen = host.freezes_after_event = False
         host.deferred.clear()
         host.reducer = None
+        host.uplink_free_at = None
         links, host.links = list(host.links.values()), {}
         for link in links:
             if not silently:
@@ -562,14 +591,15 @@
         self.timeline.call_later(
             STORE_READ_INTERVAL, lambda: self._read_store(host, incarnation)
         )
-        if self._is_store_down or host.address in self._isolated_hosts:
+        if not self._reaches_store(host):
             return
         records = tuple(
             each.reducer.local_host
             for each in self.hosts.values()
             if each.reducer is not None
         )
-        self._apply(host, events.CatalogRead(self._catalog, "1"))
+        read = events.CatalogRead(self.catalogs[self.document], self.document)
+        self._apply(host, read)
         self._apply(host, events.HostsListed(records))
         self._apply(host, events.PoolsListed(dict(self._rows)))
         if not self._is_list_due(host):
@@ -580,6 +610,13 @@
             reports = tuple(self.listed_backends.values())
         self._apply(host, events.BackendsListed(reports))
 
+    def _reaches_store(self, host: Host) -> bool:
+        return not (
+            self._is_store_down
+            or host.address in self._isolated_hosts
+            or host.address in self.hosts_without_store
+        )
+
     def _is_list_due(self, host: Host) -> bool:
         """Return whether a host reads the list of backend servers now."""
         if host.list_read_at is None or host.reducer is None:
@@ -651,6 +688,14 @@
             case effects.ReadConnections():
                 read = events.ConnectionsRead(effect.pause)
                 self._apply_later(host, LOOP_DELAY, read)
+            case effects.DecodeCatalog():
+                catalog = self.catalogs.get(effect.document)
+                decoded: events.Event = (
+                    events.CatalogRejected(effect.document)
+                    if catalog is None
+                    else events.CatalogRead(catalog, effect.document)
+                )
+                self._apply_later(host, DECODE_DELAY, decoded)
             case effects.Exit():
                 host.has_exited = True
             case _:
@@ -771,6 +816,7 @@
         if not link.is_open:
             return
         link.is_open = False
+        self.closed_links += 1
         for host, number in (
             (link.opener, link.opener_number),
             (link.acceptor, link.acceptor_number),
@@ -793,6 +839,7 @@
             return
         now = self.timeline.now()
         delay = self._draw_message_delay(host, receiver)
+        delay += self._queue_for_uplink(host, message)
         arrives_at = max(
             now + delay, link.delivery_times.get(host.address, now)
         )
@@ -813,6 +860,23 @@
 
         self.timeline.call_later(arrives_at - now, deliver)
 
+    def _queue_for_uplink(
+        self, host: Host, message: messages.Message
+    ) -> datetime.timedelta:
+        """Return how long it takes until a message has left its host."""
+        self.sent_messages[message.kind] += 1
+        if self.uplink_bits_per_second is None:
+            return model.ZERO
+        frame = messages.Frame(0.0, [message])
+        size = len(messages.decoder.dump_json(frame))
+        self.sent_bytes[message.kind] += size
+        now = self.timeline.now()
+        begins_at = max(now, host.uplink_free_at or now)
+        host.uplink_free_at = begins_at + datetime.timedelta(
+            seconds=8 * size / self.uplink_bits_per_second
+        )
+        return host.uplink_free_at - now
+
     def _draw_message_delay(
         self, sender: Host, receiver: Host
     ) -> datetime.timedelta:
@@ -933,7 +997,7 @@
 
     def _write_pool(self, host: Host, effect: effects.WritePool) -> None:
         def write() -> None:
-            if self._is_store_down or host.address in self._isolated_hosts:
+            if not self._reaches_store(host):
                 written = events.PoolWritten(effect.pool, None, None)
                 self._apply(host, written)
                 return
--- a/waxwingwalk/host/engine.py
+++ b/waxwingwalk/host/engine.py
@@ -59,9 +59,9 @@
 
 
 class CatalogDecoder(Protocol):
-    """Decodes the operators' configuration document."""
+    """Decodes the operators' document, without blocking the event loop."""
 
-    def decode(self, document: str) -> model.Catalog | None: ...
+    async def decode(self, document: str) -> model.Catalog | None: ...
 
 
 @dataclasses.dataclass(slots=True)
@@ -215,18 +215,28 @@
             case effects.ProbeBackends():
                 self._spawn(self._probe(effect, adapters.backends))
             case effects.DecodeCatalog():
-                catalog = adapters.catalogs.decode(effect.document)
-                if catalog is not None:
-                    event = events.CatalogRead(catalog, effect.document)
-                    self._spawn(self._apply_soon(event))
+                self.read_catalog(effect.document)
             case effects.ReadConnections():
                 self._spawn(self._read_connections(effect))
             case effects.Exit():
                 self.exited.set()
 
-    async def _apply_soon(self, event: events.Event) -> None:
-        """Apply an event in a task, after the effects of the current one."""
-        self.apply(event)
+    def read_catalog(self, document: str) -> None:
+        """Decode the operators' document in a task, then apply the result."""
+        if self.adapters is None:
+            raise RuntimeError("engine.adapters must be set before use")
+        self._call(
+            self._decode_catalog(document, self.adapters.catalogs),
+            events.CatalogRejected(document),
+        )
+
+    async def _decode_catalog(
+        self, document: str, catalogs: CatalogDecoder
+    ) -> events.Event:
+        catalog = await catalogs.decode(document)
+        if catalog is None:
+            return events.CatalogRejected(document)
+        return events.CatalogRead(catalog, document)
 
     async def _read_connections(self, effect: effects.ReadConnections) -> None:
         """Let the event loop read all connections and run their handlers."""
--- a/waxwingwalk/host/log_catalogue.py
+++ b/waxwingwalk/host/log_catalogue.py
@@ -86,6 +86,16 @@
         "a version of the configuration took effect",
         ("version", "was", "queues"),
     ),
+    "catalog.requested": LogEvent(
+        "a newer version is requested from another host, as the store did not "
+        "deliver it in time",
+        ("host", "version", "was"),
+    ),
+    "catalog.transfer_failed": LogEvent(
+        "the host that was asked did not deliver the version; another one is "
+        "asked",
+        ("host", "version", "reason"),
+    ),
     "catalog.malformed": LogEvent(
         "a configuration is malformed; the previous one stays in force",
         ("error",),
--- a/waxwingwalk/platform/catalog.py
+++ b/waxwingwalk/platform/catalog.py
@@ -1,10 +1,13 @@
 """The operators' configuration, and the rows of backend servers."""
 
+import asyncio
+from collections.abc import Iterator
 import datetime
 from typing import Annotated
 from typing import Any
 from typing import Literal
 
+import msgspec
 import orjson
 import pydantic
 from returns import result
@@ -28,6 +31,8 @@
 BACKENDS_INTERVAL_IDLE = datetime.timedelta(seconds=5)
 # Maximum length of a validation error in a log line, in characters.
 ERROR_MAX = 300
+# Queues that are decoded before the event loop runs again.
+QUEUES_PER_STEP = 100
 
 
 # Bound of durations in milliseconds, eleven days. Far longer ones do not fit
@@ -70,6 +75,10 @@
     limits: _RequestLimits = _RequestLimits()
 
 
+# The operators' document, with its members not decoded.
+_RAW_DOCUMENT = dict[str, msgspec.Raw]
+
+
 class _Room(pydantic.BaseModel):
     # Thousandths of a core.
     cpu: int = 0
@@ -88,24 +97,70 @@
     born: int = 0
 
 
+class _Decoding:
+    """The decoding of one document, in steps of a bounded number of queues.
+
+    ``known`` are queues by their JSON, which are not decoded again. ``queues``
+    are those of this document; ``catalog`` is set after the last step.
+    """
+
+    def __init__(
+        self, document: bytes | str, known: dict[bytes, model.Queue]
+    ) -> None:
+        self._document = document
+        self._known = known
+        self.queues: dict[bytes, model.Queue] = {}
+        self.catalog: model.Catalog | None = None
+
+    def run(self) -> Iterator[None]:
+        """Decode the document; each item that is produced ends a step.
+
+        Raise ``ValueError`` or ``RecursionError`` if it is malformed.
+        """
+        content = msgspec.json.decode(self._document, type=_RAW_DOCUMENT)
+        routes = content.pop("routes", msgspec.Raw(b"[]"))
+        yield
+        raw_queues = msgspec.json.decode(routes, type=list[msgspec.Raw])
+        head = _Config.model_validate_json(msgspec.json.encode(content))
+        yield
+        found = []
+        index = model.QueueIndex()
+        for number, raw_queue in enumerate(raw_queues, start=1):
+            queue = self._decode_queue(bytes(raw_queue))
+            found.append(queue)
+            index.add(queue)
+            if not number % QUEUES_PER_STEP:
+                yield
+        self.catalog = model.Catalog(
+            version=head.version,
+            queues=tuple(found),
+            services=frozenset(each.name for each in head.backends),
+            limits=model.RequestLimits(
+                body_bytes=head.limits.max_body_bytes,
+                header_bytes=head.limits.max_header_bytes,
+                idle=_milliseconds(head.limits.idle_timeout_ms),
+            ),
+            index=index,
+        )
+
+    def _decode_queue(self, content: bytes) -> model.Queue:
+        queue = self._known.get(content)
+        if queue is None:
+            queue = _to_queue(_Route.model_validate_json(content))
+        self.queues[content] = queue
+        return queue
+
+
 def decode_catalog(document: bytes | str) -> result.Result[model.Catalog, str]:
     """Return the catalog in the operators' document, or an error message."""
+    decoding = _Decoding(document, {})
     try:
-        content = _Config.model_validate_json(document)
-    except pydantic.ValidationError as error:
+        for _ in decoding.run():
+            pass
+    except (ValueError, RecursionError) as error:
         return result.Failure(str(error))
-    return result.Success(
-        model.Catalog(
-            version=content.version,
-            queues=tuple(_to_queue(route) for route in content.routes),
-            services=frozenset(each.name for each in content.backends),
-            limits=model.RequestLimits(
-                body_bytes=content.limits.max_body_bytes,
-                header_bytes=content.limits.max_header_bytes,
-                idle=_milliseconds(content.limits.idle_timeout_ms),
-            ),
-        )
-    )
+    assert decoding.catalog is not None
+    return result.Success(decoding.catalog)
 
 
 def _to_queue(route: _Route) -> model.Queue:
@@ -182,20 +237,31 @@
 
 
 class CatalogDecoder:
-    """Decodes catalogs, and logs malformed ones."""
+    """Decodes catalogs one after the other, and logs malformed ones.
+
+    The event loop runs between the steps. Queues that have not changed since
+    the last catalog are used again.
+    """
 
     def __init__(self, log: follower.FollowerLog) -> None:
         self._log = log
+        self._queues: dict[bytes, model.Queue] = {}
+        self._lock = asyncio.Lock()
 
-    def decode(self, document: str) -> model.Catalog | None:
+    async def decode(self, document: str) -> model.Catalog | None:
         """Return the catalog, None if the document is malformed."""
-        decoded = decode_catalog(document)
-        catalog = decoded.value_or(None)
-        if catalog is None:
-            self._log.info(
-                "catalog.malformed", error=decoded.failure()[:ERROR_MAX]
-            )
-        return catalog
+        async with self._lock:
+            decoding = _Decoding(document, self._queues)
+            try:
+                for _ in decoding.run():
+                    await asyncio.sleep(0)
+            except (ValueError, RecursionError) as error:
+                self._log.info(
+                    "catalog.malformed", error=str(error)[:ERROR_MAX]
+                )
+                return None
+            self._queues = decoding.queues
+            return decoding.catalog
 
 
 def _milliseconds(count: float) -> datetime.timedelta:
--- a/waxwingwalk/platform/wiring.py
+++ b/waxwingwalk/platform/wiring.py
@@ -29,14 +29,15 @@
     backend_decoder = catalog.BackendRowDecoder(log)
     catalog_decoder = catalog.CatalogDecoder(log)
 
+    last_document: bytes | None = None
+
     def apply_operators_rows(rows: follower.TableRows) -> None:
+        nonlocal last_document
         row = rows.get(catalog.CONFIG_KEY)
-        if row is None or row.value is None:
+        if row is None or row.value is None or row.value == last_document:
             return
-        document = row.value.decode(errors="replace")
-        decoded = catalog_decoder.decode(document)
-        if decoded is not None:
-            engine.apply(events.CatalogRead(decoded, document))
+        last_document = row.value
+        engine.read_catalog(row.value.decode(errors="replace"))
 
     def apply_backend_rows(rows: follower.TableRows) -> None:
         engine.apply(events.BackendsListed(backend_decoder.decode(rows)))
