--- a/waxwingwalk/dispatch/messages.py
+++ b/waxwingwalk/dispatch/messages.py
@@ -139,8 +139,34 @@
     catalog_version: int
 
 
+class RequestCatalog(_Tagged, tag="request_catalog"):
+    """Asks for a part of the operators' document; CatalogPart follows.
+
+    ``offset`` counts characters.
+    """
+
+    version: int
+    offset: int
+
+
+class CatalogPart(_Tagged, tag="catalog_part"):
+    """A part of a version of the operators' document.
+
+    ``offset`` and ``total``, the length of the document, count characters. A
+    ``total`` of 0 means that the sender does not send the document now.
+    """
+
+    version: int
+    offset: int
+    total: int
+    content: str
+
+
 class ShareCatalog(_Tagged, tag="share_catalog"):
-    """A version of the catalog, as the operators' document."""
+    """A version of the catalog, as the operators' document.
+
+    Only hosts of the previous version send it.
+    """
 
     version: int
     document: str
@@ -169,12 +195,18 @@
     | TaskEnded
     | HostStatus
     | KeepAlive
+    | RequestCatalog
+    | CatalogPart
     | ShareCatalog
     | ReleaseBackend
     | ReportCrashes
 )
 
 
+# Messages that are sent after all others that wait for a link.
+BULK_MESSAGES = (RequestCatalog, CatalogPart)
+
+
 def deduct_delay(message: Message, delay_ms: float) -> None:
     """Make times that were relative to the sending relative to now."""
     if isinstance(message, SubmitJob):
