Links: sent parts behind jobs' messages, reconnected with jitter

Cause: a message of any size was sent ahead of jobs' messages that came after it, and a link that closed was opened again at once, however short it had lasted, by all hosts at the same time.

Change: parts and requests of the document wait behind all other messages of a link. Metrics count the bytes and frames sent of each kind of message. The emulator models handshakes on request.

--- a/waxwingwalk/dispatch/messages.py
+++ b/waxwingwalk/dispatch/messages.py
@@ -8,6 +8,7 @@
 import dataclasses
 from typing import Annotated
 from typing import Any
+from typing import get_args
 from typing import Literal
 
 import pydantic
@@ -261,6 +262,11 @@
 
 decoder: pydantic.TypeAdapter[Frame] = pydantic.TypeAdapter(Frame)
 
+# The adapters of single types; that of a frame tries all of them in turn.
+_encoders: dict[type, pydantic.TypeAdapter[Any]] = {
+    each: pydantic.TypeAdapter(each) for each in get_args(Message)
+}
+
 _frame_decoder: pydantic.TypeAdapter[_RawFrame] = pydantic.TypeAdapter(
     _RawFrame
 )
@@ -269,6 +275,17 @@
 )
 
 
+def encode(message: Message) -> bytes:
+    """Return a message as JSON."""
+    return _encoders[type(message)].dump_json(message)
+
+
+def encode_frame(sent_ms: float, contents: list[bytes]) -> bytes:
+    """Return the frame of messages that are encoded already."""
+    head = f'{{"sent_ms":{sent_ms!r},"messages":['.encode()
+    return b"%b%b]}" % (head, b",".join(contents))
+
+
 def decode_separately(content: str) -> tuple[Frame, list[str]]:
     """Return a frame without the messages that are malformed, and the errors.
 
--- a/waxwingwalk/emulator/fleet.py
+++ b/waxwingwalk/emulator/fleet.py
@@ -18,6 +18,7 @@
 from waxwingwalk.dispatch import ordering
 from waxwingwalk.dispatch import placement as dispatch_placement
 from waxwingwalk.dispatch import pool_rows
+from waxwingwalk.dispatch import reconnection
 from waxwingwalk.dispatch import reducer as dispatch_reducer
 from waxwingwalk.emulator import backend as emulated_backend
 from waxwingwalk.emulator import guarantees
@@ -81,6 +82,7 @@
     acceptor_number: int
     is_open: bool = True
     closed_end: "Host | None" = None
+    opened_at: datetime.datetime | None = None
     delivery_times: dict[str, datetime.datetime] = dataclasses.field(
         default_factory=dict
     )
@@ -115,6 +117,14 @@
         self.has_exited = False
         # When the last message has left the queue of its network interface.
         self.uplink_free_at: datetime.datetime | None = None
+        # Handshakes that it has begun, and links that wait to be opened.
+        self.handshakes = 0
+        self.waiting_connections: collections.deque[Callable[[], None]] = (
+            collections.deque()
+        )
+        # When its processor has done all handshakes so far.
+        self.handshakes_done_at: datetime.datetime | None = None
+        self.reconnections: dict[str, reconnection.Reconnection] = {}
 
 
 class Fleet:
@@ -172,6 +182,10 @@
         self._rows: dict[str, tuple[int, pool_rows.PoolRow]] = {}
         self._last_version = 0
         self._last_link_number = 0
+        # Time that a handshake takes of the processors of both hosts. If set,
+        # hosts also wait before they connect again, as real ones do.
+        self.handshake_time: datetime.timedelta | None = None
+        self._delays = random.Random(seed)
         # Bits a second that a host can send over all its links together, if
         # limited. What it cannot send at once waits in the order of sending.
         self.uplink_bits_per_second: float | None = None
@@ -269,7 +283,10 @@
         host.is_frozen = host.freezes_after_event = False
         host.deferred.clear()
         host.reducer = None
-        host.uplink_free_at = None
+        host.uplink_free_at = host.handshakes_done_at = None
+        host.handshakes = 0
+        host.waiting_connections.clear()
+        host.reconnections.clear()
         links, host.links = list(host.links.values()), {}
         for link in links:
             if not silently:
@@ -280,6 +297,25 @@
                 if not silently:
                     self._repeat_request_later(caller)
 
+    def set_seeds(self, host: Host, addresses: frozenset[str]) -> None:
+        """Make a host connect to others before it has read the store."""
+        self._set_link_targets(host, addresses)
+
+    def break_links(self) -> None:
+        """Break all links at once."""
+        for host in self.hosts.values():
+            for link in list(host.links.values()):
+                self._close_link(link)
+
+    def has_links_to_targets(self, host: Host) -> bool:
+        """Return whether a host has a link to each one that it wants."""
+        linked = {
+            link.acceptor.address
+            for link in host.links.values()
+            if link.opener is host
+        }
+        return host.link_targets <= linked
+
     def isolate_host(self, host: Host) -> None:
         """Partition a host from the other hosts and the store."""
         self._isolated_hosts.add(host.address)
@@ -760,16 +796,77 @@
                 )
                 retry_later()
                 return
-            self._open_link(host, peer)
+            if self.handshake_time is None:
+                self._open_link(host, peer)
+            elif host.handshakes >= reconnection.HANDSHAKES_MAX:
+                host.waiting_connections.append(attempt)
+            else:
+                self._shake_hands(host, peer, retry_later)
 
         def retry_later() -> None:
+            delay = RECONNECT_DELAY
+            if self.handshake_time is not None:
+                delay = self._reconnection(host, address).after_failure()
             self.timeline.call_later(
-                RECONNECT_DELAY,
+                delay,
                 lambda: self._connect(host, address, incarnation),
             )
 
         self.timeline.call_later(LINK_DELAY, attempt)
 
+    def _reconnection(
+        self, host: Host, address: str
+    ) -> reconnection.Reconnection:
+        return host.reconnections.setdefault(
+            address, reconnection.Reconnection(self._delays.random)
+        )
+
+    def _reconnect(self, link: EmulatedLink) -> None:
+        """Make the opener of a closed link connect again."""
+        host, address = link.opener, link.acceptor.address
+        incarnation = host.incarnation
+        if self.handshake_time is None or link.opened_at is None:
+            self._connect(host, address, incarnation)
+            return
+        lasted = self.timeline.now() - link.opened_at
+        delay = self._reconnection(host, address).after_link(lasted)
+        self.timeline.call_later(
+            delay, lambda: self._connect(host, address, incarnation)
+        )
+
+    def _shake_hands(
+        self, host: Host, peer: Host, retry_later: Callable[[], None]
+    ) -> None:
+        """Open a link once the processors of both hosts have worked for it."""
+        assert self.handshake_time is not None
+        now = self.timeline.now()
+        done_at = now
+        for each in (host, peer):
+            begins_at = max(now, each.handshakes_done_at or now)
+            each.handshakes_done_at = begins_at + self.handshake_time
+            done_at = max(done_at, each.handshakes_done_at)
+        host.handshakes += 1
+        incarnations = (host.incarnation, peer.incarnation)
+
+        def finish() -> None:
+            if host.incarnation != incarnations[0] or not host.is_up:
+                return
+            host.handshakes -= 1
+            if (
+                done_at - now > CONNECT_TIMEOUT
+                or peer.incarnation != incarnations[1]
+                or not peer.is_up
+            ):
+                failed = events.LinkFailed(peer.address, False)
+                self._apply(host, failed)
+                retry_later()
+            else:
+                self._open_link(host, peer)
+            if host.waiting_connections:
+                host.waiting_connections.popleft()()
+
+        self.timeline.call_later(min(done_at - now, CONNECT_TIMEOUT), finish)
+
     def _open_link(self, opener: Host, acceptor: Host) -> None:
         assert opener.reducer is not None and acceptor.reducer is not None
         self._last_link_number += 2
@@ -779,6 +876,7 @@
             self._last_link_number,
             self._last_link_number + 1,
         )
+        link.opened_at = self.timeline.now()
         opener.links[link.opener_number] = link
         acceptor.links[link.acceptor_number] = link
         self._apply(
@@ -806,7 +904,7 @@
         host.links.pop(number, None)
         self._apply_later(host, LINK_DELAY, events.LinkClosed(number))
         if host is link.opener and host.is_up:
-            self._connect(host, peer.address, host.incarnation)
+            self._reconnect(link)
 
     def _close_link(self, link: EmulatedLink) -> None:
         """Close a link and notify the ends that are up.
@@ -824,9 +922,7 @@
             if host.links.pop(number, None) is not None:
                 self._apply_later(host, LINK_DELAY, events.LinkClosed(number))
         if link.opener.is_up and link.closed_end is not link.opener:
-            self._connect(
-                link.opener, link.acceptor.address, link.opener.incarnation
-            )
+            self._reconnect(link)
 
     def _send(
         self, host: Host, number: int, message: messages.Message
--- a/waxwingwalk/host/links.py
+++ b/waxwingwalk/host/links.py
@@ -11,6 +11,8 @@
 import contextlib
 import datetime
 import itertools
+import random
+from typing import Protocol
 
 import aiohttp
 from aiohttp import web
@@ -21,6 +23,7 @@
 from waxwingwalk.dispatch import links as dispatch_links
 from waxwingwalk.dispatch import messages
 from waxwingwalk.dispatch import model
+from waxwingwalk.dispatch import reconnection
 from waxwingwalk.host import logs
 from waxwingwalk.host import records
 
@@ -29,9 +32,6 @@
 # A connection between zones takes a few milliseconds; a host that does not
 # answer in this time is unreachable or has stopped.
 CONNECT_TIMEOUT = datetime.timedelta(milliseconds=400)
-# Delay after a failed connection attempt, increased up to the maximum.
-RECONNECT_PAUSE = datetime.timedelta(milliseconds=150)
-RECONNECT_PAUSE_MAX = datetime.timedelta(seconds=1)
 FRAME_MAX = 16 * 2**20
 # Messages that may be queued for a link. One more closes the link, with the
 # same effect as a broken connection.
@@ -54,6 +54,12 @@
 EventHandler = Callable[[events.Event], None]
 
 
+class TrafficRecorder(Protocol):
+    """Counts what is sent over links."""
+
+    def record_frame_sent(self, sizes: list[tuple[str, int]]) -> None: ...
+
+
 class _Link:
     """One end of an open link.
 
@@ -61,29 +67,64 @@
     long a frame from the other end was on its way.
     """
 
-    def __init__(self, socket: Socket, time: clock.Clock) -> None:
+    def __init__(
+        self,
+        socket: Socket,
+        time: clock.Clock,
+        traffic: TrafficRecorder | None,
+    ) -> None:
         self.socket = socket
+        self._traffic = traffic
         self._clock = time
         self._opened_at = time.now()
         self._drift = datetime.timedelta()
         self._received_at = self._opened_at
         self._least_delay = datetime.timedelta.max
         self.close_requested = asyncio.Event()
-        self.queue: collections.deque[messages.Message] = collections.deque()
-        self.wake = asyncio.Event()
+        self._queue: collections.deque[messages.Message] = collections.deque()
+        self._bulk_queue: collections.deque[messages.Message] = (
+            collections.deque()
+        )
+        self._wake = asyncio.Event()
+
+    @property
+    def queued(self) -> int:
+        """How many messages wait to be sent."""
+        return len(self._queue) + len(self._bulk_queue)
+
+    def enqueue(self, message: messages.Message) -> None:
+        """Queue a message."""
+        if isinstance(message, messages.BULK_MESSAGES):
+            self._bulk_queue.append(message)
+        else:
+            self._queue.append(message)
+        self._wake.set()
 
     async def send_queued(self) -> None:
-        """Send queued messages; those queued together share a frame."""
+        """Send queued messages; those queued together share a frame.
+
+        Each bulk message has a frame of its own, after all others.
+        """
         while True:
-            await self.wake.wait()
-            self.wake.clear()
-            batch = list(self.queue)
-            self.queue.clear()
-            if batch:
-                age = self._clock.now() - self._opened_at
-                frame = messages.Frame(age / model.MILLISECOND, batch)
-                content = messages.decoder.dump_json(frame)
-                await self.socket.send_str(content.decode())
+            await self._wake.wait()
+            self._wake.clear()
+            while self.queued:
+                batch = list(self._queue)
+                self._queue.clear()
+                await self._send(batch or [self._bulk_queue.popleft()])
+
+    async def _send(self, batch: list[messages.Message]) -> None:
+        age = self._clock.now() - self._opened_at
+        contents = [messages.encode(each) for each in batch]
+        if self._traffic is not None:
+            self._traffic.record_frame_sent(
+                [
+                    (message.kind, len(content))
+                    for message, content in zip(batch, contents, strict=True)
+                ]
+            )
+        frame = messages.encode_frame(age / model.MILLISECOND, contents)
+        await self.socket.send_str(frame.decode())
 
     def transit_time(self, frame: messages.Frame) -> datetime.timedelta:
         """Return how long a frame that has just arrived was on its way."""
@@ -116,8 +157,13 @@
         notify: EventHandler,
         log: logs.HostLog,
         time: clock.Clock,
+        traffic: TrafficRecorder | None = None,
+        draw: Callable[[], float] = random.random,
     ) -> None:
         self._local_host = local_host
+        self._traffic = traffic
+        self._draw = draw
+        self._handshakes = asyncio.Semaphore(reconnection.HANDSHAKES_MAX)
         self._clock = time
         self._notify = notify
         self._log = log
@@ -140,11 +186,10 @@
         link = self._links.get(number)
         if link is None:
             return
-        if len(link.queue) >= QUEUE_MAX:
+        if link.queued >= QUEUE_MAX:
             self.close_link(number)
             return
-        link.queue.append(message)
-        link.wake.set()
+        link.enqueue(message)
 
     def close_link(self, number: int) -> None:
         """Close a link without waiting for the other end."""
@@ -164,24 +209,29 @@
             await self._session.close()
 
     async def _keep_open(self, address: str) -> None:
-        pause = RECONNECT_PAUSE
+        attempts = reconnection.Reconnection(self._draw)
         while True:
-            was_open = False
+            opened = None
             try:
-                was_open = await self._open(address)
+                opened = await self._open(address)
             except aiohttp.ClientConnectorError as error:
                 refused = isinstance(error.os_error, ConnectionRefusedError)
                 self._notify(events.LinkFailed(address, refused))
             except (aiohttp.ClientError, TimeoutError, OSError):
                 self._notify(events.LinkFailed(address, False))
-            if was_open:
-                pause = RECONNECT_PAUSE
-                continue
-            await asyncio.sleep(pause.total_seconds())
-            pause = min(pause * 1.5, RECONNECT_PAUSE_MAX)
-
-    async def _open(self, address: str) -> bool:
-        """Open and serve a link until it closes; return whether it opened."""
+            if opened is None:
+                delay = attempts.after_failure()
+            else:
+                opened_at = self._clock.now()
+                with contextlib.suppress(aiohttp.ClientError, OSError):
+                    await self._serve(*opened, is_outbound=True)
+                delay = attempts.after_link(self._clock.now() - opened_at)
+            await asyncio.sleep(delay.total_seconds())
+
+    async def _open(
+        self, address: str
+    ) -> tuple[aiohttp.ClientWebSocketResponse, model.HostRecord] | None:
+        """Open a link; return None if the far end is not a dispatch host."""
         if self._session is None:
             self._session = aiohttp.ClientSession(
                 cookie_jar=aiohttp.DummyCookieJar(),
@@ -189,7 +239,10 @@
                     RECORD_HEADER: records.encode(self._local_host).decode()
                 },
             )
-        async with asyncio.timeout(CONNECT_TIMEOUT.total_seconds()):
+        async with (
+            self._handshakes,
+            asyncio.timeout(CONNECT_TIMEOUT.total_seconds()),
+        ):
             socket = await self._session.ws_connect(
                 f"http://{address}{PATH}", max_msg_size=FRAME_MAX, compress=0
             )
@@ -198,9 +251,8 @@
         if host is None:
             await _close_socket(socket)
             self._notify(events.LinkFailed(address, False))
-            return False
-        await self._serve(socket, host, is_outbound=True)
-        return True
+            return None
+        return socket, host
 
     async def accept(self, request: web.Request) -> web.WebSocketResponse:
         """Serve a link that another host opened."""
@@ -227,7 +279,7 @@
         is_outbound: bool,
     ) -> None:
         number = next(self._numbers)
-        link = _Link(socket, self._clock)
+        link = _Link(socket, self._clock, self._traffic)
         self._links[number] = link
         self._notify(events.LinkOpened(number, host, is_outbound))
         tasks = [
--- a/waxwingwalk/host/metrics.py
+++ b/waxwingwalk/host/metrics.py
@@ -41,9 +41,9 @@
             collections.Counter()
         )
 
-    def increment(self, *values: str) -> None:
-        """Count one, with the values of the labels in their order."""
-        self._counts[values] += 1
+    def increment(self, *values: str, count: int = 1) -> None:
+        """Count one or more, with the values of the labels in their order."""
+        self._counts[values] += count
 
     def flush(self) -> None:
         """Add what was counted to the library's counter."""
@@ -81,6 +81,16 @@
             "kind",
             "result",
         )
+        self._link_bytes = self._counter(
+            "link_bytes_sent",
+            "Bytes sent over links, without frames and headers.",
+            "kind",
+        )
+        self._link_frames = self._counter(
+            "link_frames_sent",
+            "Frames sent over links that hold messages of a kind.",
+            "kind",
+        )
         self._suppressed = prometheus.Counter(
             f"{PREFIX}_log_lines_suppressed_total",
             "Log lines left out.",
@@ -168,6 +178,13 @@
         self._store_calls.increment(kind, outcome)
         self._store_call_seconds.add({"kind": kind}, elapsed.total_seconds())
 
+    def record_frame_sent(self, sizes: list[tuple[str, int]]) -> None:
+        """Count a frame sent over a link, by kind and bytes of messages."""
+        for kind, size in sizes:
+            self._link_bytes.increment(kind, count=size)
+        for kind in {kind for kind, _ in sizes}:
+            self._link_frames.increment(kind)
+
     def record_event_loop_lag(self, lag: datetime.timedelta) -> None:
         """Record how late a timer fired."""
         self._lag_seconds.add({}, max(0.0, lag.total_seconds()))
--- a/waxwingwalk/host/wiring.py
+++ b/waxwingwalk/host/wiring.py
@@ -69,7 +69,7 @@
     """Return the complete host, which does not listen yet."""
     local_host = engine.reducer.local_host
     links = host_links.HostLinks(
-        local_host, engine.apply, engine.log, engine.clock
+        local_host, engine.apply, engine.log, engine.clock, engine.metrics
     )
     registry = host_registry.HostRegistry(local_host, store, engine.log)
     engine.adapters = host_engine.Adapters(backends, links, registry, catalogs)
