--- a/waxwingwalk/dispatch/messages.py
+++ b/waxwingwalk/dispatch/messages.py
@@ -252,10 +252,22 @@
 
 decoder = _FrameCodec()
 
+_encoder = msgspec.json.Encoder()
 _frame_decoder: decoding.Decoder[_RawFrame] = decoding.Decoder(_RawFrame)
 _message_decoder: decoding.Decoder[Message] = decoding.Decoder(Message)
 
 
+def encode(message: Message) -> bytes:
+    """Return a message as JSON."""
+    return _encoder.encode(message)
+
+
+def encode_frame(sent_ms: float, contents: list[bytes]) -> bytes:
+    """Return the frame of messages that are encoded already."""
+    head = f'{{"sent_ms":{sent_ms!r},"messages":['.encode()
+    return b"%b%b]}" % (head, b",".join(contents))
+
+
 def decode_separately(content: str) -> tuple[Frame, list[str]]:
     """Return a frame without the messages that are malformed, and the errors.
 
