Added the evacuation of zones to the dispatch hosts

Cause: operators had no way to keep new work away from a zone.

Change: a row evacuate/ZONE in the operators' table evacuates the zone, and its removal ends that. dispatch/evacuation.py holds what a host knows, by version of the store; KeepAlive and HostStatus pass it on at once to all linked hosts. The servers of the zone count as not usable, so nothing starts there and no capacity is advertised; fronts leave out its scheduler, which returns its unstarted jobs once. With all zones evacuated jobs are refused at once. After the end the share of servers and jobs rises in steps over 2 s. A host that has just started orders nothing until it has read the rows or a peer has told, 1 s at most.

The emulator evacuates zones, and its checker learns the guarantee, with three mutations that it catches.

--- a/tests/emulator/mutations.py
+++ b/tests/emulator/mutations.py
@@ -3,6 +3,7 @@
 from unittest import mock
 
 from waxwingwalk.dispatch import backend as backends
+from waxwingwalk.dispatch import evacuation
 from waxwingwalk.dispatch import job_record
 from waxwingwalk.dispatch import model
 from waxwingwalk.dispatch import ownership
@@ -118,3 +119,42 @@
     job_done_too_early,
     fence_not_increased,
 )
+
+
+def evacuation_ignored():
+    """Start tasks in evacuated zones, and route jobs there."""
+
+    def is_evacuated(self, zone):
+        return False
+
+    return mock.patch.object(
+        evacuation.Evacuation, "is_evacuated", is_evacuated
+    )
+
+
+def evacuation_only_routed():
+    """Route no jobs to evacuated zones, but go on to start tasks there."""
+
+    def without_evacuated(self, usable, now):
+        return usable
+
+    return mock.patch.object(
+        run_tracker.RunTracker, "_without_evacuated", without_evacuated
+    )
+
+
+def evacuation_not_learned_from_peers():
+    """Learn of evacuations only from the store."""
+
+    def merge(self, notices, now):
+        return []
+
+    return mock.patch.object(evacuation.Evacuation, "merge", merge)
+
+
+# Faults that show only while a zone is evacuated.
+EVACUATION = (
+    evacuation_ignored,
+    evacuation_only_routed,
+    evacuation_not_learned_from_peers,
+)
--- a/tests/platform/test_callers.py
+++ b/tests/platform/test_callers.py
@@ -246,6 +246,30 @@
         status, _, _ = await self.deployment.call("GET", "/refund/")
         self.assertEqual(status, 404)
 
+    async def test_row_evacuates_a_zone_until_it_is_removed(self):
+        await self.deployment.start()
+        await self.submit_until_served()
+        self.deployment.store.put("op", "evacuate/north", {})
+        while "evacuation.started" not in self.deployment.logs[0]:
+            await asyncio.sleep(PAUSE_SECONDS)
+        starts = len(self.deployment.workers[0].starts)
+        # The only zone is evacuated, so nobody can serve the job.
+        status, content, headers = await self.submit()
+        self.assertEqual(status, 503)
+        self.assertIn("zone evacuated", str(content))
+        self.assertIn("Retry-After", headers)
+        self.assertEqual(len(self.deployment.workers[0].starts), starts)
+        settings = self.deployment.configs[0]
+        _, content = await self.deployment.get(settings.metrics, "/metrics")
+        gauge = 'waxwingwalk_zone_evacuated{zone="north"}'
+        self.assertIn(f"{gauge} 1", content)
+        self.deployment.store.remove("op", "evacuate/north")
+        while "evacuation.ended" not in self.deployment.logs[0]:
+            await asyncio.sleep(PAUSE_SECONDS)
+        self.assertEqual((await self.submit())[0], 200)
+        _, content = await self.deployment.get(settings.metrics, "/metrics")
+        self.assertIn(f"{gauge} 0", content)
+
     async def test_jobs_are_served_during_a_store_outage(self):
         await self.deployment.start()
         await self.submit_until_served()
--- a/waxwingwalk/dispatch/events.py
+++ b/waxwingwalk/dispatch/events.py
@@ -35,6 +35,17 @@
     document: str
 
 
+@dataclasses.dataclass(slots=True)
+class EvacuationsListed:
+    """All rows that evacuate zones were listed.
+
+    ``zones`` has the versions of the rows, ``version`` is that of the store.
+    """
+
+    zones: dict[str, int]
+    version: int
+
+
 @dataclasses.dataclass(slots=True)
 class BackendsListed:
     """All registered backend servers were listed."""
@@ -181,6 +192,7 @@
     | JobSubmitted
     | JobAbandoned
     | CatalogRead
+    | EvacuationsListed
     | BackendsListed
     | HostsListed
     | PoolsListed
--- a/waxwingwalk/dispatch/front.py
+++ b/waxwingwalk/dispatch/front.py
@@ -9,6 +9,7 @@
 import datetime
 
 from waxwingwalk.dispatch import effects
+from waxwingwalk.dispatch import evacuation
 from waxwingwalk.dispatch import hosts as dispatch_hosts
 from waxwingwalk.dispatch import messages
 from waxwingwalk.dispatch import model
@@ -25,6 +26,11 @@
 # A caller that is refused because there is no scheduler is asked to retry
 # after this time, by when one has probably been found.
 NO_SCHEDULER_RETRY = datetime.timedelta(seconds=1)
+# Bounds of the same for a job that is refused because all zones are evacuated,
+# which lasts. Within them it is spread, so that callers do not all return at
+# once.
+EVACUATED_RETRY_MIN = datetime.timedelta(seconds=2)
+EVACUATED_RETRY_MAX = dispatch_scheduler.RETRY_AFTER_MAX
 
 
 @dataclasses.dataclass(slots=True)
@@ -33,13 +39,15 @@
 
     ``request`` is the number of the caller's request. ``link`` is the link to
     its scheduler, None if this host schedules it or no scheduler is known.
-    ``unrouted_since`` is set while none is known.
+    ``unrouted_since`` is set while none is known. ``avoided`` is the address
+    of a scheduler that returned the job because its zone is evacuated.
     """
 
     job: model.Job
     request: int
     link: int | None = None
     unrouted_since: datetime.datetime | None = None
+    avoided: str | None = None
 
 
 class Front:
@@ -50,7 +58,9 @@
         hosts: dispatch_hosts.Hosts,
         ownership: dispatch_ownership.Ownership,
         scheduler: dispatch_scheduler.Scheduler,
+        zone_evacuation: evacuation.Evacuation | None = None,
     ) -> None:
+        self._evacuation = zone_evacuation or evacuation.Evacuation()
         self._hosts = hosts
         self._ownership = ownership
         self._scheduler = scheduler
@@ -98,7 +108,9 @@
             pending.link = None
             self._unrouted[job.job_id] = None
             return []
-        address = self._choose_scheduler(now)
+        if self._evacuation.are_evacuated(self._ownership.pools):
+            return self._refuse_evacuated(job.job_id)
+        address = self._choose_scheduler(pending, now)
         if address is None:
             return self._wait_for_scheduler(pending, now)
         pending.unrouted_since = None
@@ -147,22 +159,41 @@
             done += self._route(self._pending[job_id], now)
         return done
 
-    def _choose_scheduler(self, now: datetime.datetime) -> str | None:
+    def _refuse_evacuated(self, job_id: str) -> effects.Effects:
+        """Refuse a job of which nothing ran, as all zones are evacuated."""
+        spread = EVACUATED_RETRY_MAX - EVACUATED_RETRY_MIN
+        return self._answer(
+            job_id,
+            model.JobOutcome.NOT_RUN,
+            dispatch_scheduler.REASON_EVACUATED,
+            EVACUATED_RETRY_MIN + spread * evacuation.hash_share(job_id),
+        )
+
+    def _choose_scheduler(
+        self, pending: PendingJob, now: datetime.datetime
+    ) -> str | None:
         """Return the address of the scheduler with the shortest backlog.
 
-        Schedulers in the zone of this host are preferred.
+        Schedulers in the zone of this host are preferred. Those of evacuated
+        zones are left out, and come last for the jobs that are not yet in the
+        share of a zone whose evacuation has just ended.
         """
-        best: tuple[datetime.timedelta, str] | None = None
+        best: tuple[bool, datetime.timedelta, str] | None = None
         for pool in self._ownership.pools:
+            if self._evacuation.is_evacuated(pool):
+                continue
             address = self._ownership.owner_address(pool)
-            if address is None:
+            if address is None or address == pending.avoided:
                 continue
             wait = self._backlog(address, now)
             if pool != self._hosts.local_host.zone:
                 wait += LOCAL_ZONE_PREFERENCE
-            if best is None or wait < best[0]:
-                best = (wait, address)
-        return None if best is None else best[1]
+            is_last = not self._evacuation.admits(
+                pool, pending.job.job_id, now
+            )
+            if best is None or (is_last, wait) < best[:2]:
+                best = (is_last, wait, address)
+        return None if best is None else best[2]
 
     def _backlog(
         self, address: str, now: datetime.datetime
@@ -194,7 +225,10 @@
         retry_after: datetime.timedelta | None,
         now: datetime.datetime,
     ) -> effects.Effects:
-        """Handle a scheduler's answer; route again if the scheduler leaves."""
+        """Handle a scheduler's answer; route again if the scheduler leaves.
+
+        A job is returned once at most because of an evacuation.
+        """
         pending = self._pending.get(job_id)
         if pending is None or pending.link != link:
             return []
@@ -204,8 +238,22 @@
             and now < pending.job.expires
         ):
             return self._route(pending, now)
+        if (
+            outcome is model.JobOutcome.NOT_RUN
+            and reason == dispatch_scheduler.REASON_EVACUATED
+            and pending.avoided is None
+            and now < pending.job.expires
+        ):
+            pending.avoided = self._address_of(link)
+            return self._route(pending, now)
         return self._answer(job_id, outcome, reason, retry_after)
 
+    def _address_of(self, link: int | None) -> str:
+        """Return the address of the scheduler at the far end of a link."""
+        peer = None if link is None else self._hosts.by_link(link)
+        record = self._hosts.local_host if peer is None else peer.record
+        return record.address
+
     def _answer(
         self,
         job_id: str,
--- a/waxwingwalk/dispatch/messages.py
+++ b/waxwingwalk/dispatch/messages.py
@@ -12,6 +12,7 @@
 
 import pydantic
 
+from waxwingwalk.dispatch import evacuation
 from waxwingwalk.dispatch import model
 
 
@@ -135,20 +136,27 @@
 
     ``releasing`` are the pools that the sender no longer schedules, but of
     which it still has backend servers; None if its version does not tell.
+    ``evacuated`` is as in ``KeepAlive``.
     """
 
     loads: list[PoolLoad]
     is_leaving: bool
     catalog_version: int
     releasing: list[str] | None = None
+    evacuated: list[evacuation.Notice] | None = None
     kind: Literal["host_status"] = "host_status"
 
 
 @dataclasses.dataclass(slots=True)
 class KeepAlive:
-    """The keep-alive of the host that opened the link."""
+    """The keep-alive of the host that opened the link.
+
+    ``evacuated`` is what the sender knows of the evacuation of zones; None if
+    it has just started, or if its version does not tell.
+    """
 
     catalog_version: int
+    evacuated: list[evacuation.Notice] | None = None
     kind: Literal["keep_alive"] = "keep_alive"
 
 
--- a/waxwingwalk/dispatch/reducer.py
+++ b/waxwingwalk/dispatch/reducer.py
@@ -20,6 +20,7 @@
 from waxwingwalk.dispatch import backend as backends
 from waxwingwalk.dispatch import crashes
 from waxwingwalk.dispatch import effects
+from waxwingwalk.dispatch import evacuation
 from waxwingwalk.dispatch import events
 from waxwingwalk.dispatch import front as dispatch_front
 from waxwingwalk.dispatch import hosts as dispatch_hosts
@@ -80,6 +81,7 @@
         job_order: ordering.JobOrder | None = None,
         placement: dispatch_placement.Placement | None = None,
         settings: dispatch_settings.DispatchSettings | None = None,
+        zone_evacuation: evacuation.Evacuation | None = None,
     ) -> None:
         self.local_host = local_host
         self.settings = settings or dispatch_settings.DispatchSettings()
@@ -87,8 +89,11 @@
         self.catalog_document = ""
         self.hosts = dispatch_hosts.Hosts(local_host)
         self.ownership = dispatch_ownership.Ownership(self.hosts)
+        self.evacuation = zone_evacuation or evacuation.Evacuation()
         self._observed = observed_time.ObservedTime()
-        self.run_tracker = run_tracker.RunTracker(self._observed)
+        self.run_tracker = run_tracker.RunTracker(
+            self._observed, self.evacuation
+        )
         self._crash_history = crashes.CrashHistory()
         self.scheduler = dispatch_scheduler.Scheduler(
             self.run_tracker,
@@ -96,9 +101,11 @@
             placement or dispatch_placement.FastestInTime(),
             self._observed,
             self._crash_history,
+            self.evacuation,
+            self.ownership.claims,
         )
         self.front = dispatch_front.Front(
-            self.hosts, self.ownership, self.scheduler
+            self.hosts, self.ownership, self.scheduler, self.evacuation
         )
         self.drain_deadline: datetime.datetime | None = None
         self._links: dict[int, links.Link] = {}
@@ -120,6 +127,7 @@
             events.JobSubmitted: self._submit,
             events.JobAbandoned: self._abandon,
             events.CatalogRead: self._adopt_catalog,
+            events.EvacuationsListed: self._list_evacuations,
             events.BackendsListed: self._update_backends,
             events.HostsListed: self._update_hosts,
             events.PoolsListed: self._update_pools,
@@ -326,6 +334,47 @@
                 )
         return done
 
+    def _list_evacuations(
+        self, event: events.EvacuationsListed, now: datetime.datetime
+    ) -> effects.Effects:
+        changes = self.evacuation.rows_listed(event.zones, event.version, now)
+        return self._apply_evacuations(changes, "store", now)
+
+    def _merge_evacuations(
+        self,
+        notices: list[evacuation.Notice] | None,
+        link: int,
+        now: datetime.datetime,
+    ) -> effects.Effects:
+        """Record what the host at the far end of a link knows."""
+        if notices is None:
+            return []
+        changes = self.evacuation.merge(notices, now)
+        source = self._links[link].host.address
+        return self._apply_evacuations(changes, source, now)
+
+    def _apply_evacuations(
+        self,
+        changes: list[evacuation.Notice],
+        source: str,
+        now: datetime.datetime,
+    ) -> effects.Effects:
+        """Tell all linked hosts, and have unstarted jobs routed again.
+
+        Linked hosts are told first, so that they route the jobs elsewhere.
+        """
+        if not changes:
+            return []
+        self.run_tracker.forget_usable()
+        done: effects.Effects = [_log_change(each, source) for each in changes]
+        for number in self._links:
+            done += self._send_keep_alive(number, now)
+        if self.scheduler.is_evacuated:
+            done += self.scheduler.reject_unstarted_jobs(
+                now, dispatch_scheduler.REASON_EVACUATED
+            )
+        return [*done, *self.scheduler.dispatch(now)]
+
     def _update_backends(
         self, event: events.BackendsListed, now: datetime.datetime
     ) -> effects.Effects:
@@ -662,7 +711,8 @@
         peer.update_status(message)
         self.scheduler.update_peer_status(link, message.loads)
         self._links[link].catalog_version = message.catalog_version
-        done: effects.Effects = self._push_catalog()
+        done = self._merge_evacuations(message.evacuated, link, now)
+        done += self._push_catalog()
         changed = (
             former is None
             or former.is_leaving != message.is_leaving
@@ -681,7 +731,8 @@
         now: datetime.datetime,
     ) -> effects.Effects:
         self._links[link].catalog_version = message.catalog_version
-        return self._push_catalog()
+        done = self._merge_evacuations(message.evacuated, link, now)
+        return [*done, *self._push_catalog()]
 
     def _decode_peer_catalog(
         self,
@@ -817,7 +868,8 @@
         link.keep_alive_sent_at = now
         version = 0 if self.catalog is None else self.catalog.version
         if link.is_outbound:
-            return [effects.Send(number, messages.KeepAlive(version))]
+            keep_alive = messages.KeepAlive(version, self.evacuation.notices)
+            return [effects.Send(number, keep_alive)]
         status = messages.HostStatus(
             self._pool_loads(
                 now, with_free_capacity=self._is_linked_to_scheduler(link)
@@ -825,6 +877,7 @@
             self.drain_deadline is not None,
             version,
             self._pools_in_release(),
+            self.evacuation.notices,
         )
         return [effects.Send(number, status)]
 
@@ -975,3 +1028,20 @@
             effects.Log("drain.ended", {"is_idle": is_idle}),
             effects.Exit(),
         ]
+
+
+def _log_change(change: evacuation.Notice, source: str) -> effects.Log:
+    """Return the log line of the start or end of an evacuation."""
+    if change.is_evacuated:
+        return effects.Log(
+            "evacuation.started",
+            {
+                "zone": change.zone,
+                "version": change.version,
+                "source": source,
+            },
+        )
+    return effects.Log(
+        "evacuation.ended",
+        {"zone": change.zone, "version": change.version, "source": source},
+    )
--- a/waxwingwalk/dispatch/run_tracker.py
+++ b/waxwingwalk/dispatch/run_tracker.py
@@ -12,10 +12,12 @@
 from collections.abc import Iterator
 import dataclasses
 import datetime
+import math
 
 from waxwingwalk.core import clock
 from waxwingwalk.dispatch import backend as backends
 from waxwingwalk.dispatch import effects
+from waxwingwalk.dispatch import evacuation
 from waxwingwalk.dispatch import model
 from waxwingwalk.dispatch import observed_time
 from waxwingwalk.routing import outliers
@@ -69,9 +71,12 @@
     """Orders runs, tracks them until they end, and accounts for capacity."""
 
     def __init__(
-        self, observed: observed_time.ObservedTime | None = None
+        self,
+        observed: observed_time.ObservedTime | None = None,
+        zone_evacuation: evacuation.Evacuation | None = None,
     ) -> None:
         self._observed = observed or observed_time.ObservedTime()
+        self._evacuation = zone_evacuation or evacuation.Evacuation()
         self._backends: dict[model.BackendIncarnation, backends.Backend] = {}
         self._backend_by_run: dict[model.RunKey, backends.Backend] = {}
         self._active_run_counts: collections.Counter[str] = (
@@ -119,12 +124,20 @@
         self._ended_incarnations.intersection_update(listed)
 
     def usable(self, now: datetime.datetime) -> list[backends.Backend]:
-        """Return the backend servers on which runs may be ordered now."""
+        """Return the backend servers on which runs may be ordered now.
+
+        There are none in evacuated zones, and only some for a while after.
+        """
         if self._usable_until is None or now >= self._usable_until:
-            self._usable = [
-                each for each in self._backends.values() if each.is_usable(now)
-            ]
-            self._usable_until = min(
+            self._usable = self._without_evacuated(
+                [
+                    each
+                    for each in self._backends.values()
+                    if each.is_usable(now)
+                ],
+                now,
+            )
+            next_ejection_end = min(
                 (
                     each.ejected_until
                     for each in self._backends.values()
@@ -133,9 +146,42 @@
                 ),
                 default=clock.DISTANT_FUTURE,
             )
+            self._usable_until = min(
+                next_ejection_end, self._evacuation.next_change_at(now)
+            )
             self._usable_version += 1
         return self._usable
 
+    def _without_evacuated(
+        self, usable: list[backends.Backend], now: datetime.datetime
+    ) -> list[backends.Backend]:
+        """Return each zone's present share of servers, always the same ones.
+
+        The share of a zone that is not evacuated is at least one server.
+        """
+        for zone in {each.report.zone for each in usable}:
+            share = self._evacuation.share(zone, now)
+            if share == 1.0:
+                continue
+            names = sorted(
+                str(each.incarnation)
+                for each in usable
+                if each.report.zone == zone
+            )
+            open_names = set(names[: math.ceil(share * len(names))])
+            usable = [
+                each
+                for each in usable
+                if each.report.zone != zone
+                or str(each.incarnation) in open_names
+            ]
+        return usable
+
+    def forget_usable(self) -> None:
+        """Determine the usable servers anew, as a zone's share changed."""
+        self._usable_until = None
+        self.changes += 1
+
     def max_free_processors(self, now: datetime.datetime) -> int:
         """Return the largest number of free processors on a usable server."""
         usable = self.usable(now)
--- a/waxwingwalk/dispatch/scheduler.py
+++ b/waxwingwalk/dispatch/scheduler.py
@@ -8,6 +8,7 @@
 from waxwingwalk.dispatch import backend as backends
 from waxwingwalk.dispatch import crashes
 from waxwingwalk.dispatch import effects
+from waxwingwalk.dispatch import evacuation
 from waxwingwalk.dispatch import job_record
 from waxwingwalk.dispatch import messages
 from waxwingwalk.dispatch import model
@@ -73,6 +74,10 @@
 # The reason of an answer that makes the host to which the caller is connected
 # route the job to another scheduler.
 REASON_LEAVING = "leaving"
+# The same for a scheduler all of whose pools are in evacuated zones. The job
+# is routed to another scheduler once; after that this is the reason of a
+# refusal.
+REASON_EVACUATED = "zone evacuated"
 
 # The reason of an answer to a job that is given up for its crashes.
 REASON_CRASHES = "crashes servers"
@@ -100,7 +105,12 @@
         placement: dispatch_placement.Placement,
         observed: observed_time.ObservedTime | None = None,
         crash_history: crashes.CrashHistory | None = None,
+        zone_evacuation: evacuation.Evacuation | None = None,
+        pools: Collection[str] = (),
     ) -> None:
+        self._evacuation = zone_evacuation or evacuation.Evacuation()
+        # The pools that this host schedules, as its claims change.
+        self._pools = pools
         self._observed = observed or observed_time.ObservedTime()
         self._crash_history = crash_history or crashes.CrashHistory()
         # Servers that are being emptied for tasks that have to run alone.
@@ -133,6 +143,11 @@
         """The jobs without an answer, by id; not to be modified."""
         return self._jobs
 
+    @property
+    def is_evacuated(self) -> bool:
+        """Whether all pools of this host are in evacuated zones."""
+        return self._evacuation.are_evacuated(self._pools)
+
     def links_in_use(self) -> set[int]:
         """Return the links with unfinished jobs or tasks."""
         links = set(self._stopping_at_peers.values()) | set(
@@ -226,6 +241,8 @@
         self, record: job_record.JobRecord, now: datetime.datetime
     ) -> str | None:
         """Return why a job cannot be served, or None."""
+        if self.is_evacuated:
+            return REASON_EVACUATED
         orders = [
             record.task_order(task, 1)
             for task in record.tasks.values()
@@ -266,13 +283,15 @@
             *self.dispatch(now),
         ]
 
-    def reject_unstarted_jobs(self, now: datetime.datetime) -> effects.Effects:
+    def reject_unstarted_jobs(
+        self, now: datetime.datetime, reason: str = REASON_LEAVING
+    ) -> effects.Effects:
         """Reject jobs without a started task; other hosts schedule them."""
         done: effects.Effects = []
         for record in list(self._jobs.values()):
             if not record.has_started:
                 done += self._end_job(
-                    record, model.JobOutcome.NOT_RUN, REASON_LEAVING, now
+                    record, model.JobOutcome.NOT_RUN, reason, now
                 )
         return done
 
@@ -431,7 +450,13 @@
     # Load.
 
     def backlog(self, now: datetime.datetime) -> datetime.timedelta:
-        """Return how long the queued work will keep the servers busy."""
+        """Return how long the queued work will keep the servers busy.
+
+        Hosts of former versions choose schedulers by it alone, so it is long
+        where no task may start.
+        """
+        if self.is_evacuated:
+            return RETRY_AFTER_MAX
         if now >= self._backlog_valid_until:
             self._backlog_valid_until = now + BACKLOG_CACHE_TIME
             self._update_backlog(now)
@@ -496,7 +521,7 @@
 
     def dispatch(self, now: datetime.datetime) -> effects.Effects:
         """Start tasks of waiting jobs, in the job order."""
-        if self._are_starts_held:
+        if self._are_starts_held or not self._evacuation.is_known(now):
             return []
         self._cancel_reservations(now)
         if (
@@ -669,7 +694,7 @@
             is_waiting = record is not None and any(
                 each.ref.name == task for each in record.ready_tasks()
             )
-            if not is_waiting or not backend.is_usable(now):
+            if not is_waiting or backend not in self._run_tracker.usable(now):
                 self._cancel_reservation(task)
 
     def _cancel_reservation(self, task: str) -> None:
@@ -930,8 +955,10 @@
         order = peer_tasks.order_from_offer(message, link)
         has_ready_tasks = self._has_ready_tasks()
         backend = None
-        if not has_ready_tasks and not self._has_unfinished_run(
-            order.ref.name, now
+        if (
+            not has_ready_tasks
+            and self._evacuation.is_known(now)
+            and not self._has_unfinished_run(order.ref.name, now)
         ):
             due = now + message.due_in_ms * model.MILLISECOND
             backend = self._choose_for_offer(order, due, now)
@@ -1006,6 +1033,8 @@
     def tick(self, now: datetime.datetime) -> effects.Effects:
         """End jobs that cannot be completed in time; stop stuck runs."""
         done: effects.Effects = []
+        if self.is_evacuated:
+            done += self.reject_unstarted_jobs(now, REASON_EVACUATED)
         for record in list(self._jobs.values()):
             if now >= record.job.expires:
                 outcome = model.JobOutcome.LOST
--- a/waxwingwalk/emulator/fleet.py
+++ b/waxwingwalk/emulator/fleet.py
@@ -11,6 +11,7 @@
 import random
 
 from waxwingwalk.dispatch import effects
+from waxwingwalk.dispatch import evacuation
 from waxwingwalk.dispatch import events
 from waxwingwalk.dispatch import messages
 from waxwingwalk.dispatch import model
@@ -136,6 +137,7 @@
         self.isolated_zones: set[str] = set()
         self._isolated_hosts: set[str] = set()
         self._is_store_down = False
+        self._hosts_without_store: set[str] = set()
         self.late_share = 0.0
         # Share of calls of backend servers whose request or reply is lost.
         self.call_loss_share = 0.0
@@ -165,6 +167,8 @@
         # The ids that have replaced others.
         self._replacements: dict[str, str] = {}
         self._rows: dict[str, tuple[int, pool_rows.PoolRow]] = {}
+        # The rows that evacuate zones, with their versions.
+        self._evacuations: dict[str, int] = {}
         self._last_version = 0
         self._last_link_number = 0
         self._catalog = model.Catalog(1, (), frozenset({SERVICE}))
@@ -224,7 +228,11 @@
             self.timeline.now(),
             job_order=self._job_order,
             placement=self._placement,
+            zone_evacuation=evacuation.Evacuation(
+                self.timeline.now() + evacuation.LEARN_LIMIT
+            ),
         )
+        self.checker.record_host_started(host.address)
         host.link_targets = frozenset()
         host.list_read_at = None
         incarnation = host.incarnation
@@ -271,6 +279,44 @@
         self._is_store_down = False
         self.checker.record_contact_regained("store")
 
+    def cut_store_of(self, host: Host) -> None:
+        """Partition a host from the store only."""
+        self._hosts_without_store.add(host.address)
+        self.checker.record_contact_lost(f"store of {host.address}")
+
+    def reconnect_store_of(self, host: Host) -> None:
+        """End the partition of a host from the store."""
+        self._hosts_without_store.discard(host.address)
+        self.checker.record_contact_regained(f"store of {host.address}")
+
+    def _reaches_store(self, host: Host) -> bool:
+        return not (
+            self._is_store_down
+            or host.address in self._isolated_hosts
+            or host.address in self._hosts_without_store
+        )
+
+    def evacuate_zone(self, zone: str) -> None:
+        """Write the row that evacuates a zone, if the store is up."""
+        if self._is_store_down or zone in self._evacuations:
+            return
+        self._last_version += 1
+        self._evacuations[zone] = self._last_version
+        self.checker.record_evacuation(zone)
+
+    def end_evacuation(self, zone: str) -> None:
+        """Remove the row that evacuates a zone, later if the store is down."""
+        if zone not in self._evacuations:
+            return
+        if self._is_store_down:
+            self.timeline.call_later(
+                STORE_READ_INTERVAL, lambda: self.end_evacuation(zone)
+            )
+            return
+        self._last_version += 1
+        del self._evacuations[zone]
+        self.checker.record_evacuation_end(zone)
+
     def freeze_host(self, host: Host) -> None:
         """Freeze the process of a host; events for it are deferred."""
         host.is_frozen = True
@@ -562,13 +608,14 @@
         self.timeline.call_later(
             STORE_READ_INTERVAL, lambda: self._read_store(host, incarnation)
         )
-        if self._is_store_down or host.address in self._isolated_hosts:
+        if not self._reaches_store(host):
             return
         records = tuple(
             each.reducer.local_host
             for each in self.hosts.values()
             if each.reducer is not None
         )
+        self._apply_evacuations(host)
         self._apply(host, events.CatalogRead(self._catalog, "1"))
         self._apply(host, events.HostsListed(records))
         self._apply(host, events.PoolsListed(dict(self._rows)))
@@ -580,6 +627,12 @@
             reports = tuple(self.listed_backends.values())
         self._apply(host, events.BackendsListed(reports))
 
+    def _apply_evacuations(self, host: Host) -> None:
+        listed = events.EvacuationsListed(
+            dict(self._evacuations), self._last_version
+        )
+        self._apply(host, listed, frozenset(self._evacuations))
+
     def _is_list_due(self, host: Host) -> bool:
         """Return whether a host reads the list of backend servers now."""
         if host.list_read_at is None or host.reducer is None:
@@ -589,13 +642,22 @@
         elapsed = self.timeline.now() - host.list_read_at
         return elapsed >= self.idle_list_interval
 
-    def _apply(self, host: Host, event: events.Event) -> None:
-        """Apply an event to the reducer of a host and execute the effects."""
+    def _apply(
+        self,
+        host: Host,
+        event: events.Event,
+        evacuated: frozenset[str] = frozenset(),
+    ) -> None:
+        """Apply an event to the reducer of a host and execute the effects.
+
+        The event tells the host of the zones that are ``evacuated``.
+        """
         if host.is_frozen:
-            self._defer(host, lambda: self._apply(host, event))
+            self._defer(host, lambda: self._apply(host, event, evacuated))
             return
         if host.reducer is None:
             return
+        self.checker.record_informed(host.address, evacuated)
         done = host.reducer.apply(event, self.timeline.now())
         if host.freezes_after_event:
             incarnation = host.incarnation
@@ -791,6 +853,9 @@
         receiver, receiver_number = link.other_end(number)
         if self._is_path_silent(host, receiver):
             return
+        evacuated: frozenset[str] = frozenset()
+        if isinstance(message, messages.HostStatus | messages.KeepAlive):
+            evacuated = self.checker.evacuations_known_to(host.address)
         now = self.timeline.now()
         delay = self._draw_message_delay(host, receiver)
         arrives_at = max(
@@ -809,7 +874,7 @@
                 self._close_link_end(receiver, receiver_number, link)
                 return
             received = events.MessageReceived(receiver_number, message)
-            self._apply(receiver, received)
+            self._apply(receiver, received, evacuated)
 
         self.timeline.call_later(arrives_at - now, deliver)
 
@@ -831,6 +896,10 @@
         order: effects.StartRun | effects.StopRun | effects.PollBackend,
     ) -> None:
         backend = self.backends.get(order.incarnation.backend_id)
+        if isinstance(order, effects.StartRun) and backend is not None:
+            self.checker.check_start_order(
+                host.address, backend.report.zone, order.run
+            )
         wait = getattr(order, "wait", model.ZERO)
         if (
             backend is None
@@ -933,7 +1002,7 @@
 
     def _write_pool(self, host: Host, effect: effects.WritePool) -> None:
         def write() -> None:
-            if self._is_store_down or host.address in self._isolated_hosts:
+            if not self._reaches_store(host):
                 written = events.PoolWritten(effect.pool, None, None)
                 self._apply(host, written)
                 return
--- a/waxwingwalk/emulator/guarantees.py
+++ b/waxwingwalk/emulator/guarantees.py
@@ -26,6 +26,10 @@
 # hosts have to regain contact, and a heartbeat of the server.
 SHRINK_GRACE = CONTACT_GRACE + datetime.timedelta(seconds=1)
 
+# No task may be ordered to start in a zone later than this after its
+# evacuation was acknowledged.
+EVACUATION_GRACE = datetime.timedelta(seconds=5)
+
 
 class Guarantee(enum.Enum):
     """A checked guarantee; its value describes a violation."""
@@ -41,6 +45,7 @@
     )
     CRASHES = "a task that crashes servers was started again and again"
     FAILURE = "a job was answered as failed though none of its tasks failed"
+    EVACUATION = "a task was ordered to start in an evacuated zone"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -80,6 +85,11 @@
         self._former_capacities: dict[
             str, tuple[datetime.datetime, model.Resources]
         ] = {}
+        # When the evacuations that have not ended were acknowledged, and the
+        # ones that each host has read from the store, or was told of by a
+        # host that knew when it sent the message.
+        self._evacuated_since: dict[str, datetime.datetime] = {}
+        self._informed: dict[str, frozenset[str]] = {}
         self.started_jobs: set[str] = set()
         self.starts = 0
         self.violations: list[Violation] = []
@@ -121,6 +131,47 @@
         """Record that a server's capacity is no longer ``former``."""
         self._former_capacities[backend_id] = (self._timeline.now(), former)
 
+    def record_evacuation(self, zone: str) -> None:
+        """Record that the store has acknowledged a zone's evacuation."""
+        self._evacuated_since[zone] = self._timeline.now()
+
+    def record_evacuation_end(self, zone: str) -> None:
+        """Record that a zone's evacuation has ended."""
+        self._evacuated_since.pop(zone, None)
+        for host, zones in self._informed.items():
+            self._informed[host] = zones - {zone}
+
+    def record_host_started(self, host: str) -> None:
+        """Record that a host has started, which knows nothing."""
+        self._informed.pop(host, None)
+
+    def record_informed(self, host: str, zones: frozenset[str]) -> None:
+        """Record that a host now knows of the evacuation of zones."""
+        if zones:
+            known = self.evacuations_known_to(host) | zones
+            self._informed[host] = known & self._evacuated_since.keys()
+
+    def evacuations_known_to(self, host: str) -> frozenset[str]:
+        """Return the evacuations that a host was told of."""
+        return self._informed.get(host, frozenset())
+
+    def check_start_order(
+        self, host: str, zone: str, key: model.RunKey
+    ) -> None:
+        """Check that a start that leaves a host now is not forbidden.
+
+        A host that reaches neither the store nor a host that knows is
+        excused. An order that its server carries out late left in time.
+        """
+        since = self._evacuated_since.get(zone)
+        if (
+            since is not None
+            and self._timeline.now() - since > EVACUATION_GRACE
+            and zone in self.evacuations_known_to(host)
+        ):
+            detail = f"{key.task} run {key.run} in {zone} by {host}"
+            self._record(Guarantee.EVACUATION, detail)
+
     def _holds(
         self, backend: emulated_backend.EmulatedBackend, used: model.Resources
     ) -> bool:
--- a/waxwingwalk/emulator/scenario.py
+++ b/waxwingwalk/emulator/scenario.py
@@ -393,6 +393,31 @@
             lambda: self.fleet.show_backend(name),
         )
 
+    def _evacuate_zone(self) -> None:
+        zone = self._random.choice(ZONES)
+        self.fleet.evacuate_zone(zone)
+        self._call_later(
+            self._random.uniform(5.5, 9),
+            lambda: self.fleet.end_evacuation(zone),
+        )
+
+    def _evacuate_behind_cut(self) -> None:
+        """Evacuate a zone of which no host reaches the store."""
+        zone = self._random.choice(ZONES)
+        hosts = [
+            each for each in self.fleet.hosts.values() if each.zone == zone
+        ]
+        for host in hosts:
+            self.fleet.cut_store_of(host)
+        self.fleet.evacuate_zone(zone)
+
+        def end() -> None:
+            self.fleet.end_evacuation(zone)
+            for host in hosts:
+                self.fleet.reconnect_store_of(host)
+
+        self._call_later(self._random.uniform(5.5, 9), end)
+
     def _result(self) -> Result:
         outcomes = [
             caller.answer.outcome
@@ -445,3 +470,5 @@
 CUT_RESTART_FAULTS = ("restart_behind_cut",)
 # Tasks that crash servers, and servers whose capacity shrinks for a while.
 CRASH_FAULTS = ("submit_crashing", "shrink_backend")
+# Evacuations of a zone, which last longer than hosts may take to act on them.
+EVACUATION_FAULTS = ("evacuate_zone", "evacuate_behind_cut")
--- a/waxwingwalk/host/log_catalogue.py
+++ b/waxwingwalk/host/log_catalogue.py
@@ -90,6 +90,16 @@
         "a configuration is malformed; the previous one stays in force",
         ("error",),
     ),
+    "evacuation.started": LogEvent(
+        "this host learned that a zone is evacuated, from the `store` or from "
+        "the host with this address; no task starts there",
+        ("zone", "version", "source"),
+    ),
+    "evacuation.ended": LogEvent(
+        "this host learned that the evacuation of a zone has ended; its share "
+        "of new work rises over 2 s",
+        ("zone", "version", "source"),
+    ),
     "pool.claimed": LogEvent(
         "this host now schedules a pool; `rank` 0 is the owner in the row",
         ("pool", "fence", "row_version", "rank", "former"),
--- a/waxwingwalk/host/metrics.py
+++ b/waxwingwalk/host/metrics.py
@@ -118,6 +118,12 @@
             registry=self._registry,
         )
 
+        self._evacuated = prometheus.Gauge(
+            f"{PREFIX}_zone_evacuated",
+            "1 if no task starts in the zone, 0 if it was so before.",
+            registry=self._registry,
+        )
+
     def _counter(self, name: str, text: str, *labels: str) -> BufferedCounter:
         counter = BufferedCounter(
             prometheus.Counter(
@@ -196,6 +202,10 @@
         for backend in backends:
             labels = {"backend": backend.incarnation.backend_id}
             self._slowness.set(labels, backend.slowness(now))
+        for notice in reducer.evacuation.notices or ():
+            self._evacuated.set(
+                {"zone": notice.zone}, int(notice.is_evacuated)
+            )
         self._suppressed.set({}, suppressed)
         for counter in self._buffered_counters:
             counter.flush()
--- a/waxwingwalk/host/wiring.py
+++ b/waxwingwalk/host/wiring.py
@@ -11,6 +11,7 @@
 
 from waxwingwalk.core import clock
 from waxwingwalk.core import identity
+from waxwingwalk.dispatch import evacuation
 from waxwingwalk.dispatch import model
 from waxwingwalk.dispatch import reducer as dispatch_reducer
 from waxwingwalk.host import config as host_config
@@ -40,7 +41,10 @@
         processors=config.processors,
     )
     reducer = dispatch_reducer.Reducer(
-        local_host, now, settings=config.dispatch
+        local_host,
+        now,
+        settings=config.dispatch,
+        zone_evacuation=evacuation.Evacuation(now + evacuation.LEARN_LIMIT),
     )
     return host_engine.Engine(reducer, time, log, host_metrics)
 
--- a/waxwingwalk/platform/catalog.py
+++ b/waxwingwalk/platform/catalog.py
@@ -18,6 +18,9 @@
 BACKENDS_TABLE = "servers"
 # Key of the operators' row that holds the newest configuration in full.
 CONFIG_KEY = "config"
+# Prefix of the keys of operators' rows that each evacuate a zone; the zone's
+# name follows. The evacuation ends when the row is removed.
+EVACUATION_PREFIX = "evacuate/"
 # Minimum time between reads of the backend servers' table. Servers write their
 # rows about every 1.5 s. A draining server may be given work for two more
 # seconds, and this interval leaves most of that time.
@@ -145,6 +148,19 @@
     )
 
 
+def evacuated_zones(rows: follower.TableRows) -> dict[str, int]:
+    """Return the zones that operators' rows evacuate, with the versions.
+
+    The key says all; the content of a row does not matter, so that a mistake
+    there does not start tasks in the zone.
+    """
+    return {
+        key.removeprefix(EVACUATION_PREFIX): row.version
+        for key, row in rows.items()
+        if key.startswith(EVACUATION_PREFIX) and key != EVACUATION_PREFIX
+    }
+
+
 class BackendRowDecoder:
     """Decodes the rows of backend servers, each version of a row once."""
 
--- a/waxwingwalk/platform/wiring.py
+++ b/waxwingwalk/platform/wiring.py
@@ -30,6 +30,11 @@
     catalog_decoder = catalog.CatalogDecoder(log)
 
     def apply_operators_rows(rows: follower.TableRows) -> None:
+        engine.apply(
+            events.EvacuationsListed(
+                catalog.evacuated_zones(rows), operators_follower.version
+            )
+        )
         row = rows.get(catalog.CONFIG_KEY)
         if row is None or row.value is None:
             return
@@ -46,6 +51,9 @@
             return catalog.BACKENDS_INTERVAL
         return catalog.BACKENDS_INTERVAL_IDLE
 
+    operators_follower = follower.TableFollower(
+        store, catalog.OPERATORS_TABLE, apply_operators_rows, log
+    )
     api = callers.CallersApi(engine)
     return wiring.build_service(
         config,
@@ -59,9 +67,7 @@
         ],
         reload=reload,
         followers=[
-            follower.TableFollower(
-                store, catalog.OPERATORS_TABLE, apply_operators_rows, log
-            ),
+            operators_follower,
             follower.TableFollower(
                 store,
                 catalog.BACKENDS_TABLE,
--- a/waxwingwalk/store/follower.py
+++ b/waxwingwalk/store/follower.py
@@ -67,6 +67,14 @@
         self._version: int | None = None
         self._is_failing = False
 
+    @property
+    def version(self) -> int:
+        """The version of the store up to which changes are known, or 0.
+
+        While rows are reported, they are the rows of this version.
+        """
+        return self._version or 0
+
     async def run(self) -> None:
         """Follow the table until cancelled."""
         pause = RETRY_DELAY
