--- a/waxwingwalk/dispatch/events.py
+++ b/waxwingwalk/dispatch/events.py
@@ -42,6 +42,17 @@
     document: str
 
 
+@dataclasses.dataclass(slots=True)
+class EvacuationsListed:
+    """All rows that evacuate zones were listed.
+
+    ``zones`` has the versions of the rows, ``version`` is that of the store.
+    """
+
+    zones: dict[str, int]
+    version: int
+
+
 @dataclasses.dataclass(slots=True)
 class BackendsListed:
     """All registered backend servers were listed."""
@@ -189,6 +200,7 @@
     | JobAbandoned
     | CatalogRead
     | CatalogRejected
+    | EvacuationsListed
     | BackendsListed
     | HostsListed
     | PoolsListed
--- a/waxwingwalk/dispatch/messages.py
+++ b/waxwingwalk/dispatch/messages.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from waxwingwalk.core import decoding
+from waxwingwalk.dispatch import evacuation
 from waxwingwalk.dispatch import model
 
 
@@ -125,18 +126,25 @@
 
     ``releasing`` are the pools that the sender no longer schedules, but of
     which it still has backend servers; None if its version does not tell.
+    ``evacuated`` is as in ``KeepAlive``.
     """
 
     loads: list[PoolLoad]
     is_leaving: bool
     catalog_version: int
     releasing: list[str] | None = None
+    evacuated: list[evacuation.Notice] | None = None
 
 
 class KeepAlive(_Tagged, tag="keep_alive"):
-    """The keep-alive of the host that opened the link."""
+    """The keep-alive of the host that opened the link.
+
+    ``evacuated`` is what the sender knows of the evacuation of zones; None if
+    it has just started, or if its version does not tell.
+    """
 
     catalog_version: int
+    evacuated: list[evacuation.Notice] | None = None
 
 
 class RequestCatalog(_Tagged, tag="request_catalog"):
--- a/waxwingwalk/platform/wiring.py
+++ b/waxwingwalk/platform/wiring.py
@@ -33,6 +33,11 @@
 
     def apply_operators_rows(rows: follower.TableRows) -> None:
         nonlocal last_document
+        engine.apply(
+            events.EvacuationsListed(
+                catalog.evacuated_zones(rows), operators_follower.version
+            )
+        )
         row = rows.get(catalog.CONFIG_KEY)
         if row is None or row.value is None or row.value == last_document:
             return
@@ -47,6 +52,9 @@
             return catalog.BACKENDS_INTERVAL
         return catalog.BACKENDS_INTERVAL_IDLE
 
+    operators_follower = follower.TableFollower(
+        store, catalog.OPERATORS_TABLE, apply_operators_rows, log
+    )
     api = callers.CallersApi(engine)
     return wiring.build_service(
         config,
@@ -60,9 +68,7 @@
         ],
         reload=reload,
         followers=[
-            follower.TableFollower(
-                store, catalog.OPERATORS_TABLE, apply_operators_rows, log
-            ),
+            operators_follower,
             follower.TableFollower(
                 store,
                 catalog.BACKENDS_TABLE,
