Used msgspec structs for the values of the reducer of dispatch

Creating the classes of data classes took some 75 ms of a start, and their hashes, comparisons and constructors are Python code. The events, effects and small values are structs now; the name of a task and the key of a run are computed once. The daemon no longer reads the system's certificates nor searches for plug-ins when it starts.

--- a/waxwingwalk/dispatch/backend.py
+++ b/waxwingwalk/dispatch/backend.py
@@ -73,11 +73,11 @@
     requester_link: int | None
     is_suspect: bool = False
     runs_alone: bool = False
+    # The run as named by backend servers.
+    key: model.RunKey = dataclasses.field(init=False)
 
-    @property
-    def key(self) -> model.RunKey:
-        """The run as named by backend servers."""
-        return model.RunKey(self.ref.name, self.run)
+    def __post_init__(self) -> None:
+        self.key = model.RunKey(self.ref.name, self.run)
 
 
 @dataclasses.dataclass(slots=True)
--- a/waxwingwalk/dispatch/effects.py
+++ b/waxwingwalk/dispatch/effects.py
@@ -1,16 +1,16 @@
 """Effects that the reducer of a dispatch host requests."""
 
-import dataclasses
 import datetime
 from typing import Any
 
+import msgspec
+
 from waxwingwalk.dispatch import messages
 from waxwingwalk.dispatch import model
 from waxwingwalk.dispatch import pool_rows
 
 
-@dataclasses.dataclass(slots=True)
-class StartRun:
+class StartRun(msgspec.Struct):
     """Order a backend server to run a task; RunStarted follows.
 
     ``lease_ends_ms`` is a time on the backend server's own clock.
@@ -24,8 +24,7 @@
     lease_ends_ms: int
 
 
-@dataclasses.dataclass(slots=True)
-class StopRun:
+class StopRun(msgspec.Struct):
     """Order a backend server to stop a run; RunStopped follows."""
 
     incarnation: model.BackendIncarnation
@@ -34,8 +33,7 @@
     run: model.RunKey
 
 
-@dataclasses.dataclass(slots=True)
-class PollBackend:
+class PollBackend(msgspec.Struct):
     """Fetch a backend server's lists of runs, and renew its lease.
 
     BackendPolled follows. The lease is left as it is if ``lease_ends_ms`` is
@@ -51,31 +49,27 @@
     wait: datetime.timedelta
 
 
-@dataclasses.dataclass(slots=True)
-class Send:
+class Send(msgspec.Struct):
     """Send a message over a link; it is dropped if the link is gone."""
 
     link: int
     message: messages.Message
 
 
-@dataclasses.dataclass(slots=True)
-class LinkHosts:
+class LinkHosts(msgspec.Struct):
     """Keep links to exactly these hosts."""
 
     hosts: frozenset[str]
 
 
-@dataclasses.dataclass(slots=True)
-class CloseLink:
+class CloseLink(msgspec.Struct):
     """Close a link over which nothing has been received for too long."""
 
     link: int
     reason: str
 
 
-@dataclasses.dataclass(slots=True)
-class AnswerJob:
+class AnswerJob(msgspec.Struct):
     """Send the answer of a job to the caller that waits for it here.
 
     ``reason`` is a short text for the caller, logs and metrics.
@@ -87,8 +81,7 @@
     retry_after: datetime.timedelta | None
 
 
-@dataclasses.dataclass(slots=True)
-class WritePool:
+class WritePool(msgspec.Struct):
     """Write the row of a pool if its version is still ``if_version``."""
 
     pool: str
@@ -96,31 +89,27 @@
     if_version: int
 
 
-@dataclasses.dataclass(slots=True)
-class ProbeBackends:
+class ProbeBackends(msgspec.Struct):
     """Check whether any of these addresses accepts connections."""
 
     pool: str
     addresses: tuple[str, ...]
 
 
-@dataclasses.dataclass(slots=True)
-class DecodeCatalog:
+class DecodeCatalog(msgspec.Struct):
     """Decode the operators' document; CatalogRead follows if it is valid."""
 
     document: str
 
 
-@dataclasses.dataclass(slots=True)
-class Log:
+class Log(msgspec.Struct):
     """Write a log line."""
 
     event: str
     fields: dict[str, Any]
 
 
-@dataclasses.dataclass(slots=True)
-class ReadConnections:
+class ReadConnections(msgspec.Struct):
     """Read what callers' connections have received; ConnectionsRead follows.
 
     ``pause`` is the number of the pause after which this is requested.
@@ -129,8 +118,7 @@
     pause: int
 
 
-@dataclasses.dataclass(slots=True)
-class Exit:
+class Exit(msgspec.Struct):
     """End the process: the drain has ended, or its time is over."""
 
 
--- a/waxwingwalk/dispatch/events.py
+++ b/waxwingwalk/dispatch/events.py
@@ -1,63 +1,56 @@
 """Events that the reducer of a dispatch host handles."""
 
-import dataclasses
 import datetime
 
+import msgspec
+
 from waxwingwalk.dispatch import messages
 from waxwingwalk.dispatch import model
 from waxwingwalk.dispatch import pool_rows
 
 
-@dataclasses.dataclass(slots=True)
-class Ticked:
+class Ticked(msgspec.Struct):
     """Time passed."""
 
 
-@dataclasses.dataclass(slots=True)
-class JobSubmitted:
+class JobSubmitted(msgspec.Struct):
     """A caller submitted a job here, which has been validated."""
 
     job: model.Job
 
 
-@dataclasses.dataclass(slots=True)
-class JobAbandoned:
+class JobAbandoned(msgspec.Struct):
     """The caller of a job left or cancelled it."""
 
     job_id: str
 
 
-@dataclasses.dataclass(slots=True)
-class CatalogRead:
+class CatalogRead(msgspec.Struct):
     """A version of the catalog was read, from the store or from a host."""
 
     catalog: model.Catalog
     document: str
 
 
-@dataclasses.dataclass(slots=True)
-class BackendsListed:
+class BackendsListed(msgspec.Struct):
     """All registered backend servers were listed."""
 
     reports: tuple[model.BackendReport, ...]
 
 
-@dataclasses.dataclass(slots=True)
-class HostsListed:
+class HostsListed(msgspec.Struct):
     """All registered dispatch hosts were listed."""
 
     hosts: tuple[model.HostRecord, ...]
 
 
-@dataclasses.dataclass(slots=True)
-class PoolsListed:
+class PoolsListed(msgspec.Struct):
     """The rows of all pools were listed, each with its version."""
 
     rows: dict[str, tuple[int, pool_rows.PoolRow]]
 
 
-@dataclasses.dataclass(slots=True)
-class PoolWritten:
+class PoolWritten(msgspec.Struct):
     """The write of a pool's row ended.
 
     ``version`` and ``row`` are those in the store now; the version is 0 if
@@ -69,8 +62,7 @@
     row: pool_rows.PoolRow | None
 
 
-@dataclasses.dataclass(slots=True)
-class BackendsProbed:
+class BackendsProbed(msgspec.Struct):
     """The backend servers of a pool were probed.
 
     ``is_reachable`` is whether any of them accepts connections.
@@ -80,8 +72,7 @@
     is_reachable: bool
 
 
-@dataclasses.dataclass(slots=True)
-class LinkOpened:
+class LinkOpened(msgspec.Struct):
     """A link between this host and another one was opened.
 
     ``is_outbound`` is whether this host opened it.
@@ -92,8 +83,7 @@
     is_outbound: bool
 
 
-@dataclasses.dataclass(slots=True)
-class LinkFailed:
+class LinkFailed(msgspec.Struct):
     """A link to a host could not be opened.
 
     ``refused`` is whether the connection was refused, as nothing listens.
@@ -103,23 +93,20 @@
     refused: bool
 
 
-@dataclasses.dataclass(slots=True)
-class LinkClosed:
+class LinkClosed(msgspec.Struct):
     """A link was closed."""
 
     link: int
 
 
-@dataclasses.dataclass(slots=True)
-class MessageReceived:
+class MessageReceived(msgspec.Struct):
     """A message was received over a link."""
 
     link: int
     message: messages.Message
 
 
-@dataclasses.dataclass(slots=True)
-class RunStarted:
+class RunStarted(msgspec.Struct):
     """An order to start a run was answered, or got no answer."""
 
     incarnation: model.BackendIncarnation
@@ -128,8 +115,7 @@
     server_clock_ms: int | None
 
 
-@dataclasses.dataclass(slots=True)
-class RunStopped:
+class RunStopped(msgspec.Struct):
     """An order to stop a run was answered, or got no answer.
 
     ``fence`` is that of the order.
@@ -141,8 +127,7 @@
     fence: int | None = None
 
 
-@dataclasses.dataclass(slots=True)
-class BackendPolled:
+class BackendPolled(msgspec.Struct):
     """A poll of a backend server was answered, or got no answer.
 
     ``server_clock_ms`` is what the server's clock showed when it answered,
@@ -159,8 +144,7 @@
     successor: model.BackendIncarnation | None = None
 
 
-@dataclasses.dataclass(slots=True)
-class ConnectionsRead:
+class ConnectionsRead(msgspec.Struct):
     """What callers' connections received until the end of a pause was read.
 
     ``pause`` is the number of the pause.
@@ -169,8 +153,7 @@
     pause: int
 
 
-@dataclasses.dataclass(slots=True)
-class DrainRequested:
+class DrainRequested(msgspec.Struct):
     """The process was asked to shut down within ``limit``."""
 
     limit: datetime.timedelta
--- a/waxwingwalk/dispatch/model.py
+++ b/waxwingwalk/dispatch/model.py
@@ -5,6 +5,8 @@
 import datetime
 import enum
 
+import msgspec
+
 MILLISECOND = datetime.timedelta(milliseconds=1)
 ZERO = datetime.timedelta()
 
@@ -14,8 +16,7 @@
     return round(duration / MILLISECOND, 1)
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Resources:
+class Resources(msgspec.Struct, frozen=True):
     """The capacity of a backend server, or what a task needs of it.
 
     ``processors`` counts thousandths of a core, ``memory`` mebibytes.
@@ -107,8 +108,7 @@
     DRAINING = "draining"
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class BackendIncarnation:
+class BackendIncarnation(msgspec.Struct, frozen=True):
     """An incarnation of a backend server: its id and when it was started.
 
     A server that restarts under its id has lost its state, so everything known
@@ -135,8 +135,7 @@
     labels: frozenset[str]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Step:
+class Step(msgspec.Struct, frozen=True):
     """Tasks of a job with the same properties, which may start together.
 
     ``after`` holds the numbers of the steps that have to be complete first;
@@ -207,15 +206,16 @@
     job_id: str
     step: int
     index: int
+    # The name of the task at backend servers. It is looked up far more often
+    # than a task is created.
+    name: str = dataclasses.field(init=False, compare=False, repr=False)
 
-    @property
-    def name(self) -> str:
-        """The name of the task at backend servers."""
-        return f"{self.job_id}.0.{self.step}.{self.index}"
+    def __post_init__(self) -> None:
+        name = f"{self.job_id}.0.{self.step}.{self.index}"
+        object.__setattr__(self, "name", name)
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class HostRecord:
+class HostRecord(msgspec.Struct, frozen=True):
     """An incarnation of a dispatch host.
 
     ``processors`` is its share of a core. Hosts with a larger share are
@@ -268,8 +268,7 @@
     ALIVE = "alive"
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class CrashEvidence:
+class CrashEvidence(msgspec.Struct, frozen=True):
     """What is known of a server that did not list the end of a task's run."""
 
     task: str
@@ -277,8 +276,7 @@
     fate: ServerFate
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class EndedRun:
+class EndedRun(msgspec.Struct, frozen=True):
     """An entry of a backend server's list of ended runs."""
 
     serial: int
@@ -287,8 +285,7 @@
     end: RunEnd
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class RunKey:
+class RunKey(msgspec.Struct, frozen=True):
     """A run of a task, as named by backend servers."""
 
     task: str
--- a/waxwingwalk/dispatch/pool_rows.py
+++ b/waxwingwalk/dispatch/pool_rows.py
@@ -1,6 +1,6 @@
 """Rows in the store that name the hosts that may schedule a pool."""
 
-import dataclasses
+import msgspec
 
 from waxwingwalk.dispatch import model
 
@@ -11,8 +11,7 @@
 SUCCESSORS_MAX = FENCES_PER_VERSION - 1
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class PoolRow:
+class PoolRow(msgspec.Struct, frozen=True):
     """The hosts that may schedule a pool, in order of precedence.
 
     The first one is the owner. Each later one may take over, without asking
--- a/waxwingwalk/host/records.py
+++ b/waxwingwalk/host/records.py
@@ -1,8 +1,6 @@
 """The rows that dispatch hosts keep in the store, as JSON."""
 
-import dataclasses
-
-import orjson
+import msgspec
 from returns import result
 
 from waxwingwalk.core import decoding
@@ -24,7 +22,7 @@
 
 def encode(record: model.HostRecord | pool_rows.PoolRow) -> bytes:
     """Return a row's value."""
-    return orjson.dumps(dataclasses.asdict(record))
+    return msgspec.json.encode(record)
 
 
 def decode_host(value: bytes) -> result.Result[model.HostRecord, str]:
--- a/waxwingwalk/platform/__main__.py
+++ b/waxwingwalk/platform/__main__.py
@@ -1,10 +1,17 @@
 """Starts the dispatch daemon: ``python -m waxwingwalk.platform``."""
 
 import gc
+import os
 import sys
 
 # Imports leave no garbage, and collections take a tenth of their time.
 gc.disable()
+# The HTTP library reads all certificates of the system when it is imported,
+# which takes a sixth of the processor time of a start. No call uses TLS.
+os.environ.setdefault("SSL_CERT_FILE", os.devnull)
+# No plug-ins of aiomisc are used; the search for them reads the metadata of
+# all packages.
+os.environ.setdefault("AIOMISC_NO_PLUGINS", "1")
 
 from waxwingwalk.platform import daemon  # noqa: E402
 
--- a/waxwingwalk/store/rows.py
+++ b/waxwingwalk/store/rows.py
@@ -4,11 +4,11 @@
 """
 
 from collections.abc import Sequence
-import dataclasses
 import datetime
 import enum
 from typing import Protocol
 
+import msgspec
 from returns import result
 
 
@@ -26,8 +26,7 @@
     MALFORMED = "malformed"
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class StoredRow:
+class StoredRow(msgspec.Struct, frozen=True):
     """A row in the store; ``value`` is None if the row was removed."""
 
     key: str
@@ -35,16 +34,14 @@
     value: bytes | None
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Rows:
+class Rows(msgspec.Struct, frozen=True):
     """Rows of a table and the store's newest version when they were read."""
 
     rows: tuple[StoredRow, ...]
     version: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class RowWrite:
+class RowWrite(msgspec.Struct, frozen=True):
     """A row to be written if its version is ``if_version``.
 
     0 means that it must not exist, None that the write is unconditional. If
@@ -57,8 +54,7 @@
     if_version: int | None
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class WriteOutcome:
+class WriteOutcome(msgspec.Struct, frozen=True):
     """Whether a transaction was applied.
 
     ``version`` is the version of the written rows; ``conflicting_rows`` are
