Reduced the scans over backend servers in dispatch

The free share is computed only if another job waits, a tick leaves a server that is not due before anything else, and an unchanged report no longer discards the list of usable servers.

--- a/waxwingwalk/dispatch/backend.py
+++ b/waxwingwalk/dispatch/backend.py
@@ -327,12 +327,14 @@
         """
         if self.foreign_runs or self.state is not BackendState.READY:
             return False
-        return not any(
-            run.stop_requested_at is not None
-            and not run.is_stop_confirmed
-            and now - run.stop_requested_at > UNANSWERED_STOP_LIMIT
-            for run in self.runs.values()
-        )
+        for run in self.runs.values():
+            if (
+                run.stop_requested_at is not None
+                and not run.is_stop_confirmed
+                and now - run.stop_requested_at > UNANSWERED_STOP_LIMIT
+            ):
+                return False
+        return True
 
     def is_usable(self, now: datetime.datetime) -> bool:
         """Return whether new runs may be ordered here."""
@@ -354,12 +356,18 @@
             return False
         if order.runs_alone and self.runs:
             return False
-        if self.reserved_for not in (None, order.ref.name):
+        if (
+            self.reserved_for is not None
+            and self.reserved_for != order.ref.name
+        ):
             return False
         return (
             self.free.holds(order.resources)
             and order.key not in self.runs
-            and self._is_below_step_limit(order)
+            and (
+                order.max_per_backend is None
+                or self._is_below_step_limit(order, order.max_per_backend)
+            )
         )
 
     @property
@@ -389,9 +397,7 @@
             and self.report.capacity.holds(order.resources)
         )
 
-    def _is_below_step_limit(self, order: TaskOrder) -> bool:
-        if order.max_per_backend is None:
-            return True
+    def _is_below_step_limit(self, order: TaskOrder, limit: int) -> bool:
         ref = order.ref
         same = sum(
             1
@@ -399,7 +405,7 @@
             if run.order.ref.job_id == ref.job_id
             and run.order.ref.step == ref.step
         )
-        return same < order.max_per_backend
+        return same < limit
 
     def slowness(self, now: datetime.datetime) -> float:
         """Return the ratio of actual to estimated run times here.
--- a/waxwingwalk/dispatch/placement.py
+++ b/waxwingwalk/dispatch/placement.py
@@ -83,11 +83,20 @@
         due: datetime.datetime,
         now: datetime.datetime,
     ) -> backends.Backend | None:
-        return min(
-            candidates,
-            key=lambda each: _fastest_then_fullest(each, now),
-            default=None,
-        )
+        best: backends.Backend | None = None
+        lowest = 0.0
+        for each in candidates:
+            slowness = each.slowness(now)
+            if (
+                best is None
+                or slowness < lowest
+                or (
+                    slowness == lowest
+                    and each.free.processors < best.free.processors
+                )
+            ):
+                best, lowest = each, slowness
+        return best
 
 
 class FastestInTime:
--- a/waxwingwalk/dispatch/run_tracker.py
+++ b/waxwingwalk/dispatch/run_tracker.py
@@ -340,6 +340,8 @@
     def update_report(self, report: model.BackendReport) -> effects.Effects:
         """Record a backend server's own report."""
         backend = self._backends[report.incarnation]
+        if report == backend.report and backend.missing_since is None:
+            return []
         changed = (
             backend.report.advertised_state is not report.advertised_state
         )
@@ -450,6 +452,9 @@
         self, backend: backends.Backend, now: datetime.datetime
     ) -> effects.Effects:
         """Poll a server if a poll is needed and due, and none is under way."""
+        # Checked first because it rules out most servers at each tick.
+        if backend.is_polling or now < backend.next_poll_at:
+            return []
         is_needed = (
             backend.runs
             or backend.foreign_runs
@@ -461,9 +466,7 @@
                 backends.BackendState.SUSPECT,
             )
         )
-        if backend.is_polling or not is_needed or now < backend.next_poll_at:
-            return []
-        if backend.state is backends.BackendState.FENCED:
+        if not is_needed or backend.state is backends.BackendState.FENCED:
             return []
         backend.is_polling = True
         backend.poll_count += 1
--- a/waxwingwalk/dispatch/scheduler.py
+++ b/waxwingwalk/dispatch/scheduler.py
@@ -515,14 +515,17 @@
             return []
         waiting.sort()
         done: effects.Effects = []
-        free_share = self._free_processor_share(now)
+        # Computed when it is needed, as it changes with each start.
+        free_share: float | None = None
         for _, _, record in waiting:
+            if free_share is None:
+                free_share = self._free_processor_share(now)
             if self._job_order.is_deferred(record, free_share, now):
                 continue
             started = self._start_ready_tasks(record, now)
             if started:
                 done += started
-                free_share = self._free_processor_share(now)
+                free_share = None
         return done
 
     def _start_ready_tasks(
