--- a/waxwingwalk/dispatch/events.py
+++ b/waxwingwalk/dispatch/events.py
@@ -1,49 +1,44 @@
 """Events that the reducer of a dispatch host handles."""
 
-import dataclasses
 import datetime
 
+import msgspec
+
 from waxwingwalk.dispatch import messages
 from waxwingwalk.dispatch import model
 from waxwingwalk.dispatch import pool_rows
 
 
-@dataclasses.dataclass(slots=True)
-class Ticked:
+class Ticked(msgspec.Struct):
     """Time passed."""
 
 
-@dataclasses.dataclass(slots=True)
-class JobSubmitted:
+class JobSubmitted(msgspec.Struct):
     """A caller submitted a job here, which has been validated."""
 
     job: model.Job
 
 
-@dataclasses.dataclass(slots=True)
-class JobAbandoned:
+class JobAbandoned(msgspec.Struct):
     """The caller of a job left or cancelled it."""
 
     job_id: str
 
 
-@dataclasses.dataclass(slots=True)
-class CatalogRead:
+class CatalogRead(msgspec.Struct):
     """A version of the catalog was read, from the store or from a host."""
 
     catalog: model.Catalog
     document: str
 
 
-@dataclasses.dataclass(slots=True)
-class CatalogRejected:
+class CatalogRejected(msgspec.Struct):
     """A document of the catalog is malformed."""
 
     document: str
 
 
-@dataclasses.dataclass(slots=True)
-class EvacuationsListed:
+class EvacuationsListed(msgspec.Struct):
     """All rows that evacuate zones were listed.
 
     ``zones`` has the versions of the rows, ``version`` is that of the store.
@@ -53,29 +48,25 @@
     version: int
 
 
-@dataclasses.dataclass(slots=True)
-class BackendsListed:
+class BackendsListed(msgspec.Struct):
     """All registered backend servers were listed."""
 
     reports: tuple[model.BackendReport, ...]
 
 
-@dataclasses.dataclass(slots=True)
-class HostsListed:
+class HostsListed(msgspec.Struct):
     """All registered dispatch hosts were listed."""
 
     hosts: tuple[model.HostRecord, ...]
 
 
-@dataclasses.dataclass(slots=True)
-class PoolsListed:
+class PoolsListed(msgspec.Struct):
     """The rows of all pools were listed, each with its version."""
 
     rows: dict[str, tuple[int, pool_rows.PoolRow]]
 
 
-@dataclasses.dataclass(slots=True)
-class PoolWritten:
+class PoolWritten(msgspec.Struct):
     """The write of a pool's row ended.
 
     ``version`` and ``row`` are those in the store now; the version is 0 if
@@ -87,8 +78,7 @@
     row: pool_rows.PoolRow | None
 
 
-@dataclasses.dataclass(slots=True)
-class BackendsProbed:
+class BackendsProbed(msgspec.Struct):
     """The backend servers of a pool were probed.
 
     ``is_reachable`` is whether any of them accepts connections.
@@ -98,8 +88,7 @@
     is_reachable: bool
 
 
-@dataclasses.dataclass(slots=True)
-class LinkOpened:
+class LinkOpened(msgspec.Struct):
     """A link between this host and another one was opened.
 
     ``is_outbound`` is whether this host opened it.
@@ -110,8 +99,7 @@
     is_outbound: bool
 
 
-@dataclasses.dataclass(slots=True)
-class LinkFailed:
+class LinkFailed(msgspec.Struct):
     """A link to a host could not be opened.
 
     ``refused`` is whether the connection was refused, as nothing listens.
@@ -121,23 +109,20 @@
     refused: bool
 
 
-@dataclasses.dataclass(slots=True)
-class LinkClosed:
+class LinkClosed(msgspec.Struct):
     """A link was closed."""
 
     link: int
 
 
-@dataclasses.dataclass(slots=True)
-class MessageReceived:
+class MessageReceived(msgspec.Struct):
     """A message was received over a link."""
 
     link: int
     message: messages.Message
 
 
-@dataclasses.dataclass(slots=True)
-class RunStarted:
+class RunStarted(msgspec.Struct):
     """An order to start a run was answered, or got no answer."""
 
     incarnation: model.BackendIncarnation
@@ -146,8 +131,7 @@
     server_clock_ms: int | None
 
 
-@dataclasses.dataclass(slots=True)
-class RunStopped:
+class RunStopped(msgspec.Struct):
     """An order to stop a run was answered, or got no answer.
 
     ``fence`` is that of the order.
@@ -159,8 +143,7 @@
     fence: int | None = None
 
 
-@dataclasses.dataclass(slots=True)
-class BackendPolled:
+class BackendPolled(msgspec.Struct):
     """A poll of a backend server was answered, or got no answer.
 
     ``server_clock_ms`` is what the server's clock showed when it answered,
@@ -177,8 +160,7 @@
     successor: model.BackendIncarnation | None = None
 
 
-@dataclasses.dataclass(slots=True)
-class ConnectionsRead:
+class ConnectionsRead(msgspec.Struct):
     """What callers' connections received until the end of a pause was read.
 
     ``pause`` is the number of the pause.
@@ -187,8 +169,7 @@
     pause: int
 
 
-@dataclasses.dataclass(slots=True)
-class DrainRequested:
+class DrainRequested(msgspec.Struct):
     """The process was asked to shut down within ``limit``."""
 
     limit: datetime.timedelta
