Configuration: decoded rows in steps, and tested the transfer on real links

Cause: base64 of a row of 3.2 MB took 29 ms in one piece; a document from the store and one from a host may be decoded at the same time.

Change: values of rows are decoded in steps of 256 KiB with the event loop in between. A faulty host that requests parts without waiting fills no queue: at most 16 wait for a link, further ones are dropped. The tests of the engine's failed calls now include the decoding of a document.

--- a/tests/host/test_engine.py
+++ b/tests/host/test_engine.py
@@ -8,6 +8,7 @@
 from waxwingwalk.dispatch import events
 from waxwingwalk.dispatch import model
 from waxwingwalk.dispatch import pool_rows
+from waxwingwalk.dispatch import reducer as dispatch_reducer
 from waxwingwalk.host import engine as host_engine
 from waxwingwalk.host import logs
 from waxwingwalk.host import metrics
@@ -37,7 +38,20 @@
     async def _fail(self, order):
         raise ZeroDivisionError("unexpected")
 
-    start = stop = poll = write_pool = _fail
+    start = stop = poll = write_pool = decode = _fail
+
+
+class SlowDecoder:
+    """Decodes a document, which is its version, when the test says so."""
+
+    def __init__(self):
+        self.decoded = {}
+
+    async def decode(self, document):
+        """Wait, and return the catalog."""
+        self.decoded[document] = asyncio.Event()
+        await self.decoded[document].wait()
+        return model.Catalog(int(document), (), frozenset())
 
 
 class EngineTests(unittest.IsolatedAsyncioTestCase):
@@ -47,6 +61,7 @@
             effects.StopRun(INCARNATION, "s:80", 1, RUN),
             effects.PollBackend(INCARNATION, "s:80", 1, 0, None, model.ZERO),
             effects.WritePool("north", pool_rows.PoolRow(()), 1),
+            effects.DecodeCatalog("document"),
         ]
         reducer = RecordingReducer(done)
         writer = hosts.MemoryWriter()
@@ -55,7 +70,7 @@
             reducer, time, logs.HostLog(time, writer), metrics.HostMetrics()
         )
         failing = FailingAdapter()
-        engine.adapters = host_engine.Adapters(failing, None, failing, None)
+        engine.adapters = host_engine.Adapters(failing, None, failing, failing)
         engine.apply(events.Ticked())
         async with asyncio.timeout(1):
             while len(reducer.events) < 1 + len(done):
@@ -67,10 +82,34 @@
                 events.RunStopped(INCARNATION, RUN, UNKNOWN, 1),
                 events.BackendPolled(INCARNATION, UNKNOWN, fence=1),
                 events.PoolWritten("north", None, None),
+                events.CatalogRejected("document"),
             ],
         )
         self.assertIn("internal.error", writer)
 
+    async def test_document_that_is_decoded_late_does_not_revert_a_newer(self):
+        # A document from the store and one from a host may be decoded at the
+        # same time.
+        time = clock.ManualClock()
+        engine = host_engine.Engine(
+            dispatch_reducer.Reducer(
+                model.HostRecord("local", "1", "north"), time.now()
+            ),
+            time,
+            logs.HostLog(time, hosts.MemoryWriter()),
+            metrics.HostMetrics(),
+        )
+        decoder = SlowDecoder()
+        engine.adapters = host_engine.Adapters(None, None, None, decoder)
+        for document in ("5", "6"):
+            engine.read_catalog(document)
+        await asyncio.sleep(0)
+        for document in ("6", "5"):
+            decoder.decoded[document].set()
+            for _ in range(5):
+                await asyncio.sleep(0)
+            self.assertEqual(engine.reducer.catalog.version, 6)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/host/test_links.py
+++ b/tests/host/test_links.py
@@ -10,6 +10,7 @@
 from waxwingwalk.dispatch import events
 from waxwingwalk.dispatch import messages
 from waxwingwalk.dispatch import model
+from waxwingwalk.dispatch import reconnection
 from waxwingwalk.host import links as host_links
 from waxwingwalk.host import logs
 from waxwingwalk.host import records
@@ -41,6 +42,8 @@
         self.fail_on = None
         self.links = None
         self.server = None
+        # The kinds and sizes of the messages in each frame sent.
+        self.frames = []
 
     async def start(self):
         """Start the server that accepts links."""
@@ -51,9 +54,13 @@
         record = model.HostRecord(self.address, "1", "north")
         log = logs.HostLog(clock.ManualClock(), self.log)
         self.links = host_links.HostLinks(
-            record, self._notify, log, self.clock
+            record, self._notify, log, self.clock, self
         )
 
+    def record_frame_sent(self, sizes):
+        """Record a frame."""
+        self.frames.append(sizes)
+
     def _notify(self, event):
         message = getattr(event, "message", None)
         if self.fail_on and getattr(message, "job_id", None) == self.fail_on:
@@ -82,6 +89,98 @@
         await self.server.close()
 
 
+class PriorityTests(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.near, self.far = HostEnd(), HostEnd()
+        for end in (self.near, self.far):
+            await end.start()
+            self.addAsyncCleanup(end.stop)
+        self.near.links.set_link_targets(frozenset({self.far.address}))
+        (self.ours,) = await self.near.wait_for(events.LinkOpened)
+        await self.far.wait_for(events.LinkOpened)
+
+    async def test_parts_of_the_document_wait_for_messages_of_jobs(self):
+        # A document ahead of jobs' messages delayed these, and keep-alives,
+        # beyond the time after which the far end closes the link.
+        part = messages.CatalogPart(2, 0, 9, "abc")
+        request = messages.RequestCatalog(2, 0)
+        jobs = [messages.AbandonJob(f"job-{number}") for number in range(3)]
+        for message in (part, jobs[0], request, jobs[1], jobs[2]):
+            self.near.links.send(self.ours.link, message)
+        received = await self.far.wait_for(events.MessageReceived, 5)
+        self.assertEqual(
+            [each.message for each in received], [*jobs, part, request]
+        )
+        kinds = [[kind for kind, _ in frame] for frame in self.near.frames]
+        self.assertEqual(
+            kinds, [["abandon_job"] * 3, ["catalog_part"], ["request_catalog"]]
+        )
+
+    async def test_sizes_of_messages_are_counted(self):
+        part = messages.CatalogPart(2, 0, 8000, "a" * 8000)
+        self.near.links.send(self.ours.link, part)
+        await self.far.wait_for(events.MessageReceived)
+        ((kind, size),) = self.near.frames[0]
+        self.assertEqual(kind, "catalog_part")
+        self.assertEqual(size, len(messages.encode(part)))
+
+    async def test_parts_beyond_a_limit_are_dropped(self):
+        # A host that requests parts without waiting for the answers must not
+        # fill the memory of this one, nor close the link.
+        for number in range(host_links.BULK_QUEUE_MAX + 5):
+            part = messages.CatalogPart(2, number, 99, "a")
+            self.near.links.send(self.ours.link, part)
+        self.near.links.send(self.ours.link, messages.AbandonJob("j"))
+        count = 1 + host_links.BULK_QUEUE_MAX
+        await self.far.wait_for(events.MessageReceived, count)
+        self.near.links.send(self.ours.link, messages.AbandonJob("k"))
+        received = await self.far.wait_for(events.MessageReceived, count + 1)
+        self.assertEqual(len(received), count + 1)
+        self.assertEqual(received[-1].message.job_id, "k")
+
+
+class HandshakeTests(unittest.IsolatedAsyncioTestCase):
+    """A host with links to many others, which break all at once."""
+
+    FAR_ENDS = 12
+
+    async def asyncSetUp(self):
+        self.near = HostEnd()
+        self.far_ends = [HostEnd() for _ in range(self.FAR_ENDS)]
+        self.pending = 0
+        self.pending_max = 0
+        for end in (self.near, *self.far_ends):
+            await end.start()
+            self.addAsyncCleanup(end.stop)
+        for end in self.far_ends:
+            end.links.accept = self.delay(end.links.accept)
+        self.near.links.set_link_targets(
+            frozenset(end.address for end in self.far_ends)
+        )
+        await self.near.wait_for(events.LinkOpened, self.FAR_ENDS)
+
+    def delay(self, accept):
+        """Make a handshake take some time, and count those in progress."""
+
+        async def accept_later(request):
+            self.pending += 1
+            self.pending_max = max(self.pending_max, self.pending)
+            await asyncio.sleep(0.02)
+            self.pending -= 1
+            return await accept(request)
+
+        return accept_later
+
+    async def test_few_handshakes_are_in_progress_at_a_time(self):
+        # 30 hosts that open all their links at once delay each other until
+        # most attempts time out, and try again at the same time.
+        for link in await self.near.wait_for(events.LinkOpened):
+            self.near.links.close_link(link.link)
+        await self.near.wait_for(events.LinkOpened, 2 * self.FAR_ENDS)
+        self.assertGreater(self.pending_max, 1)
+        self.assertLessEqual(self.pending_max, reconnection.HANDSHAKES_MAX)
+
+
 class LinkTests(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         self.near, self.far = HostEnd(), HostEnd()
--- a/tests/host/test_metrics.py
+++ b/tests/host/test_metrics.py
@@ -28,6 +28,23 @@
                 self.render(),
             )
 
+    def test_frames_and_bytes_are_counted_by_kind(self):
+        jobs = [("job_ended", 100), ("job_ended", 120)]
+        self.metrics.record_frame_sent([*jobs, ("keep_alive", 30)])
+        self.metrics.record_frame_sent([("catalog_part", 8192)])
+        lines = self.render()
+        for kind, frames, size in (
+            ("job_ended", 1, 220),
+            ("keep_alive", 1, 30),
+            ("catalog_part", 1, 8192),
+        ):
+            for name, count in (("frames", frames), ("bytes", size)):
+                self.assertIn(
+                    f"waxwingwalk_link_{name}_sent_total"
+                    f'{{kind="{kind}"}} {count}',
+                    lines,
+                )
+
     def test_labels_tell_counts_apart(self):
         elapsed = datetime.timedelta(milliseconds=3)
         for outcome in ("accepted", "unknown"):
--- a/tests/platform/hosts.py
+++ b/tests/platform/hosts.py
@@ -54,12 +54,13 @@
         self.logs = []
         self._servers = []
         self._hosts = []
+        self._store_address = ""
         self.session = None
 
     async def start(self, workers=1, hosts=1):
         """Start the store, the workers and the hosts."""
         self.session = aiohttp.ClientSession()
-        store = await self._serve(self.store.application())
+        self._store_address = await self._serve(self.store.application())
         for number in range(workers):
             worker = stand_in.Worker(f"w-{number}")
             address = await self._serve(worker.application())
@@ -70,7 +71,7 @@
         self.store.put("servers", "foreign", {"state": "resting"})
         self.store.put("op", "config", stand_in.config())
         for number in range(hosts):
-            await self._start_host(number, store)
+            await self.start_host(number)
 
     async def _serve(self, application):
         server = test_utils.TestServer(application)
@@ -78,7 +79,8 @@
         self._servers.append(server)
         return f"127.0.0.1:{server.port}"
 
-    async def _start_host(self, number, store):
+    async def start_host(self, number, seeds=()):
+        """Start a host, which opens links to seeds before it has a list."""
         callers, readiness, peers, metrics_address = free_addresses(4)
         settings = config.HostConfig(
             name=f"host-{number}",
@@ -88,8 +90,8 @@
             readiness=readiness,
             peers=peers,
             metrics=metrics_address,
-            store=store,
-            seeds=(),
+            store=self._store_address,
+            seeds=seeds,
             processors=1.0,
             grace=datetime.timedelta(seconds=6),
             linger=datetime.timedelta(milliseconds=100),
--- a/waxwingwalk/host/links.py
+++ b/waxwingwalk/host/links.py
@@ -36,6 +36,10 @@
 # Messages that may be queued for a link. One more closes the link, with the
 # same effect as a broken connection.
 QUEUE_MAX = 5000
+# Parts and requests of the document that may be queued for a link; further
+# ones are dropped. A host sends one request at a time, so that only a faulty
+# one causes more.
+BULK_QUEUE_MAX = 16
 # A frame that was on its way for longer than this was delayed by the network.
 # By then the sender considers the link dead and its callers have sent their
 # jobs to other hosts, so processing the frame would run these jobs twice at
@@ -89,13 +93,14 @@
 
     @property
     def queued(self) -> int:
-        """How many messages wait to be sent."""
-        return len(self._queue) + len(self._bulk_queue)
+        """How many messages wait, apart from bulk messages."""
+        return len(self._queue)
 
     def enqueue(self, message: messages.Message) -> None:
-        """Queue a message."""
+        """Queue a message; bulk messages beyond a limit are dropped."""
         if isinstance(message, messages.BULK_MESSAGES):
-            self._bulk_queue.append(message)
+            if len(self._bulk_queue) < BULK_QUEUE_MAX:
+                self._bulk_queue.append(message)
         else:
             self._queue.append(message)
         self._wake.set()
@@ -108,7 +113,7 @@
         while True:
             await self._wake.wait()
             self._wake.clear()
-            while self.queued:
+            while self._queue or self._bulk_queue:
                 batch = list(self._queue)
                 self._queue.clear()
                 await self._send(batch or [self._bulk_queue.popleft()])
--- a/waxwingwalk/platform/store.py
+++ b/waxwingwalk/platform/store.py
@@ -1,5 +1,6 @@
 """Client of the platform's store."""
 
+import asyncio
 import base64
 import binascii
 from collections.abc import Sequence
@@ -22,6 +23,9 @@
 CONNECT_TIMEOUT = datetime.timedelta(milliseconds=500)
 # The part of the store's tables that also holds the operators' rows.
 SHARED_PART = ""
+# Characters of Base64 that are decoded before the event loop runs again, which
+# takes 2 ms; a multiple of four. Only the operators' document is longer.
+VALUE_STEP = 2**18
 
 Failure = store_rows.StoreFailure
 
@@ -84,7 +88,7 @@
         if not isinstance(reply, result.Success):
             return result.Failure(reply.failure())
         status, content = reply.unwrap()
-        table = _parse_rows(content)
+        table = await _parse_rows(content)
         if table is None:
             return result.Failure(Failure.UNKNOWN)
         return result.Success(
@@ -109,7 +113,7 @@
             page = _parse_page(reply.unwrap()[1])
             if page is None:
                 return result.Failure(Failure.MALFORMED)
-            found += _to_stored_rows(page)
+            found += await _to_stored_rows(page)
             version = page.ver if version is None else version
             if not page.has_more or not page.rows:
                 return result.Success(store_rows.Rows(tuple(found), version))
@@ -138,7 +142,7 @@
         status, content = reply.unwrap()
         if status == 410:
             return result.Failure(Failure.HISTORY_GONE)
-        changed = _parse_rows(content)
+        changed = await _parse_rows(content)
         if changed is None:
             return result.Failure(Failure.MALFORMED)
         return result.Success(changed)
@@ -210,27 +214,36 @@
         return None
 
 
-def _parse_rows(content: bytes) -> store_rows.Rows | None:
+async def _parse_rows(content: bytes) -> store_rows.Rows | None:
     page = _parse_page(content)
     if page is None:
         return None
-    return store_rows.Rows(tuple(_to_stored_rows(page)), page.ver)
+    return store_rows.Rows(tuple(await _to_stored_rows(page)), page.ver)
 
 
-def _to_stored_rows(page: _Rows) -> list[store_rows.StoredRow]:
+async def _to_stored_rows(page: _Rows) -> list[store_rows.StoredRow]:
     return [
         store_rows.StoredRow(
             row.key,
             row.ver,
-            None if row.tombstone else _decode_value(row.value),
+            None if row.tombstone else await _decode_value(row.value or ""),
         )
         for row in page.rows
     ]
 
 
-def _decode_value(text: str | None) -> bytes:
+async def _decode_value(text: str) -> bytes:
     """Return a row's bytes, empty if the text is not valid Base64."""
+    decoded = []
     try:
-        return base64.b64decode(text or "", validate=True)
-    except binascii.Error:
+        for start in range(0, len(text), VALUE_STEP):
+            if start:
+                await asyncio.sleep(0)
+            step = text[start : start + VALUE_STEP]
+            if "=" in step and start + VALUE_STEP < len(text):
+                # Padding may only stand at the end.
+                return b""
+            decoded.append(base64.b64decode(step, validate=True))
+    except (binascii.Error, ValueError):
         return b""
+    return b"".join(decoded)
