Counted the coldness of backend servers in their speed

Cause: a server's report says in cold_left_ms how much longer it is slow after its start, and placement took it for as fast as a warm one.

Change: the end of the slow time is kept on the server's own clock. Until then its slowness is multiplied by a factor that is learned from the runs on all cold servers, 2 before the first. These runs do not count in the server's own speed. Malformed times make a server count as warm. A scheduler also offers no tasks to pools in evacuated zones.

--- a/tests/dispatch/test_evacuation.py
+++ b/tests/dispatch/test_evacuation.py
@@ -281,6 +281,17 @@
         ((link, offer),) = self.sent(done, messages.OfferTask)
         self.assertEqual((link, offer.run), (SOUTH_OUTBOUND, 2))
 
+    def test_no_task_is_offered_to_an_evacuated_zone(self):
+        # The scheduler there may not have announced the end of its capacity.
+        self.schedule_here()
+        self.hear_of_south(1, free=[self.free_room()])
+        self.list_rows(12, 2, south=12)
+        done = []
+        for number in range(3):
+            done += self.submit(3, f"j{number}")
+        self.assertEqual(len(self.starts(done)), 2)
+        self.assertEqual(self.sent(done, messages.OfferTask), [])
+
     def free_room(self):
         return messages.FreeRoom(builders.CAPACITY, 1.0)
 
--- a/waxwingwalk/dispatch/backend.py
+++ b/waxwingwalk/dispatch/backend.py
@@ -87,8 +87,9 @@
     ``ordered_at`` and ``accepted_at`` are in observed time, ``sent_at`` is on
     the clock. ``is_moved`` is set if the server has restarted since the order.
     ``incarnation`` is the one that may have started the run, ``was_shared`` is
-    whether other runs were on the server meanwhile. ``fate`` is what was
-    last recorded of it.
+    whether other runs were on the server meanwhile, ``was_cold`` whether the
+    server was cold when it was ordered. ``fate`` is what was last recorded of
+    it.
     """
 
     order: TaskOrder
@@ -105,6 +106,7 @@
     is_end_reported: bool = False
     incarnation: model.BackendIncarnation | None = None
     was_shared: bool = False
+    was_cold: bool = False
     fate: model.ServerFate | None = None
     # Whether it has ended unless its server has restarted.
     has_lapsed: bool = False
@@ -143,6 +145,7 @@
     ``foreign_runs`` are runs that a former scheduler started.
     ``acknowledged`` is the serial number of the last end that was processed.
     ``reserved_for`` is the task for which the server is being emptied.
+    ``cold_slowness`` is how much slower cold servers are than warm ones.
     """
 
     def __init__(
@@ -151,8 +154,12 @@
         fence: int,
         now: datetime.datetime,
         observed: observed_time.ObservedTime | None = None,
+        cold_slowness: speeds.LearnedSlowness | None = None,
     ) -> None:
         self._observed = observed or observed_time.ObservedTime()
+        self._cold_slowness = cold_slowness or speeds.LearnedSlowness(
+            speeds.COLD_SLOWNESS
+        )
         self.report = report
         self.fence = fence
         self.state = BackendState.UNVERIFIED
@@ -401,6 +408,13 @@
         )
         return same < order.max_per_backend
 
+    def is_cold(self, now: datetime.datetime) -> bool:
+        """Return whether the server is still slow after its start."""
+        uptime = self.uptime(now)
+        if uptime is None:
+            return self.report.warm_at_ms > 0
+        return uptime < self.report.warm_at_ms * model.MILLISECOND
+
     def slowness(self, now: datetime.datetime) -> float:
         """Return the ratio of actual to estimated run times here.
 
@@ -420,6 +434,8 @@
 
     def _measure_slowness(self, now: datetime.datetime) -> float:
         slowest = self.learned_slowness.slowness
+        if self.is_cold(now):
+            slowest *= max(1.0, self._cold_slowness.slowness)
         observed_now = self._observed.at(now)
         for run in self.runs.values():
             if run.accepted_at is not None and run.stop_requested_at is None:
--- a/waxwingwalk/dispatch/model.py
+++ b/waxwingwalk/dispatch/model.py
@@ -124,7 +124,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class BackendReport:
-    """What a backend server has registered about itself."""
+    """What a backend server has registered about itself.
+
+    ``warm_at_ms`` is when it is no longer slow after its start, on its own
+    clock; 0 if it is not slow.
+    """
 
     incarnation: BackendIncarnation
     service: str
@@ -133,6 +137,7 @@
     advertised_state: AdvertisedState
     capacity: Resources
     labels: frozenset[str]
+    warm_at_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/waxwingwalk/dispatch/peer_tasks.py
+++ b/waxwingwalk/dispatch/peer_tasks.py
@@ -17,6 +17,7 @@
     """
 
     link: int
+    pool: str
     service: str
     free: list[messages.FreeRoom]
 
--- a/waxwingwalk/dispatch/run_tracker.py
+++ b/waxwingwalk/dispatch/run_tracker.py
@@ -20,6 +20,7 @@
 from waxwingwalk.dispatch import evacuation
 from waxwingwalk.dispatch import model
 from waxwingwalk.dispatch import observed_time
+from waxwingwalk.dispatch import speeds
 from waxwingwalk.routing import outliers
 
 # A poll waits at the server for up to this time until a run ends. Leases are
@@ -88,6 +89,8 @@
         # Incarnations that are over, although the platform may list them.
         self._ended_incarnations: set[model.BackendIncarnation] = set()
         self._detector = outliers.LikelihoodDetector()
+        # Learned from the runs on all cold servers, as each is cold only once.
+        self._cold_slowness = speeds.LearnedSlowness(speeds.COLD_SLOWNESS)
         # Ended runs, and log lines caused by them, until the scheduler
         # processes them.
         self.ended: list[EndedTask] = []
@@ -249,7 +252,9 @@
         self, report: model.BackendReport, fence: int, now: datetime.datetime
     ) -> effects.Effects:
         """Start to schedule a backend server."""
-        backend = backends.Backend(report, fence, now, self._observed)
+        backend = backends.Backend(
+            report, fence, now, self._observed, self._cold_slowness
+        )
         self._backends[report.incarnation] = backend
         self._usable_until = None
         return [
@@ -443,7 +448,12 @@
         lease_end = backend.extend_lease(now)
         if lease_end is None:
             raise ValueError(f"no clock reading from {backend!r} yet")
-        run = backends.Run(order, self._observed.at(now), now)
+        run = backends.Run(
+            order,
+            self._observed.at(now),
+            now,
+            was_cold=backend.is_cold(now),
+        )
         backend.add_run(run)
         if order.is_suspect:
             # Peers know of the run if this host is lost before its end.
@@ -885,6 +895,8 @@
         since = run.accepted_at or run.ordered_at
         elapsed = self._observed.at(now) - since
         slowness = backend.learned_slowness.slowness
+        if run.was_cold:
+            slowness *= max(1.0, self._cold_slowness.slowness)
         self._learn(backend, run, end, elapsed, now)
         self.ended.append(
             EndedTask(
@@ -907,7 +919,11 @@
     ) -> None:
         name = str(backend.incarnation)
         if end is model.TaskEnd.DONE:
-            backend.learn_slowness(elapsed, run.order.estimate)
+            if run.was_cold:
+                usual = run.order.estimate * backend.learned_slowness.slowness
+                self._cold_slowness.learn(elapsed, usual)
+            else:
+                backend.learn_slowness(elapsed, run.order.estimate)
             self._detector.task_done(name, run.order.queue)
             if backend.ejected_until is not None:
                 backend.ejected_until = None
--- a/waxwingwalk/dispatch/scheduler.py
+++ b/waxwingwalk/dispatch/scheduler.py
@@ -504,7 +504,7 @@
     ) -> None:
         """Record the free capacity that a peer advertises."""
         self._peers[link] = [
-            peer_tasks.PeerPool(link, load.service, list(load.free))
+            peer_tasks.PeerPool(link, load.pool, load.service, list(load.free))
             for load in loads
         ]
 
@@ -834,6 +834,8 @@
             if link in task.refused_by:
                 continue
             for pool in pools:
+                if self._evacuation.is_evacuated(pool.pool):
+                    continue
                 free = peer_tasks.reserve_capacity(pool, order, time_left)
                 if free is None:
                     continue
--- a/waxwingwalk/dispatch/speeds.py
+++ b/waxwingwalk/dispatch/speeds.py
@@ -15,6 +15,9 @@
 # Bounds of the slowness that a single completed run can indicate.
 MIN_SLOWNESS = 0.1
 MAX_SLOWNESS = 50.0
+# How much slower than usual a server that is still cold is assumed to be until
+# runs on cold servers have been observed.
+COLD_SLOWNESS = 2.0
 # Lower bound of actual and estimated run times; shorter ones are dominated by
 # the network.
 MIN_RUN_TIME = datetime.timedelta(milliseconds=1)
@@ -23,8 +26,8 @@
 class LearnedSlowness:
     """The learned ratio of actual to estimated run time on a server."""
 
-    def __init__(self) -> None:
-        self._log_slowness = 0.0
+    def __init__(self, initial: float = 1.0) -> None:
+        self._log_slowness = math.log(initial)
         self._run_count = 0
 
     @property
--- a/waxwingwalk/platform/catalog.py
+++ b/waxwingwalk/platform/catalog.py
@@ -1,6 +1,7 @@
 """The operators' configuration, and the rows of backend servers."""
 
 import datetime
+import math
 from typing import Annotated
 from typing import Any
 from typing import Literal
@@ -36,6 +37,8 @@
 # Bound of durations in milliseconds, eleven days. Far longer ones do not fit
 # into the types of the standard library.
 MILLISECONDS_MAX = 10**9
+# Bound of readings of a clock in milliseconds, three centuries.
+CLOCK_MS_MAX = 10**13
 Milliseconds = Annotated[
     float, pydantic.Field(ge=-MILLISECONDS_MAX, le=MILLISECONDS_MAX)
 ]
@@ -89,6 +92,10 @@
     labels: list[str] = []
     # Start of this incarnation, in Unix milliseconds.
     born: int = 0
+    # The worker's clock when it wrote the row, and how much longer it is slow.
+    # A worker is usable whatever is written there.
+    clock_ms: Any = 0
+    cold_left_ms: Any = 0
 
 
 def decode_catalog(document: bytes | str) -> result.Result[model.Catalog, str]:
@@ -144,10 +151,25 @@
             advertised_state=model.AdvertisedState(worker.state),
             capacity=model.Resources(room.cpu, room.mem_mb, room.gpu),
             labels=frozenset(worker.labels),
+            warm_at_ms=_warm_at_ms(worker),
         )
     )
 
 
+def _warm_at_ms(worker: _Worker) -> int:
+    """Return when a worker is warm on its own clock, 0 if it is now.
+
+    The time is the same in all of its rows, whenever they are read. A worker
+    with malformed times counts as warm.
+    """
+    total = 0.0
+    for time in (worker.clock_ms, worker.cold_left_ms):
+        if not isinstance(time, int | float) or not 0 <= time <= CLOCK_MS_MAX:
+            return 0
+        total += time
+    return math.ceil(total) if worker.cold_left_ms else 0
+
+
 def evacuated_zones(rows: follower.TableRows) -> dict[str, int]:
     """Return the zones that operators' rows evacuate, with the versions.
 
