Tested evacuations in a fleet with few links

Twelve hosts in each of three zones keep links to owners and standbys only. One of them reaches the store and schedules nothing; all others learn the start and the end of an evacuation within 600 ms in the emulator, read interval included.

--- a/tests/emulator/test_evacuation.py
+++ b/tests/emulator/test_evacuation.py
@@ -330,6 +330,36 @@
         self.assert_no_violation()
 
 
+class LargeFleetTests(unittest.TestCase):
+    """Twelve hosts a zone, with links to owners and standbys only."""
+
+    def test_hosts_without_the_store_learn_soon_over_few_links(self):
+        fleet = emulated_fleet.Fleet(seed=1)
+        for zone in ZONES:
+            for number in range(12):
+                fleet.add_host(f"{zone}-{number}", zone)
+            fleet.add_backend(f"{zone}-s", zone, CAPACITY)
+        fleet.run(milliseconds(4000))
+        # Only one host reaches the store, which schedules no pool.
+        (informed, *_) = [
+            each
+            for each in fleet.hosts.values()
+            if not each.reducer.ownership.claims
+        ]
+        for host in fleet.hosts.values():
+            self.assertLess(len(host.link_targets), 12)
+            if host is not informed:
+                fleet.cut_store_of(host)
+        fleet.evacuate_zone("north")
+        fleet.run(milliseconds(600))
+        for host in fleet.hosts.values():
+            self.assertEqual(host.reducer.evacuation.zones, ["north"])
+        fleet.end_evacuation("north")
+        fleet.run(milliseconds(600))
+        for host in fleet.hosts.values():
+            self.assertEqual(host.reducer.evacuation.zones, [])
+
+
 class ScenarioTests(unittest.TestCase):
     def play(self, seed, kinds):
         return scenario.Scenario(seed, FAULTS, kinds=kinds).run()
