--- a/tests/platform/hosts.py
+++ b/tests/platform/hosts.py
@@ -56,21 +56,23 @@
         self._hosts = []
         self.session = None
 
-    async def start(self, workers=1, hosts=1):
-        """Start the store, the workers and the hosts."""
+    async def start(self, workers=1, hosts=1, zones=("north",)):
+        """Start the store, workers and hosts, each in the next zone."""
         self.session = aiohttp.ClientSession()
         store = await self._serve(self.store.application())
         for number in range(workers):
             worker = stand_in.Worker(f"w-{number}")
             address = await self._serve(worker.application())
             self.workers.append(worker)
-            row = stand_in.worker_row(address)
+            zone = zones[number % len(zones)]
+            row = stand_in.worker_row(address, zone=zone)
             self.store.put("servers", worker.worker_id, row)
         self.store.put("servers", "broken", b"\xff")
         self.store.put("servers", "foreign", {"state": "resting"})
         self.store.put("op", "config", stand_in.config())
         for number in range(hosts):
-            await self._start_host(number, store)
+            zone = zones[number % len(zones)]
+            await self._start_host(number, store, zone)
 
     async def _serve(self, application):
         server = test_utils.TestServer(application)
@@ -78,11 +80,11 @@
         self._servers.append(server)
         return f"127.0.0.1:{server.port}"
 
-    async def _start_host(self, number, store):
+    async def _start_host(self, number, store, zone):
         callers, readiness, peers, metrics_address = free_addresses(4)
         settings = config.HostConfig(
             name=f"host-{number}",
-            zone="north",
+            zone=zone,
             region="wales",
             callers=callers,
             readiness=readiness,
--- a/tests/platform/test_callers.py
+++ b/tests/platform/test_callers.py
@@ -270,6 +270,25 @@
         _, content = await self.deployment.get(settings.metrics, "/metrics")
         self.assertIn(f"{gauge} 0", content)
 
+    async def test_callers_in_an_evacuated_zone_are_served_by_another(self):
+        await self.deployment.start(
+            workers=2, hosts=2, zones=("north", "south")
+        )
+        for number in range(2):
+            await self.submit_until_served(number)
+        north, south = self.deployment.workers
+        while not (north.fence and south.fence):
+            await asyncio.sleep(PAUSE_SECONDS)
+        self.deployment.store.put("op", "evacuate/north", {})
+        while "evacuation.started" not in self.deployment.logs[0]:
+            await asyncio.sleep(PAUSE_SECONDS)
+        starts = len(north.starts)
+        for attempt in range(5):
+            path = f"/refund/{attempt + 100:016x}"
+            status, _, _ = await self.submit(path, number=0)
+            self.assertEqual(status, 200)
+        self.assertEqual(len(north.starts), starts)
+
     async def test_jobs_are_served_during_a_store_outage(self):
         await self.deployment.start()
         await self.submit_until_served()
--- a/waxwingwalk/dispatch/evacuation.py
+++ b/waxwingwalk/dispatch/evacuation.py
@@ -66,6 +66,11 @@
         # When this host learned that the evacuation of a zone had ended.
         self._ended_at: dict[str, datetime.datetime] = {}
 
+    @property
+    def is_unused(self) -> bool:
+        """Whether this host knows of no evacuation, past ones included."""
+        return not self._notices
+
     @property
     def zones(self) -> list[str]:
         """The evacuated zones, sorted."""
