Dropped starts that a paused host would have sent too late

Cause: a host that was paused between its decision on a start and the sending sent it when it woke. A server that had restarted meanwhile knew neither a higher fence nor the end of the lease, and ran it beside another run of the task.

Change: a start carries the time by which it has to leave the host, 500 ms after the decision. The client of the servers checks it once the connection of the request is ready, and the emulator at the sending.

--- a/waxwingwalk/dispatch/effects.py
+++ b/waxwingwalk/dispatch/effects.py
@@ -4,6 +4,7 @@
 import datetime
 from typing import Any
 
+from waxwingwalk.core import clock
 from waxwingwalk.dispatch import messages
 from waxwingwalk.dispatch import model
 from waxwingwalk.dispatch import pool_rows
@@ -13,7 +14,8 @@
 class StartRun:
     """Order a backend server to run a task; RunStarted follows.
 
-    ``lease_ends_ms`` is a time on the backend server's own clock.
+    ``lease_ends_ms`` is a time on the backend server's own clock. The order
+    must not leave this host later than ``send_by``, on this host's clock.
     """
 
     incarnation: model.BackendIncarnation
@@ -22,6 +24,7 @@
     run: model.RunKey
     spec: str
     lease_ends_ms: int
+    send_by: datetime.datetime = clock.DISTANT_FUTURE
 
 
 @dataclasses.dataclass(slots=True)
--- a/waxwingwalk/dispatch/model.py
+++ b/waxwingwalk/dispatch/model.py
@@ -305,7 +305,8 @@
 
     OLD_RUN refuses a start because that run of the task, or a later one, has
     ended there. EXPIRED refuses a start whose lease is over. UNKNOWN may have
-    been carried out, or may still be. NOT_SENT never left this host.
+    been carried out, or may still be. NOT_SENT never left this host. DROPPED
+    did not either, as this host was behind and the order was out of date.
     """
 
     ACCEPTED = "accepted"
@@ -317,4 +318,5 @@
     INVALID = "invalid"
     OTHER_INCARNATION = "other_life"
     NOT_SENT = "not_sent"
+    DROPPED = "dropped"
     UNKNOWN = "unknown"
--- a/waxwingwalk/dispatch/run_tracker.py
+++ b/waxwingwalk/dispatch/run_tracker.py
@@ -37,6 +37,10 @@
 # saves a call to a busy server. The platform expects the acknowledgement
 # within seconds.
 ACKNOWLEDGE_DELAY = datetime.timedelta(milliseconds=250)
+# A start that has not left this host by then is dropped. Links of a host that
+# is silent for 0.6 s are closed, and another host may start the task after
+# that. A server that has restarted since would not refuse the start.
+START_SEND_LIMIT = datetime.timedelta(milliseconds=500)
 # An unanswered stop is sent again after this time.
 STOP_RETRY = datetime.timedelta(milliseconds=150)
 # A server that outlier detection considers faulty, because nearly all runs
@@ -162,6 +166,8 @@
 
         The share of a zone that is not evacuated is at least one server.
         """
+        if self._evacuation.is_unused:
+            return usable
         for zone in {each.report.zone for each in usable}:
             share = self._evacuation.share(zone, now)
             if share == 1.0:
@@ -469,6 +475,7 @@
                 run=order.key,
                 spec=order.spec,
                 lease_ends_ms=lease_end,
+                send_by=now + START_SEND_LIMIT,
             ),
             *self._poll(backend, now),
         ]
--- a/waxwingwalk/emulator/fleet.py
+++ b/waxwingwalk/emulator/fleet.py
@@ -896,6 +896,12 @@
         order: effects.StartRun | effects.StopRun | effects.PollBackend,
     ) -> None:
         backend = self.backends.get(order.incarnation.backend_id)
+        if isinstance(order, effects.StartRun) and (
+            self.timeline.now() > order.send_by
+        ):
+            dropped = _unanswered_event(order, Outcome.DROPPED)
+            self._apply_later(host, LOOP_DELAY, dropped)
+            return
         if isinstance(order, effects.StartRun) and backend is not None:
             self.checker.check_start_order(
                 host.address, backend.report.zone, order.run
--- a/waxwingwalk/host/log_catalogue.py
+++ b/waxwingwalk/host/log_catalogue.py
@@ -215,7 +215,8 @@
         ("job", "task", "run", "backend", "limit_ms"),
     ),
     "run.refused": LogEvent(
-        "a server refused to start a run; the run has not started",
+        "a server refused to start a run, or this host was behind and dropped "
+        "the start (`dropped`); the run has not started",
         ("task", "run", "backend", "reason"),
     ),
     "run.crash_evidence": LogEvent(
--- a/waxwingwalk/platform/backends.py
+++ b/waxwingwalk/platform/backends.py
@@ -11,6 +11,7 @@
 import orjson
 import pydantic
 
+from waxwingwalk.core import clock
 from waxwingwalk.dispatch import effects
 from waxwingwalk.dispatch import events
 from waxwingwalk.dispatch import model
@@ -47,6 +48,10 @@
 }
 
 
+class StartDroppedError(Exception):
+    """A start was out of date before it could be written."""
+
+
 class _Reply(pydantic.BaseModel):
     clock_ms: int
     reason: str = ""
@@ -77,22 +82,39 @@
 class PlatformBackends:
     """Calls the platform's workers over HTTP."""
 
-    def __init__(self, host_metrics: metrics.HostMetrics) -> None:
+    def __init__(
+        self,
+        host_metrics: metrics.HostMetrics,
+        time_source: clock.Clock | None = None,
+    ) -> None:
         self._metrics = host_metrics
-        self._session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(
-                limit=0,
-                limit_per_host=CONNECTIONS_MAX,
-                keepalive_timeout=KEEPALIVE_TIMEOUT.total_seconds(),
-            ),
-            cookie_jar=aiohttp.DummyCookieJar(),
-            headers={"Content-Type": "application/json"},
+        self._clock = time_source or clock.SystemClock()
+        connector = aiohttp.TCPConnector(
+            limit=0,
+            limit_per_host=CONNECTIONS_MAX,
+            keepalive_timeout=KEEPALIVE_TIMEOUT.total_seconds(),
+        )
+        self._session = _session(connector)
+        # Of the same connections. A start is checked when it has got one,
+        # right before it is written; other calls need not be.
+        trace = aiohttp.TraceConfig()
+        trace.on_connection_create_end.append(self._check_send_time)
+        trace.on_connection_reuseconn.append(self._check_send_time)
+        self._start_session = _session(
+            connector, connector_owner=False, trace_configs=[trace]
         )
 
     async def close(self) -> None:
         """Close all connections."""
+        await self._start_session.close()
         await self._session.close()
 
+    async def _check_send_time(
+        self, session: aiohttp.ClientSession, context: Any, params: object
+    ) -> None:
+        if self._clock.now() > context.trace_request_ctx:
+            raise StartDroppedError
+
     async def start(self, order: effects.StartRun) -> events.RunStarted:
         """Start a run."""
         body = {
@@ -103,7 +125,12 @@
             "fence": order.fence,
         }
         outcome, content = await self._call(
-            "start", order.address, "/run-start", order.incarnation, body
+            "start",
+            order.address,
+            "/run-start",
+            order.incarnation,
+            body,
+            send_by=order.send_by,
         )
         reply = _parse(_Reply, content)
         return events.RunStarted(
@@ -170,10 +197,11 @@
         incarnation: model.BackendIncarnation,
         body: dict[str, Any],
         timeout: datetime.timedelta = CALL_TIMEOUT,
+        send_by: datetime.datetime | None = None,
     ) -> tuple[Outcome, bytes]:
         started = time.monotonic()
         outcome, content = await self._send(
-            f"http://{address}{path}", incarnation, body, timeout
+            f"http://{address}{path}", incarnation, body, timeout, send_by
         )
         elapsed = datetime.timedelta(seconds=time.monotonic() - started)
         self._metrics.record_backend_call(kind, outcome.value, elapsed)
@@ -185,26 +213,42 @@
         incarnation: model.BackendIncarnation,
         body: dict[str, Any],
         timeout: datetime.timedelta,
+        send_by: datetime.datetime | None,
     ) -> tuple[Outcome, bytes]:
+        session = self._session if send_by is None else self._start_session
         try:
             async with (
                 timeouts.PatientTimeout(timeout),
-                self._session.post(
+                session.post(
                     url,
                     data=orjson.dumps(body),
                     headers={"Expect-Instance": incarnation.backend_id},
                     timeout=CLIENT_TIMEOUT,
                     allow_redirects=False,
+                    trace_request_ctx=send_by,
                 ) as response,
             ):
                 content = await response.read()
                 return _outcome(response.status, content), content
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
             return Outcome.NOT_SENT, b""
+        except StartDroppedError:
+            return Outcome.DROPPED, b""
         except (aiohttp.ClientError, TimeoutError, OSError):
             return Outcome.UNKNOWN, b""
 
 
+def _session(
+    connector: aiohttp.TCPConnector, **options: Any
+) -> aiohttp.ClientSession:
+    return aiohttp.ClientSession(
+        connector=connector,
+        cookie_jar=aiohttp.DummyCookieJar(),
+        headers={"Content-Type": "application/json"},
+        **options,
+    )
+
+
 def _outcome(status: int, content: bytes) -> Outcome:
     match status:
         case 200:
--- a/waxwingwalk/platform/wiring.py
+++ b/waxwingwalk/platform/wiring.py
@@ -59,7 +59,7 @@
         config,
         engine,
         store=store,
-        backends=backends.PlatformBackends(host_metrics),
+        backends=backends.PlatformBackends(host_metrics, time),
         catalogs=catalog_decoder,
         applications=[
             (config.callers, api.application()),
