--- a/tests/platform/hosts.py
+++ b/tests/platform/hosts.py
@@ -57,21 +57,22 @@
         self._store_address = ""
         self.session = None
 
-    async def start(self, workers=1, hosts=1):
-        """Start the store, the workers and the hosts."""
+    async def start(self, workers=1, hosts=1, zones=("north",)):
+        """Start the store, workers and hosts, each in the next zone."""
         self.session = aiohttp.ClientSession()
         self._store_address = await self._serve(self.store.application())
         for number in range(workers):
             worker = stand_in.Worker(f"w-{number}")
             address = await self._serve(worker.application())
             self.workers.append(worker)
-            row = stand_in.worker_row(address)
+            zone = zones[number % len(zones)]
+            row = stand_in.worker_row(address, zone=zone)
             self.store.put("servers", worker.worker_id, row)
         self.store.put("servers", "broken", b"\xff")
         self.store.put("servers", "foreign", {"state": "resting"})
         self.store.put("op", "config", stand_in.config())
         for number in range(hosts):
-            await self.start_host(number)
+            await self.start_host(number, zone=zones[number % len(zones)])
 
     async def _serve(self, application):
         server = test_utils.TestServer(application)
@@ -79,12 +80,12 @@
         self._servers.append(server)
         return f"127.0.0.1:{server.port}"
 
-    async def start_host(self, number, seeds=()):
+    async def start_host(self, number, seeds=(), zone="north"):
         """Start a host, which opens links to seeds before it has a list."""
         callers, readiness, peers, metrics_address = free_addresses(4)
         settings = config.HostConfig(
             name=f"host-{number}",
-            zone="north",
+            zone=zone,
             region="wales",
             callers=callers,
             readiness=readiness,
--- a/waxwingwalk/dispatch/model.py
+++ b/waxwingwalk/dispatch/model.py
@@ -176,7 +176,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class BackendReport:
-    """What a backend server has registered about itself."""
+    """What a backend server has registered about itself.
+
+    ``warm_at_ms`` is when it is no longer slow after its start, on its own
+    clock; 0 if it is not slow.
+    """
 
     incarnation: BackendIncarnation
     service: str
@@ -185,6 +189,7 @@
     advertised_state: AdvertisedState
     capacity: Resources
     labels: frozenset[str]
+    warm_at_ms: int = 0
 
 
 class Step(msgspec.Struct, frozen=True):
@@ -349,7 +354,8 @@
 
     OLD_RUN refuses a start because that run of the task, or a later one, has
     ended there. EXPIRED refuses a start whose lease is over. UNKNOWN may have
-    been carried out, or may still be. NOT_SENT never left this host.
+    been carried out, or may still be. NOT_SENT never left this host. DROPPED
+    did not either, as this host was behind and the order was out of date.
     """
 
     ACCEPTED = "accepted"
@@ -361,4 +367,5 @@
     INVALID = "invalid"
     OTHER_INCARNATION = "other_life"
     NOT_SENT = "not_sent"
+    DROPPED = "dropped"
     UNKNOWN = "unknown"
--- a/waxwingwalk/dispatch/run_tracker.py
+++ b/waxwingwalk/dispatch/run_tracker.py
@@ -20,6 +20,7 @@
 from waxwingwalk.dispatch import evacuation
 from waxwingwalk.dispatch import model
 from waxwingwalk.dispatch import observed_time
+from waxwingwalk.dispatch import speeds
 from waxwingwalk.routing import outliers
 
 # A poll waits at the server for up to this time until a run ends. Leases are
@@ -36,6 +37,10 @@
 # saves a call to a busy server. The platform expects the acknowledgement
 # within seconds.
 ACKNOWLEDGE_DELAY = datetime.timedelta(milliseconds=250)
+# A start that has not left this host by then is dropped. Links of a host that
+# is silent for 0.6 s are closed, and another host may start the task after
+# that. A server that has restarted since would not refuse the start.
+START_SEND_LIMIT = datetime.timedelta(milliseconds=500)
 # An unanswered stop is sent again after this time.
 STOP_RETRY = datetime.timedelta(milliseconds=150)
 # A server that outlier detection considers faulty, because nearly all runs
@@ -88,6 +93,8 @@
         # Incarnations that are over, although the platform may list them.
         self._ended_incarnations: set[model.BackendIncarnation] = set()
         self._detector = outliers.LikelihoodDetector()
+        # Learned from the runs on all cold servers, as each is cold only once.
+        self._cold_slowness = speeds.LearnedSlowness(speeds.COLD_SLOWNESS)
         # Ended runs, and log lines caused by them, until the scheduler
         # processes them.
         self.ended: list[EndedTask] = []
@@ -159,6 +166,8 @@
 
         The share of a zone that is not evacuated is at least one server.
         """
+        if self._evacuation.is_unused:
+            return usable
         for zone in {each.report.zone for each in usable}:
             share = self._evacuation.share(zone, now)
             if share == 1.0:
@@ -249,7 +258,9 @@
         self, report: model.BackendReport, fence: int, now: datetime.datetime
     ) -> effects.Effects:
         """Start to schedule a backend server."""
-        backend = backends.Backend(report, fence, now, self._observed)
+        backend = backends.Backend(
+            report, fence, now, self._observed, self._cold_slowness
+        )
         self._backends[report.incarnation] = backend
         self._usable_until = None
         return [
@@ -445,7 +456,12 @@
         lease_end = backend.extend_lease(now)
         if lease_end is None:
             raise ValueError(f"no clock reading from {backend!r} yet")
-        run = backends.Run(order, self._observed.at(now), now)
+        run = backends.Run(
+            order,
+            self._observed.at(now),
+            now,
+            was_cold=backend.is_cold(now),
+        )
         backend.add_run(run)
         if order.is_suspect:
             # Peers know of the run if this host is lost before its end.
@@ -461,6 +477,7 @@
                 run=order.key,
                 spec=order.spec,
                 lease_ends_ms=lease_end,
+                send_by=now + START_SEND_LIMIT,
             ),
             *self._poll(backend, now),
         ]
@@ -888,6 +905,8 @@
         since = run.accepted_at or run.ordered_at
         elapsed = self._observed.at(now) - since
         slowness = backend.learned_slowness.slowness
+        if run.was_cold:
+            slowness *= max(1.0, self._cold_slowness.slowness)
         self._learn(backend, run, end, elapsed, now)
         self.ended.append(
             EndedTask(
@@ -910,7 +929,11 @@
     ) -> None:
         name = str(backend.incarnation)
         if end is model.TaskEnd.DONE:
-            backend.learn_slowness(elapsed, run.order.estimate)
+            if run.was_cold:
+                usual = run.order.estimate * backend.learned_slowness.slowness
+                self._cold_slowness.learn(elapsed, usual)
+            else:
+                backend.learn_slowness(elapsed, run.order.estimate)
             self._detector.task_done(name, run.order.queue)
             if backend.ejected_until is not None:
                 backend.ejected_until = None
