Settled unanswered starts as soon as the server answers anything

In a burst, 6% of the orders were not answered and were carried out late. Their capacity was held for 0.4 s and their servers got no work meanwhile, although these answered all else.

A server is suspect only if it leaves two stops or two quick polls unanswered. Run progress is decoded, too.

--- a/waxwingwalk/dispatch/backend.py
+++ b/waxwingwalk/dispatch/backend.py
@@ -108,6 +108,12 @@
     fate: model.ServerFate | None = None
     # Whether it has ended unless its server has restarted.
     has_lapsed: bool = False
+    # Whether it was stopped because its start had not been answered in time;
+    # the stops that were sent since, and when the last one was, in observed
+    # time.
+    is_overdue: bool = False
+    stops_sent: int = 0
+    stop_observed_at: datetime.datetime | None = None
 
     def may_start(self, now: datetime.datetime) -> bool:
         """Return whether the order may still be carried out, or have been.
@@ -174,6 +180,15 @@
         # tell which incarnation of the server answers.
         self.last_polled_at: datetime.datetime | None = None
         self.failed_polls = 0
+        # The poll under way, and an additional one without a wait: it settles
+        # starts, and checks a server that has not answered the other one.
+        # Both are identified by their numbers, and sent in observed time.
+        self.poll_number = 0
+        self.poll_wait = model.ZERO
+        self.poll_sent_at = now
+        self.check_number: int | None = None
+        self.check_sent_at = now
+        self.failed_checks = 0
         self.lease_ends_ms = 0
         self.learned_slowness = speeds.LearnedSlowness()
         self.ejected_until: datetime.datetime | None = None
@@ -362,6 +377,16 @@
             and self._is_below_step_limit(order)
         )
 
+    @property
+    def unsettled_processors(self) -> int:
+        """The processors that runs with an unanswered start occupy."""
+        return sum(
+            run.order.resources.processors
+            for run in self.runs.values()
+            if run.is_overdue
+            and run.state in (RunState.IN_DOUBT, RunState.SETTLED)
+        )
+
     @property
     def is_shared(self) -> bool:
         """Whether any task may start here beside the others."""
--- a/waxwingwalk/dispatch/effects.py
+++ b/waxwingwalk/dispatch/effects.py
@@ -41,6 +41,7 @@
     BackendPolled follows. The lease is left as it is if ``lease_ends_ms`` is
     None. The server may delay the reply for up to ``wait``, until a run ends.
     It no longer lists ends up to the serial number ``acknowledged``.
+    ``number`` counts the polls of a server by this host; the event repeats it.
     """
 
     incarnation: model.BackendIncarnation
@@ -49,6 +50,7 @@
     acknowledged: int
     lease_ends_ms: int | None
     wait: datetime.timedelta
+    number: int | None = None
 
 
 @dataclasses.dataclass(slots=True)
--- a/waxwingwalk/dispatch/events.py
+++ b/waxwingwalk/dispatch/events.py
@@ -147,7 +147,9 @@
 
     ``server_clock_ms`` is what the server's clock showed when it answered,
     ``fence`` the fence of the poll. ``successor`` is the incarnation that
-    answered, if the server has restarted under its id.
+    answered, if the server has restarted under its id. ``number`` is that of
+    the poll. ``percents`` is the progress of each run in ``running`` as the
+    server reports it, empty if it reports none.
     """
 
     incarnation: model.BackendIncarnation
@@ -157,6 +159,8 @@
     ended: tuple[model.EndedRun, ...] = ()
     fence: int | None = None
     successor: model.BackendIncarnation | None = None
+    number: int | None = None
+    percents: tuple[int, ...] = ()
 
 
 @dataclasses.dataclass(slots=True)
--- a/waxwingwalk/dispatch/observed_time.py
+++ b/waxwingwalk/dispatch/observed_time.py
@@ -33,11 +33,20 @@
     def __init__(self) -> None:
         self._delay = datetime.timedelta()
         self._next_tick_at: datetime.datetime | None = None
+        self._was_late = False
+
+    @property
+    def was_late(self) -> bool:
+        """Whether the last tick was late, so that replies may be unread."""
+        return self._was_late
 
     def ticked(
         self, now: datetime.datetime, interval: datetime.timedelta
     ) -> None:
         """Record a tick, and the interval until the next one."""
+        self._was_late = (
+            self._next_tick_at is not None and now > self._next_tick_at
+        )
         if self._next_tick_at is not None and now > self._next_tick_at:
             self._delay += now - self._next_tick_at
         self._next_tick_at = now + interval + TIMER_TOLERANCE
--- a/waxwingwalk/dispatch/reducer.py
+++ b/waxwingwalk/dispatch/reducer.py
@@ -88,7 +88,9 @@
         self.hosts = dispatch_hosts.Hosts(local_host)
         self.ownership = dispatch_ownership.Ownership(self.hosts)
         self._observed = observed_time.ObservedTime()
-        self.run_tracker = run_tracker.RunTracker(self._observed)
+        self.run_tracker = run_tracker.RunTracker(
+            self._observed, self.settings
+        )
         self._crash_history = crashes.CrashHistory()
         self.scheduler = dispatch_scheduler.Scheduler(
             self.run_tracker,
@@ -96,6 +98,7 @@
             placement or dispatch_placement.FastestInTime(),
             self._observed,
             self._crash_history,
+            self.settings,
         )
         self.front = dispatch_front.Front(
             self.hosts, self.ownership, self.scheduler
@@ -756,6 +759,8 @@
             event.running,
             event.ended,
             now,
+            event.number,
+            event.percents,
         )
         if self.run_tracker.changes != known and not self.run_tracker.ended:
             # The free capacity may have changed. If runs have ended as well,
--- a/waxwingwalk/dispatch/run_tracker.py
+++ b/waxwingwalk/dispatch/run_tracker.py
@@ -14,10 +14,12 @@
 import datetime
 
 from waxwingwalk.core import clock
+from waxwingwalk.dispatch import answer_times
 from waxwingwalk.dispatch import backend as backends
 from waxwingwalk.dispatch import effects
 from waxwingwalk.dispatch import model
 from waxwingwalk.dispatch import observed_time
+from waxwingwalk.dispatch import settings as dispatch_settings
 from waxwingwalk.routing import outliers
 
 # A poll waits at the server for up to this time until a run ends. Leases are
@@ -36,6 +38,14 @@
 ACKNOWLEDGE_DELAY = datetime.timedelta(milliseconds=250)
 # An unanswered stop is sent again after this time.
 STOP_RETRY = datetime.timedelta(milliseconds=150)
+# With fast settlement, a server is suspect once this many stops or additional
+# polls in a row got no answer in time. One call in 16 may get none.
+UNANSWERED_MAX = 2
+# While a server is suspect and a poll is under way, an additional one is sent
+# at this interval.
+CHECK_RETRY = datetime.timedelta(milliseconds=120)
+# The weight of the newest one in the mean time to settle a start.
+SETTLEMENT_WEIGHT = 0.1
 # A server that outlier detection considers faulty, because nearly all runs
 # fail there but not elsewhere, is ejected for this time, then tried again. The
 # ejection ends early if a run completes there.
@@ -69,9 +79,16 @@
     """Orders runs, tracks them until they end, and accounts for capacity."""
 
     def __init__(
-        self, observed: observed_time.ObservedTime | None = None
+        self,
+        observed: observed_time.ObservedTime | None = None,
+        settings: dispatch_settings.DispatchSettings | None = None,
     ) -> None:
         self._observed = observed or observed_time.ObservedTime()
+        self._settings = settings or dispatch_settings.DispatchSettings()
+        self._answer_times = answer_times.AnswerTimes()
+        # The moving mean of the time from an order without an answer until
+        # its capacity was free or its run was known to have been started.
+        self.settlement_seconds = 0.0
         self._backends: dict[model.BackendIncarnation, backends.Backend] = {}
         self._backend_by_run: dict[model.RunKey, backends.Backend] = {}
         self._active_run_counts: collections.Counter[str] = (
@@ -192,6 +209,20 @@
             for backend in self._backends.values()
         )
 
+    def is_accepted(self, key: model.RunKey) -> bool:
+        """Return whether a server is known to have started a run."""
+        backend = self._backend_by_run.get(key)
+        return (
+            backend is not None and backend.runs[key].accepted_at is not None
+        )
+
+    @property
+    def unsettled_processors(self) -> int:
+        """The processors that runs with an unanswered start occupy."""
+        return sum(
+            each.unsettled_processors for each in self._backends.values()
+        )
+
     def has_lapsed(self, key: model.RunKey) -> bool:
         """Return whether it depends on a silent server how a run has ended."""
         backend = self._backend_by_run.get(key)
@@ -437,6 +468,8 @@
         now: datetime.datetime,
     ) -> effects.Effects:
         run.stop_sent_at = now
+        run.stop_observed_at = self._observed.at(now)
+        run.stops_sent += 1
         return [self._stop_effect(backend, run.order.key)]
 
     def _stop_effect(
@@ -467,6 +500,8 @@
             return []
         backend.is_polling = True
         backend.poll_count += 1
+        backend.poll_number = backend.poll_count
+        backend.poll_sent_at = self._observed.at(now)
         # A server that has restarted counts its ends anew, so ends are
         # acknowledged only to one that has just answered a poll, or while
         # nothing can have ended there since.
@@ -484,7 +519,10 @@
                 run.settled_by_poll is not None
                 for run in backend.runs.values()
             )
+            # A poll that got no answer is repeated without a wait.
+            and not (self._settings.fast_settlement and backend.failed_polls)
         )
+        backend.poll_wait = POLL_WAIT if may_wait else model.ZERO
         return [
             effects.PollBackend(
                 incarnation=backend.incarnation,
@@ -494,7 +532,36 @@
                 lease_ends_ms=backend.extend_lease(now)
                 if may_extend
                 else None,
-                wait=POLL_WAIT if may_wait else model.ZERO,
+                wait=backend.poll_wait,
+                number=backend.poll_number,
+            )
+        ]
+
+    def _check(
+        self, backend: backends.Backend, now: datetime.datetime
+    ) -> effects.Effects:
+        """Send an additional poll, which neither waits nor changes anything.
+
+        A poll under way may wait at the server, or may have been lost.
+        """
+        states = backends.BackendState
+        if backend.check_number is not None or backend.state not in (
+            states.READY,
+            states.SUSPECT,
+        ):
+            return []
+        backend.poll_count += 1
+        backend.check_number = backend.poll_count
+        backend.check_sent_at = self._observed.at(now)
+        return [
+            effects.PollBackend(
+                incarnation=backend.incarnation,
+                address=backend.report.address,
+                fence=backend.fence,
+                acknowledged=0,
+                lease_ends_ms=None,
+                wait=model.ZERO,
+                number=backend.check_number,
             )
         ]
 
@@ -519,6 +586,8 @@
         outcomes = model.CallOutcome
         match outcome:
             case outcomes.ACCEPTED:
+                if self._settings.fast_settlement:
+                    self._handle_late_answer(run, now)
                 if run.state is backends.RunState.ORDERED:
                     run.state = backends.RunState.RUNNING
                     run.accepted_at = self._observed.at(now)
@@ -559,7 +628,13 @@
         run: backends.Run,
         now: datetime.datetime,
     ) -> effects.Effects:
-        done = self._mark_suspect(backend, now, "start unanswered")
+        done: effects.Effects = []
+        if not self._settings.fast_settlement:
+            done = self._mark_suspect(backend, now, "start unanswered")
+        elif run.state is not backends.RunState.ORDERED:
+            # It is being settled already, or is known to have been started.
+            return []
+        run.is_overdue = self._settings.fast_settlement
         backend.order_pending_until = now + backends.LATE_ORDER_LIMIT
         limits = self._late_starts.setdefault(run.order.ref.name, {})
         limits[backend.incarnation.backend_id] = (
@@ -567,11 +642,36 @@
         )
         if run.is_stop_confirmed:
             _settle_by_next_poll(backend, run, now)
-            return [*done, *self._poll(backend, now)]
+            return [*done, *self._poll_to_settle(backend, now)]
         run.state = backends.RunState.IN_DOUBT
+        run.stops_sent = 0
         run.stop_requested_at = run.stop_requested_at or now
         return [*done, *self._send_stop(backend, run, now)]
 
+    def _handle_late_answer(
+        self, run: backends.Run, now: datetime.datetime
+    ) -> None:
+        """Learn from an accepted start; it may have been stopped meanwhile.
+
+        A run that was started before it was stopped ends as any other one
+        does, when its end is listed.
+        """
+        observed_now = self._observed.at(now)
+        self._answer_times.learn(observed_now - run.ordered_at)
+        if run.state is backends.RunState.IN_DOUBT:
+            run.state = backends.RunState.ORDERED
+        elif run.state is backends.RunState.SETTLED and not run.is_moved:
+            run.accepted_at = run.accepted_at or observed_now
+
+    def _poll_to_settle(
+        self, backend: backends.Backend, now: datetime.datetime
+    ) -> effects.Effects:
+        """Poll a server, with an additional poll if one is under way."""
+        done = self._poll(backend, now)
+        if not done and self._settings.fast_settlement:
+            done = self._check(backend, now)
+        return done
+
     def stopped(
         self,
         incarnation: model.BackendIncarnation,
@@ -585,13 +685,25 @@
             return []
         if outcome in LOST_OUTCOMES:
             return self._handle_lost_backend(backend, outcome, now)
+        run = backend.runs.get(key)
         if outcome is not model.CallOutcome.ACCEPTED:
+            if (
+                self._settings.fast_settlement
+                and outcome is model.CallOutcome.UNKNOWN
+                and (
+                    run is None
+                    or run.is_stop_confirmed
+                    or run.state is backends.RunState.IN_DOUBT
+                )
+            ):
+                # Another stop was answered, or ticks judge it sooner.
+                return []
             return self._mark_suspect(backend, now, "stop unanswered")
-        run = backend.runs.get(key)
         if run is not None:
             run.is_stop_confirmed = True
             if run.state is backends.RunState.IN_DOUBT:
                 _settle_by_next_poll(backend, run, now)
+                return self._poll_to_settle(backend, now)
         return self._poll(backend, now)
 
     def polled(
@@ -602,15 +714,25 @@
         running: tuple[model.RunKey, ...],
         ended: tuple[model.EndedRun, ...],
         now: datetime.datetime,
+        number: int | None = None,
+        percents: tuple[int, ...] = (),
     ) -> effects.Effects:
         """Handle a backend server's lists of runs."""
         backend = self._backends.get(incarnation)
         if backend is None:
             return []
-        backend.is_polling = False
-        if backend.is_acknowledging:
-            backend.is_acknowledging = False
-            self.changes += 1
+        if number is None or not self._settings.fast_settlement:
+            number = backend.poll_number
+        if number == backend.check_number:
+            backend.check_number = None
+        elif number == backend.poll_number:
+            backend.is_polling = False
+            if backend.is_acknowledging:
+                backend.is_acknowledging = False
+                self.changes += 1
+        elif outcome not in LOST_OUTCOMES:
+            # Another poll has been sent instead of this one.
+            return []
         if backend.state is backends.BackendState.FENCED:
             # The poll was answered before the newer scheduler's first call.
             return []
@@ -620,17 +742,27 @@
             outcome is not model.CallOutcome.ACCEPTED
             or server_clock_ms is None
         ):
-            return self._poll_failed(backend, now, outcome)
+            return self._poll_failed(backend, now, outcome, number)
         backend.record_clock(server_clock_ms, now)
         backend.last_heard_at = backend.last_polled_at = now
-        backend.failed_polls = 0
+        backend.failed_polls = backend.failed_checks = 0
+        if self._is_poll_overdue(backend, now):
+            backend.is_polling = False
         backend.next_poll_at = now
         backend.acknowledge_at = None
         self._record_answer(backend)
         self._process_ended_runs(backend, ended, now)
-        self._free_settled_runs(backend, running, now)
+        self._free_settled_runs(backend, running, now, number)
         done = self._verify(backend, running, now)
-        return [*done, *self._poll(backend, now)]
+        done += self._poll(backend, now)
+        if any(
+            run.settled_by_poll is not None
+            and run.settled_by_poll > backend.poll_count
+            for run in backend.runs.values()
+        ):
+            # A stop was confirmed while this poll was under way.
+            done += self._poll_to_settle(backend, now)
+        return done
 
     def _process_ended_runs(
         self,
@@ -651,6 +783,7 @@
             if run is not None:
                 self._record_presence(backend, run)
                 self._record_end(run)
+                self._record_settlement(backend, run, entry.end.value, now)
                 self._end_run(
                     backend, run, _task_end(entry.end), entry.end.value, now
                 )
@@ -660,19 +793,22 @@
         backend: backends.Backend,
         running: tuple[model.RunKey, ...],
         now: datetime.datetime,
+        number: int,
     ) -> None:
         """Free the resources of settled runs that are not there."""
         present = set(running)
         present_tasks = {key.task for key in running}
         for key, run in list(backend.runs.items()):
             poll = run.settled_by_poll
-            if poll is None or backend.poll_count < poll:
+            if poll is None or number < poll:
                 continue
             if key in present:
                 run.settled_by_poll = None
+                self._record_settlement(backend, run, "started", now)
                 backend.assume_longest_lease()
                 self._record_presence(backend, run)
             elif not run.is_moved:
+                self._record_settlement(backend, run, "never started", now)
                 self._end_run(
                     backend, run, model.TaskEnd.NOT_RUN, "never started", now
                 )
@@ -733,7 +869,20 @@
         backend: backends.Backend,
         now: datetime.datetime,
         outcome: model.CallOutcome,
+        number: int,
     ) -> effects.Effects:
+        if (
+            self._settings.fast_settlement
+            and outcome is model.CallOutcome.UNKNOWN
+            and backend.state is backends.BackendState.READY
+        ):
+            if number != backend.poll_number:
+                return self._handle_unanswered_check(backend, now)
+            if not backend.failed_polls:
+                # A quick poll decides whether the server is silent.
+                backend.failed_polls = 1
+                backend.next_poll_at = now
+                return self._poll(backend, now)
         backend.failed_polls += 1
         delay = POLL_RETRY
         if now >= backend.order_pending_until:
@@ -741,6 +890,104 @@
         backend.next_poll_at = now + min(delay, POLL_RETRY_MAX)
         return self._mark_suspect(backend, now, f"look {outcome.value}")
 
+    def _handle_unanswered_check(
+        self, backend: backends.Backend, now: datetime.datetime
+    ) -> effects.Effects:
+        """Repeat an additional poll, or consider the server silent."""
+        backend.failed_checks += 1
+        if backend.failed_checks < UNANSWERED_MAX:
+            return self._check(backend, now)
+        return self._mark_suspect(backend, now, "look unanswered")
+
+    def _answer_limit(self) -> datetime.timedelta:
+        """Return how long an answer may take; more if this host is late.
+
+        Answers that have arrived may not have been read yet.
+        """
+        bound = self._answer_times.bound
+        return 2 * bound if self._observed.was_late else bound
+
+    def _is_poll_overdue(
+        self, backend: backends.Backend, now: datetime.datetime
+    ) -> bool:
+        """Return whether the poll under way should have been answered.
+
+        One that acknowledges ends must not be overtaken by an order.
+        """
+        if not self._settings.fast_settlement or not backend.is_polling:
+            return False
+        open_for = self._observed.at(now) - backend.poll_sent_at
+        return (
+            not backend.is_acknowledging
+            and open_for > backend.poll_wait + self._answer_limit()
+        )
+
+    def _settle_overdue_calls(
+        self, backend: backends.Backend, now: datetime.datetime
+    ) -> effects.Effects:
+        """Settle starts, stops and polls that are not answered in time."""
+        done: effects.Effects = []
+        limit = self._answer_limit()
+        observed_now = self._observed.at(now)
+        states = backends.RunState
+        for run in backend.runs.values():
+            if run.state is states.ORDERED:
+                if observed_now - run.ordered_at > limit:
+                    done += self._handle_unanswered_start(backend, run, now)
+            elif (
+                run.state is states.IN_DOUBT
+                and not run.is_stop_confirmed
+                and run.stop_observed_at is not None
+                and observed_now - run.stop_observed_at > limit
+            ):
+                if run.stops_sent >= UNANSWERED_MAX:
+                    done += self._mark_suspect(backend, now, "stop unanswered")
+                else:
+                    done += self._send_stop(backend, run, now)
+        if backend.check_number is not None:
+            if observed_now - backend.check_sent_at > limit:
+                backend.check_number = None
+                done += self._handle_unanswered_check(backend, now)
+        elif self._is_poll_overdue(backend, now):
+            waited = observed_now - backend.check_sent_at
+            is_ready = backend.state is backends.BackendState.READY
+            if is_ready or waited > CHECK_RETRY:
+                done += self._check(backend, now)
+        return done
+
+    def _record_settlement(
+        self,
+        backend: backends.Backend,
+        run: backends.Run,
+        found: str,
+        now: datetime.datetime,
+    ) -> None:
+        """Log what has become of a start that was not answered in time."""
+        if not run.is_overdue:
+            return
+        run.is_overdue = False
+        held = now - run.sent_at
+        if found == "started" and run.accepted_at is None:
+            # The bound was too short for this server's answer.
+            elapsed = self._observed.at(now) - run.ordered_at
+            self._answer_times.learn(elapsed)
+        self.settlement_seconds += SETTLEMENT_WEIGHT * (
+            held.total_seconds() - self.settlement_seconds
+        )
+        self.pending_logs.append(
+            effects.Log(
+                "run.settled",
+                {
+                    "task": run.order.ref.name,
+                    "run": run.order.run,
+                    "backend": backend.incarnation.backend_id,
+                    "found": found,
+                    "processors": run.order.resources.processors,
+                    "held_ms": model.milliseconds(held),
+                },
+            )
+        )
+
     def _mark_suspect(
         self, backend: backends.Backend, now: datetime.datetime, reason: str
     ) -> effects.Effects:
@@ -965,6 +1212,8 @@
             for run in backend.runs.values():
                 if _is_stop_due(run, now):
                     done += self._send_stop(backend, run, now)
+            if self._settings.fast_settlement:
+                done += self._settle_overdue_calls(backend, now)
             if backend.state is backends.BackendState.SUSPECT:
                 self._report_lapsed_runs(backend, now)
             done += self._poll(backend, now)
--- a/waxwingwalk/dispatch/scheduler.py
+++ b/waxwingwalk/dispatch/scheduler.py
@@ -17,6 +17,7 @@
 from waxwingwalk.dispatch import placement as dispatch_placement
 from waxwingwalk.dispatch import run_times
 from waxwingwalk.dispatch import run_tracker as dispatch_run_tracker
+from waxwingwalk.dispatch import settings as dispatch_settings
 
 # A run that takes longer than this many times its expected run time is
 # considered stuck and stopped, so that the task is started again.
@@ -100,7 +101,9 @@
         placement: dispatch_placement.Placement,
         observed: observed_time.ObservedTime | None = None,
         crash_history: crashes.CrashHistory | None = None,
+        settings: dispatch_settings.DispatchSettings | None = None,
     ) -> None:
+        self._settings = settings or dispatch_settings.DispatchSettings()
         self._observed = observed or observed_time.ObservedTime()
         self._crash_history = crash_history or crashes.CrashHistory()
         # Servers that are being emptied for tasks that have to run alone.
@@ -1092,6 +1095,12 @@
             limit = max(MIN_STUCK_TIME, STUCK_FACTOR * estimate)
             if observed_now - task.started_at > limit:
                 key = model.RunKey(task.ref.name, task.run)
+                if (
+                    self._settings.fast_settlement
+                    and not self._run_tracker.is_accepted(key)
+                ):
+                    # Its start is settled by the run tracker.
+                    continue
                 stopped = self._run_tracker.stop(key, now)
                 if stopped:
                     if task.backend_id is not None:
--- a/waxwingwalk/emulator/backend.py
+++ b/waxwingwalk/emulator/backend.py
@@ -9,6 +9,7 @@
 import dataclasses
 import datetime
 
+from waxwingwalk.core import clock
 from waxwingwalk.dispatch import effects
 from waxwingwalk.dispatch import events
 from waxwingwalk.dispatch import model
@@ -31,6 +32,9 @@
     key: model.RunKey
     resources: model.Resources
     is_stopping: bool = False
+    is_standing: bool = False
+    started_at: datetime.datetime = clock.DISTANT_PAST
+    duration: datetime.timedelta = model.MILLISECOND
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -92,6 +96,8 @@
         self.slowness = slowness
         self.is_up = True
         self.is_stuck = False
+        # Whether polls list the progress of runs.
+        self.reports_progress = False
         self.fails_all = False
         self.runs: dict[model.RunKey, RunningTask] = {}
         self._reset()
@@ -154,7 +160,13 @@
         if order.run.run <= self._highest_ended_run.get(order.run.task, 0):
             return Outcome.OLD_RUN
         definition = self._get_definition(order.run.task)
-        running = RunningTask(order.run, definition.resources)
+        running = RunningTask(
+            order.run,
+            definition.resources,
+            is_standing=self.is_stuck,
+            started_at=self._timeline.now(),
+            duration=max(definition.work * self.slowness, model.MILLISECOND),
+        )
         self.runs[order.run] = running
         self._observer.run_started(self, order.run, order.spec)
         if definition.crash_delay is not None:
@@ -201,7 +213,10 @@
         if order.fence < self._fence:
             reply(
                 events.BackendPolled(
-                    order.incarnation, Outcome.FENCED, fence=order.fence
+                    order.incarnation,
+                    Outcome.FENCED,
+                    fence=order.fence,
+                    number=order.number,
                 )
             )
             return
@@ -237,6 +252,7 @@
                 Outcome.OTHER_INCARNATION,
                 successor=self.report.incarnation,
                 fence=order.fence,
+                number=order.number,
             )
         return events.BackendPolled(
             incarnation,
@@ -245,8 +261,17 @@
             tuple(self.runs),
             tuple(self._ended_runs),
             order.fence,
+            number=order.number,
+            percents=tuple(self._percent(each) for each in self.runs.values()),
         )
 
+    def _percent(self, running: RunningTask) -> int:
+        """Return the progress of a run, 0 if the server reports none."""
+        if not self.reports_progress or running.is_standing:
+            return 0
+        elapsed = self._timeline.now() - running.started_at
+        return min(99, int(100 * elapsed / running.duration))
+
     # Ends of runs.
 
     def _crash_under(self, running: RunningTask) -> None:
--- a/waxwingwalk/emulator/fleet.py
+++ b/waxwingwalk/emulator/fleet.py
@@ -5,7 +5,9 @@
 execute orders late; the store goes down.
 """
 
+import collections
 from collections.abc import Callable
+from collections.abc import Collection
 import dataclasses
 import datetime
 import random
@@ -18,6 +20,7 @@
 from waxwingwalk.dispatch import placement as dispatch_placement
 from waxwingwalk.dispatch import pool_rows
 from waxwingwalk.dispatch import reducer as dispatch_reducer
+from waxwingwalk.dispatch import settings as dispatch_settings
 from waxwingwalk.emulator import backend as emulated_backend
 from waxwingwalk.emulator import guarantees
 from waxwingwalk.emulator import timeline as emulator_timeline
@@ -26,6 +29,7 @@
 LOOP_DELAY = datetime.timedelta(milliseconds=1)
 LINK_DELAY = datetime.timedelta(milliseconds=1)
 STORE_DELAY = datetime.timedelta(milliseconds=12)
+LONG_FACTOR = 7
 CALL_TIMEOUT = datetime.timedelta(milliseconds=350)
 CONNECT_TIMEOUT = datetime.timedelta(milliseconds=400)
 RECONNECT_DELAY = datetime.timedelta(milliseconds=150)
@@ -120,7 +124,9 @@
         seed: int,
         job_order: ordering.JobOrder | None = None,
         placement: dispatch_placement.Placement | None = None,
+        settings: dispatch_settings.DispatchSettings | None = None,
     ) -> None:
+        self._settings = settings
         self._job_order = job_order
         self._placement = placement
         self.timeline = emulator_timeline.Timeline()
@@ -137,6 +143,14 @@
         self._isolated_hosts: set[str] = set()
         self._is_store_down = False
         self.late_share = 0.0
+        # The kinds of orders that may be carried out late.
+        self.late_orders: tuple[type, ...] = (
+            effects.StartRun,
+            effects.StopRun,
+            effects.PollBackend,
+        )
+        # The log lines of all hosts, by event.
+        self.log_counts: collections.Counter[str] = collections.Counter()
         # Share of calls of backend servers whose request or reply is lost.
         self.call_loss_share = 0.0
         # Calls of backend servers, and their replies, take up to this longer.
@@ -224,6 +238,7 @@
             self.timeline.now(),
             job_order=self._job_order,
             placement=self._placement,
+            settings=self._settings,
         )
         host.link_targets = frozenset()
         host.list_read_at = None
@@ -407,10 +422,13 @@
         crashing_tasks: int = 0,
         queue: str = "q",
         priority: int = 0,
+        long_tasks: Collection[int] = (),
     ) -> Caller:
         """Submit a job of equal tasks at a host.
 
         Its first ``crashing_tasks`` tasks crash the servers that start them.
+        Those whose indexes are in ``long_tasks`` take LONG_FACTOR times as
+        long as the others.
         """
         now = self.timeline.now()
         estimate = estimate or work
@@ -433,7 +451,7 @@
                 job.spec,
                 SERVICE,
                 resources,
-                work,
+                work * (LONG_FACTOR if index in long_tasks else 1),
                 fails,
                 CRASH_DELAY if index < crashing_tasks else None,
             )
@@ -626,6 +644,8 @@
 
     def _execute_effect(self, host: Host, effect: effects.Effect) -> None:
         match effect:
+            case effects.Log():
+                self.log_counts[effect.event] += 1
             case effects.Send():
                 self._send(host, effect.link, effect.message)
             case (
@@ -846,7 +866,9 @@
             lost = _unanswered_event(order, Outcome.UNKNOWN)
             self._apply_later(host, CALL_TIMEOUT + wait, lost)
             return
-        if self.random.random() < self.late_share:
+        if self.random.random() < self.late_share and isinstance(
+            order, self.late_orders
+        ):
             late = datetime.timedelta(
                 seconds=self.random.uniform(*LATE_ORDER_SECONDS)
             )
@@ -972,5 +994,8 @@
             )
         case _:
             return events.BackendPolled(
-                order.incarnation, outcome, fence=order.fence
+                order.incarnation,
+                outcome,
+                fence=order.fence,
+                number=order.number,
             )
--- a/waxwingwalk/emulator/scenario.py
+++ b/waxwingwalk/emulator/scenario.py
@@ -7,6 +7,7 @@
 import random
 
 from waxwingwalk.dispatch import model
+from waxwingwalk.dispatch import settings as dispatch_settings
 from waxwingwalk.emulator import fleet as emulator_fleet
 from waxwingwalk.emulator import guarantees
 
@@ -56,10 +57,11 @@
         planned: list[tuple[float, str]] | None = None,
         kinds: Sequence[str] | None = None,
         do_callers_repeat: bool = True,
+        settings: dispatch_settings.DispatchSettings | None = None,
     ) -> None:
         self.seed = seed
         self._planned = planned
-        self.fleet = emulator_fleet.Fleet(seed)
+        self.fleet = emulator_fleet.Fleet(seed, settings=settings)
         self.fleet.do_callers_repeat = do_callers_repeat
         self.faults: list[str] = []
         self._kinds = kinds or FAULTS
--- a/waxwingwalk/host/engine.py
+++ b/waxwingwalk/host/engine.py
@@ -189,7 +189,10 @@
                 self._call(
                     adapters.backends.poll(effect),
                     events.BackendPolled(
-                        effect.incarnation, UNKNOWN, fence=effect.fence
+                        effect.incarnation,
+                        UNKNOWN,
+                        fence=effect.fence,
+                        number=effect.number,
                     ),
                 )
             case effects.AnswerJob():
--- a/waxwingwalk/host/log_catalogue.py
+++ b/waxwingwalk/host/log_catalogue.py
@@ -208,6 +208,12 @@
         "a server refused to start a run; the run has not started",
         ("task", "run", "backend", "reason"),
     ),
+    "run.settled": LogEvent(
+        "a start that was not answered in time was settled: by a poll after a "
+        "stop the run `never started` or had `started`, or its end is listed; "
+        "`held_ms` is the time since the order",
+        ("task", "run", "backend", "found", "processors", "held_ms"),
+    ),
     "run.crash_evidence": LogEvent(
         "a server did not list the end of a run: it was `silent` until the "
         "lease had expired, has `crashed` and started again, or answered "
--- a/waxwingwalk/host/metrics.py
+++ b/waxwingwalk/host/metrics.py
@@ -26,6 +26,8 @@
     2.0,
     5.0,
 )
+# Processors are counted in thousandths of a core.
+CORE = 1000
 
 
 class BufferedCounter:
@@ -109,6 +111,15 @@
                 ("backends", "Backend servers that this host orders."),
                 ("pools", "Pools that this host schedules."),
                 ("backlog_seconds", "How long waiting work keeps the pool."),
+                (
+                    "unsettled_processors",
+                    "Processors that runs with an unanswered start occupy.",
+                ),
+                (
+                    "settlement_seconds",
+                    "Moving mean of the time from an unanswered start's order "
+                    "until it was settled.",
+                ),
                 ("catalog_version", "The version of the catalog in force."),
             )
         }
@@ -189,6 +200,10 @@
             "backends": len(backends),
             "pools": len(reducer.ownership.claims),
             "backlog_seconds": reducer.scheduler.backlog(now).total_seconds(),
+            "unsettled_processors": (
+                reducer.run_tracker.unsettled_processors / CORE
+            ),
+            "settlement_seconds": reducer.run_tracker.settlement_seconds,
             "catalog_version": 0 if catalog is None else catalog.version,
         }
         for name, value in values.items():
--- a/waxwingwalk/platform/backends.py
+++ b/waxwingwalk/platform/backends.py
@@ -61,8 +61,22 @@
     return pydantic.BeforeValidator(cut)
 
 
-# Task and run; checkpoint, percent and load follow.
-_RunningRow = Annotated[tuple[str, int], _first_columns(2)]
+def _pad_running(row: Any) -> Any:
+    """Return task, run and percent of a row, 0 if that is not valid.
+
+    A run without a valid progress is still a run, which holds capacity.
+    """
+    if not isinstance(row, list):
+        return row
+    percent = row[3] if len(row) > 3 else 0
+    is_number = isinstance(percent, int | float) and 0 <= percent <= 100
+    return [*row[:2], int(percent) if is_number else 0]
+
+
+# Of task, run, checkpoint, percent and load, the first two and the percent.
+_RunningRow = Annotated[
+    tuple[str, int, int], pydantic.BeforeValidator(_pad_running)
+]
 # Serial number, task, run and how the run ended; a checkpoint follows.
 _EndedRow = Annotated[tuple[int, str, int, str], _first_columns(4)]
 
@@ -147,7 +161,10 @@
         )
         if outcome is not Outcome.ACCEPTED:
             return events.BackendPolled(
-                order.incarnation, outcome, fence=order.fence
+                order.incarnation,
+                outcome,
+                fence=order.fence,
+                number=order.number,
             )
         return _to_polled_event(order, _parse(_RunLists, content))
 
@@ -229,7 +246,10 @@
     incarnation = order.incarnation
     if lists is None:
         return events.BackendPolled(
-            incarnation, Outcome.UNKNOWN, fence=order.fence
+            incarnation,
+            Outcome.UNKNOWN,
+            fence=order.fence,
+            number=order.number,
         )
     if lists.born is not None and lists.born != incarnation.started_ms:
         return events.BackendPolled(
@@ -239,12 +259,13 @@
                 incarnation.backend_id, lists.born
             ),
             fence=order.fence,
+            number=order.number,
         )
     return events.BackendPolled(
         incarnation,
         Outcome.ACCEPTED,
         lists.clock_ms,
-        tuple(model.RunKey(task, run) for task, run in lists.running),
+        tuple(model.RunKey(row[0], row[1]) for row in lists.running),
         tuple(
             model.EndedRun(
                 serial, task, run, RUN_ENDS.get(end, model.RunEnd.STOPPED)
@@ -252,6 +273,8 @@
             for serial, task, run, end in lists.ended
         ),
         order.fence,
+        number=order.number,
+        percents=tuple(row[2] for row in lists.running),
     )
 
 
