Judged stuck runs by their server, their queue's tail and progress

Where 3% of the tasks take 7 times as long as the others, runs were stopped at 4 times their estimate, started again and took as long.

With `run_progress`, a policy behind a Protocol compares a run with those that were started after it on its server, learns the tail of each queue's run times and whether restarts ended sooner, and uses the progress that polls list where it rises. Long tasks no longer make their server look slow, nor the other tasks of their step. Runs tell their remaining time. With `fast_settlement`, a run that is overdue is asked for beside the waiting poll, which may be lost.

--- a/tests/dispatch/test_fast_settlement.py
+++ b/tests/dispatch/test_fast_settlement.py
@@ -264,8 +264,8 @@
         self.assertEqual(self.suspicions(done), ["look unanswered"])
         self.assertEqual(self.ends(), [])
 
-    def start_accepted(self):
-        order, _ = self.start()
+    def start_accepted(self, estimate=5000):
+        order, _ = self.start(estimate=builders.milliseconds(estimate))
         self.answer_start(order, Outcome.ACCEPTED, 4)
         return order
 
@@ -283,6 +283,18 @@
         self.assertEqual(self.fail_poll(waiting, 655), [])
         self.assertEqual(self.backend.state, State.READY)
 
+    def test_overdue_run_is_asked_for_once_beside_the_waiting_poll(self):
+        """The poll that would list its end may have been lost."""
+        order = self.start_accepted(estimate=100)
+        self.answer_poll(self.backend.poll_number, 5)
+        self.assertEqual(self.polled(self.tick_until(176, 0)), [])
+        (check,) = self.polled(self.tick_until(201, 200))
+        self.answer_poll(check.number, 202, running=[order.key])
+        self.assertEqual(self.polled(self.tick_until(301, 225)), [])
+        ended = model.EndedRun(1, order.key.task, 1, model.RunEnd.DONE)
+        self.answer_poll(self.backend.poll_number, 302, ended=[ended])
+        self.assertEqual(self.ends(), [End.DONE])
+
     def test_server_that_answers_no_poll_is_suspect_before_its_call_ends(self):
         self.start_accepted()
         self.answer_poll(self.backend.poll_number, 5)
--- a/waxwingwalk/dispatch/backend.py
+++ b/waxwingwalk/dispatch/backend.py
@@ -31,6 +31,8 @@
 # A lease is not renewed while a stop has been unanswered for longer than this,
 # so that its expiry ends the run that the stop did not end.
 UNANSWERED_STOP_LIMIT = datetime.timedelta(milliseconds=150)
+# Progress that has risen this often tells how long a run will take.
+PERCENT_RISES_MIN = 2
 # The slowness of a server changes when a run ends or becomes overdue. Overdue
 # runs are checked for at this interval, which is short compared with the
 # shortest tasks.
@@ -112,9 +114,76 @@
     # the stops that were sent since, and when the last one was, in observed
     # time.
     is_overdue: bool = False
+    # How many runs that were started later on the server have ended in time,
+    # and how many have not. Counted only if the progress of runs is used.
+    later_in_time: int = 0
+    later_late: int = 0
+    # The progress that polls list: the last one, when it was first and last
+    # listed, in observed time, and how often it has risen.
+    percent: int = 0
+    percent_since: datetime.datetime | None = None
+    percent_read_at: datetime.datetime | None = None
+    percent_rises: int = 0
     stops_sent: int = 0
     stop_observed_at: datetime.datetime | None = None
 
+    @property
+    def is_long_by_itself(self) -> bool:
+        """Whether its server is not to blame if it takes long."""
+        return self.later_in_time > self.later_late
+
+    @property
+    def stalled(self) -> datetime.timedelta:
+        """For how long polls have listed the same progress."""
+        if self.percent_since is None or self.percent_read_at is None:
+            return model.ZERO
+        return self.percent_read_at - self.percent_since
+
+    def record_percent(
+        self, percent: int, observed_now: datetime.datetime
+    ) -> bool:
+        """Record the listed progress; return whether it has risen."""
+        has_risen = percent > self.percent
+        if self.percent_since is None or has_risen:
+            self.percent_since = observed_now
+        self.percent_rises += has_risen
+        self.percent = percent
+        self.percent_read_at = observed_now
+        return has_risen
+
+    def remaining_by_progress(
+        self, observed_now: datetime.datetime
+    ) -> datetime.timedelta | None:
+        """Return the time left if it goes on as before, None if unknown.
+
+        Servers may list 0 or 100 for all runs, or another fixed number.
+        """
+        since = self.accepted_at
+        if (
+            since is None
+            or self.percent_read_at is None
+            or self.percent_rises < PERCENT_RISES_MIN
+            or not 0 < self.percent < 100
+        ):
+            return None
+        elapsed = self.percent_read_at - since
+        left = elapsed * ((100 - self.percent) / self.percent)
+        return max(left - (observed_now - self.percent_read_at), model.ZERO)
+
+    def remaining(
+        self, observed_now: datetime.datetime, slowness: float = 1.0
+    ) -> datetime.timedelta:
+        """Return the expected time until the run ends.
+
+        ``slowness`` is that of its server. A run that is overdue is expected
+        to take as long again as it is overdue, since long run times vary more.
+        """
+        known = self.remaining_by_progress(observed_now)
+        if known is not None:
+            return known
+        elapsed = observed_now - (self.accepted_at or self.ordered_at)
+        return abs(self.order.estimate * slowness - elapsed)
+
     def may_start(self, now: datetime.datetime) -> bool:
         """Return whether the order may still be carried out, or have been.
 
@@ -189,6 +258,8 @@
         self.check_number: int | None = None
         self.check_sent_at = now
         self.failed_checks = 0
+        # The poll beside which an overdue run was asked for.
+        self.checked_poll: int | None = None
         self.lease_ends_ms = 0
         self.learned_slowness = speeds.LearnedSlowness()
         self.ejected_until: datetime.datetime | None = None
@@ -392,6 +463,17 @@
         """Whether any task may start here beside the others."""
         return not self.is_exclusive and self.reserved_for is None
 
+    def remaining_times(
+        self, now: datetime.datetime
+    ) -> list[tuple[Run, datetime.timedelta]]:
+        """Return the runs, each with the expected time until its end."""
+        observed_now = self._observed.at(now)
+        slowness = self.slowness(now)
+        return [
+            (run, run.remaining(observed_now, slowness))
+            for run in self.runs.values()
+        ]
+
     def expected_idle_time(self, now: datetime.datetime) -> datetime.datetime:
         """Return when the runs that are here now are expected to have ended.
 
@@ -447,7 +529,11 @@
         slowest = self.learned_slowness.slowness
         observed_now = self._observed.at(now)
         for run in self.runs.values():
-            if run.accepted_at is not None and run.stop_requested_at is None:
+            if (
+                run.accepted_at is not None
+                and run.stop_requested_at is None
+                and not run.is_long_by_itself
+            ):
                 elapsed = observed_now - run.accepted_at
                 slowest = max(
                     slowest,
--- a/waxwingwalk/dispatch/run_tracker.py
+++ b/waxwingwalk/dispatch/run_tracker.py
@@ -20,6 +20,7 @@
 from waxwingwalk.dispatch import model
 from waxwingwalk.dispatch import observed_time
 from waxwingwalk.dispatch import settings as dispatch_settings
+from waxwingwalk.dispatch import stuck_runs
 from waxwingwalk.routing import outliers
 
 # A poll waits at the server for up to this time until a run ends. Leases are
@@ -44,6 +45,9 @@
 # While a server is suspect and a poll is under way, an additional one is sent
 # at this interval.
 CHECK_RETRY = datetime.timedelta(milliseconds=120)
+# A run that takes longer than this many times its expected run time should
+# have ended, unless the poll that would list its end was lost.
+OVERDUE_FACTOR = 1.5
 # The weight of the newest one in the mean time to settle a start.
 SETTLEMENT_WEIGHT = 0.1
 # A server that outlier detection considers faulty, because nearly all runs
@@ -106,6 +110,8 @@
         self.pending_logs: effects.Effects = []
         # What is newly known of servers that did not list the end of a run.
         self.crash_evidence: list[model.CrashEvidence] = []
+        # How often the listed progress of runs has risen, by queue.
+        self.progress_rises: collections.Counter[str] = collections.Counter()
         # Counts the changes that may affect the free capacity.
         self.changes = 0
         # Caches: the usable servers, until the state of a server changes
@@ -209,12 +215,10 @@
             for backend in self._backends.values()
         )
 
-    def is_accepted(self, key: model.RunKey) -> bool:
-        """Return whether a server is known to have started a run."""
+    def find_run(self, key: model.RunKey) -> backends.Run | None:
+        """Return a run that occupies capacity, None if there is none."""
         backend = self._backend_by_run.get(key)
-        return (
-            backend is not None and backend.runs[key].accepted_at is not None
-        )
+        return None if backend is None else backend.runs[key]
 
     @property
     def unsettled_processors(self) -> int:
@@ -751,6 +755,8 @@
         backend.next_poll_at = now
         backend.acknowledge_at = None
         self._record_answer(backend)
+        if self._settings.run_progress:
+            self._record_progress(backend, running, percents, now)
         self._process_ended_runs(backend, ended, now)
         self._free_settled_runs(backend, running, now, number)
         done = self._verify(backend, running, now)
@@ -764,6 +770,19 @@
             done += self._poll_to_settle(backend, now)
         return done
 
+    def _record_progress(
+        self,
+        backend: backends.Backend,
+        running: tuple[model.RunKey, ...],
+        percents: tuple[int, ...],
+        now: datetime.datetime,
+    ) -> None:
+        observed_now = self._observed.at(now)
+        for key, percent in zip(running, percents, strict=False):
+            run = backend.runs.get(key)
+            if run is not None and run.record_percent(percent, observed_now):
+                self.progress_rises[run.order.queue] += 1
+
     def _process_ended_runs(
         self,
         backend: backends.Backend,
@@ -948,6 +967,10 @@
             if observed_now - backend.check_sent_at > limit:
                 backend.check_number = None
                 done += self._handle_unanswered_check(backend, now)
+        elif self._should_have_ended(backend, limit, now):
+            # The poll under way, which would list the end, may be lost.
+            backend.checked_poll = backend.poll_number
+            done += self._check(backend, now)
         elif self._is_poll_overdue(backend, now):
             waited = observed_now - backend.check_sent_at
             is_ready = backend.state is backends.BackendState.READY
@@ -955,6 +978,31 @@
                 done += self._check(backend, now)
         return done
 
+    def _should_have_ended(
+        self,
+        backend: backends.Backend,
+        limit: datetime.timedelta,
+        now: datetime.datetime,
+    ) -> bool:
+        """Return whether a run is overdue since a poll was sent.
+
+        This is asked once for each poll.
+        """
+        if not backend.is_polling or (
+            backend.checked_poll == backend.poll_number
+        ):
+            return False
+        observed_now = self._observed.at(now)
+        if observed_now - backend.poll_sent_at <= limit:
+            return False
+        slowness = backend.learned_slowness.slowness
+        return any(
+            run.accepted_at is not None
+            and observed_now - run.accepted_at
+            > OVERDUE_FACTOR * slowness * run.order.estimate + limit
+            for run in backend.runs.values()
+        )
+
     def _record_settlement(
         self,
         backend: backends.Backend,
@@ -1108,7 +1156,11 @@
     ) -> None:
         name = str(backend.incarnation)
         if end is model.TaskEnd.DONE:
-            backend.learn_slowness(elapsed, run.order.estimate)
+            is_in_time = self._settings.run_progress and self._compare(
+                backend, run, elapsed
+            )
+            if is_in_time or not run.is_long_by_itself:
+                backend.learn_slowness(elapsed, run.order.estimate)
             self._detector.task_done(name, run.order.queue)
             if backend.ejected_until is not None:
                 backend.ejected_until = None
@@ -1131,6 +1183,25 @@
                     )
                 )
 
+    def _compare(
+        self,
+        backend: backends.Backend,
+        run: backends.Run,
+        elapsed: datetime.timedelta,
+    ) -> bool:
+        """Return whether a run ended in time, and record it for earlier ones.
+
+        Runs are compared with each other to tell a slow server from tasks
+        that take long by themselves.
+        """
+        limit = stuck_runs.IN_TIME_FACTOR * run.order.estimate
+        is_in_time = elapsed <= limit
+        for other in backend.runs.values():
+            if other.ordered_at <= run.ordered_at:
+                other.later_in_time += is_in_time
+                other.later_late += not is_in_time
+        return is_in_time
+
     # Crashes.
 
     def _record_silence(self, backend: backends.Backend) -> None:
--- a/waxwingwalk/dispatch/scheduler.py
+++ b/waxwingwalk/dispatch/scheduler.py
@@ -18,12 +18,8 @@
 from waxwingwalk.dispatch import run_times
 from waxwingwalk.dispatch import run_tracker as dispatch_run_tracker
 from waxwingwalk.dispatch import settings as dispatch_settings
+from waxwingwalk.dispatch import stuck_runs
 
-# A run that takes longer than this many times its expected run time is
-# considered stuck and stopped, so that the task is started again.
-STUCK_FACTOR = 4.0
-# A run is never considered stuck before this time.
-MIN_STUCK_TIME = datetime.timedelta(milliseconds=250)
 # Bounds of the time after which a refused caller is asked to retry.
 RETRY_AFTER_MIN = datetime.timedelta(milliseconds=200)
 RETRY_AFTER_MAX = datetime.timedelta(seconds=5)
@@ -104,6 +100,11 @@
         settings: dispatch_settings.DispatchSettings | None = None,
     ) -> None:
         self._settings = settings or dispatch_settings.DispatchSettings()
+        self._stuck_policy: stuck_runs.StuckPolicy = (
+            stuck_runs.LearnedTail()
+            if self._settings.run_progress
+            else stuck_runs.FixedFactor()
+        )
         self._observed = observed or observed_time.ObservedTime()
         self._crash_history = crash_history or crashes.CrashHistory()
         # Servers that are being emptied for tasks that have to run alone.
@@ -219,6 +220,18 @@
         if record is None or ended.end is not model.TaskEnd.DONE:
             return
         step = order.ref.step
+        ratio = ended.elapsed / max(order.estimate, run_times.MIN_RUN_TIME)
+        task = record.tasks.get((step, order.ref.index))
+        self._stuck_policy.learn(
+            record.job.queue,
+            ratio,
+            is_restart=task is not None and bool(task.stuck_on),
+        )
+        if self._settings.run_progress and (
+            ratio > stuck_runs.IN_TIME_FACTOR * max(ended.slowness, 1.0)
+        ):
+            # It is in the tail, and does not predict the other tasks.
+            return
         observed = ended.elapsed / ended.slowness
         declared = record.job.steps[step].estimate
         self._run_time_estimator.learn(record.job.queue, declared, observed)
@@ -1082,6 +1095,31 @@
         longest = max(record.estimates[task.ref.step] for task in waiting)
         return now + longest * min(fastest, 1.0) > record.job.expires
 
+    def _observed_run(
+        self,
+        record: job_record.JobRecord,
+        task: job_record.TaskRecord,
+        run: backends.Run | None,
+        elapsed: datetime.timedelta,
+        observed_now: datetime.datetime,
+    ) -> stuck_runs.ObservedRun:
+        """Return what is known of a run, for the policy of stuck runs."""
+        queue = record.job.queue
+        estimate = record.estimates[task.ref.step]
+        if run is None or not self._settings.run_progress:
+            return stuck_runs.ObservedRun(queue, estimate, elapsed)
+        return stuck_runs.ObservedRun(
+            queue,
+            estimate,
+            elapsed,
+            later_in_time=run.later_in_time,
+            later_late=run.later_late,
+            remaining=run.remaining_by_progress(observed_now),
+            stalled=run.stalled,
+            queue_rises=self._run_tracker.progress_rises[queue],
+            is_restart=bool(task.stuck_on),
+        )
+
     def _stop_stuck_runs(
         self, record: job_record.JobRecord, now: datetime.datetime
     ) -> effects.Effects:
@@ -1091,18 +1129,25 @@
         for task in record.tasks.values():
             if task.state is not TaskState.PLACED or task.started_at is None:
                 continue
-            estimate = record.estimates[task.ref.step]
-            limit = max(MIN_STUCK_TIME, STUCK_FACTOR * estimate)
-            if observed_now - task.started_at > limit:
-                key = model.RunKey(task.ref.name, task.run)
-                if (
-                    self._settings.fast_settlement
-                    and not self._run_tracker.is_accepted(key)
+            elapsed = observed_now - task.started_at
+            if elapsed <= stuck_runs.MIN_STUCK_TIME:
+                continue
+            key = model.RunKey(task.ref.name, task.run)
+            run = self._run_tracker.find_run(key)
+            limit = self._stuck_policy.limit(
+                self._observed_run(record, task, run, elapsed, observed_now)
+            )
+            if elapsed > limit:
+                if self._settings.fast_settlement and (
+                    run is None or run.accepted_at is None
                 ):
                     # Its start is settled by the run tracker.
                     continue
                 stopped = self._run_tracker.stop(key, now)
                 if stopped:
+                    self._stuck_policy.learn_stuck(
+                        record.job.queue, is_restart=bool(task.stuck_on)
+                    )
                     if task.backend_id is not None:
                         task.stuck_on.add(task.backend_id)
                     done.append(
