--- a/waxwingwalk/dispatch/events.py
+++ b/waxwingwalk/dispatch/events.py
@@ -148,7 +148,9 @@
 
     ``server_clock_ms`` is what the server's clock showed when it answered,
     ``fence`` the fence of the poll. ``successor`` is the incarnation that
-    answered, if the server has restarted under its id.
+    answered, if the server has restarted under its id. ``number`` is that of
+    the poll. ``percents`` is the progress of each run in ``running`` as the
+    server reports it, empty if it reports none.
     """
 
     incarnation: model.BackendIncarnation
@@ -158,6 +160,8 @@
     ended: tuple[model.EndedRun, ...] = ()
     fence: int | None = None
     successor: model.BackendIncarnation | None = None
+    number: int | None = None
+    percents: tuple[int, ...] = ()
 
 
 class ConnectionsRead(msgspec.Struct):
--- a/waxwingwalk/dispatch/reducer.py
+++ b/waxwingwalk/dispatch/reducer.py
@@ -95,7 +95,7 @@
         self.evacuation = zone_evacuation or evacuation.Evacuation()
         self._observed = observed_time.ObservedTime()
         self.run_tracker = run_tracker.RunTracker(
-            self._observed, self.evacuation
+            self._observed, self.evacuation, self.settings
         )
         self._crash_history = crashes.CrashHistory()
         self.scheduler = dispatch_scheduler.Scheduler(
@@ -106,6 +106,7 @@
             self._crash_history,
             self.evacuation,
             self.ownership.claims,
+            self.settings,
         )
         self.front = dispatch_front.Front(
             self.hosts, self.ownership, self.scheduler, self.evacuation
@@ -842,6 +843,8 @@
             event.running,
             event.ended,
             now,
+            event.number,
+            event.percents,
         )
         if self.run_tracker.changes != known and not self.run_tracker.ended:
             # The free capacity may have changed. If runs have ended as well,
--- a/waxwingwalk/emulator/fleet.py
+++ b/waxwingwalk/emulator/fleet.py
@@ -7,6 +7,7 @@
 
 import collections
 from collections.abc import Callable
+from collections.abc import Collection
 import dataclasses
 import datetime
 import random
@@ -21,6 +22,7 @@
 from waxwingwalk.dispatch import pool_rows
 from waxwingwalk.dispatch import reconnection
 from waxwingwalk.dispatch import reducer as dispatch_reducer
+from waxwingwalk.dispatch import settings as dispatch_settings
 from waxwingwalk.emulator import backend as emulated_backend
 from waxwingwalk.emulator import guarantees
 from waxwingwalk.emulator import timeline as emulator_timeline
@@ -29,6 +31,7 @@
 LOOP_DELAY = datetime.timedelta(milliseconds=1)
 LINK_DELAY = datetime.timedelta(milliseconds=1)
 STORE_DELAY = datetime.timedelta(milliseconds=12)
+LONG_FACTOR = 7
 CALL_TIMEOUT = datetime.timedelta(milliseconds=350)
 CONNECT_TIMEOUT = datetime.timedelta(milliseconds=400)
 RECONNECT_DELAY = datetime.timedelta(milliseconds=150)
@@ -136,7 +139,9 @@
         seed: int,
         job_order: ordering.JobOrder | None = None,
         placement: dispatch_placement.Placement | None = None,
+        settings: dispatch_settings.DispatchSettings | None = None,
     ) -> None:
+        self._settings = settings
         self._job_order = job_order
         self._placement = placement
         self.timeline = emulator_timeline.Timeline()
@@ -154,6 +159,14 @@
         self._is_store_down = False
         self.hosts_without_store: set[str] = set()
         self.late_share = 0.0
+        # The kinds of orders that may be carried out late.
+        self.late_orders: tuple[type, ...] = (
+            effects.StartRun,
+            effects.StopRun,
+            effects.PollBackend,
+        )
+        # The log lines of all hosts, by event.
+        self.log_counts: collections.Counter[str] = collections.Counter()
         # Share of calls of backend servers whose request or reply is lost.
         self.call_loss_share = 0.0
         # Calls of backend servers, and their replies, take up to this longer.
@@ -271,6 +284,7 @@
             zone_evacuation=evacuation.Evacuation(
                 self.timeline.now() + evacuation.LEARN_LIMIT
             ),
+            settings=self._settings,
         )
         self.checker.record_host_started(host.address)
         host.link_targets = frozenset()
@@ -516,10 +530,13 @@
         crashing_tasks: int = 0,
         queue: str = "q",
         priority: int = 0,
+        long_tasks: Collection[int] = (),
     ) -> Caller:
         """Submit a job of equal tasks at a host.
 
         Its first ``crashing_tasks`` tasks crash the servers that start them.
+        Those whose indexes are in ``long_tasks`` take LONG_FACTOR times as
+        long as the others.
         """
         now = self.timeline.now()
         estimate = estimate or work
@@ -542,7 +559,7 @@
                 job.spec,
                 SERVICE,
                 resources,
-                work,
+                work * (LONG_FACTOR if index in long_tasks else 1),
                 fails,
                 CRASH_DELAY if index < crashing_tasks else None,
             )
@@ -752,6 +769,8 @@
 
     def _execute_effect(self, host: Host, effect: effects.Effect) -> None:
         match effect:
+            case effects.Log():
+                self.log_counts[effect.event] += 1
             case effects.Send():
                 self._send(host, effect.link, effect.message)
             case (
@@ -1072,7 +1091,9 @@
             lost = _unanswered_event(order, Outcome.UNKNOWN)
             self._apply_later(host, CALL_TIMEOUT + wait, lost)
             return
-        if self.random.random() < self.late_share:
+        if self.random.random() < self.late_share and isinstance(
+            order, self.late_orders
+        ):
             late = datetime.timedelta(
                 seconds=self.random.uniform(*LATE_ORDER_SECONDS)
             )
@@ -1198,5 +1219,8 @@
             )
         case _:
             return events.BackendPolled(
-                order.incarnation, outcome, fence=order.fence
+                order.incarnation,
+                outcome,
+                fence=order.fence,
+                number=order.number,
             )
--- a/waxwingwalk/platform/backends.py
+++ b/waxwingwalk/platform/backends.py
@@ -58,10 +58,22 @@
 
 
 class _RunningRow(msgspec.Struct, array_like=True):
-    """A row of running tasks; checkpoint, percent and load follow."""
+    """A row of running tasks; the load follows.
+
+    A run without a valid progress is still a run, which holds capacity.
+    """
 
     task: str
     run: int
+    checkpoint: Any = None
+    percent: Any = 0
+
+    @property
+    def progress(self) -> int:
+        """The progress in percent, 0 if it is not valid."""
+        percent = self.percent
+        is_valid = isinstance(percent, int | float) and 0 <= percent <= 100
+        return int(percent) if is_valid else 0
 
 
 class _EndedRow(msgspec.Struct, array_like=True):
@@ -179,7 +191,10 @@
         )
         if outcome is not Outcome.ACCEPTED:
             return events.BackendPolled(
-                order.incarnation, outcome, fence=order.fence
+                order.incarnation,
+                outcome,
+                fence=order.fence,
+                number=order.number,
             )
         return _to_polled_event(order, _parse(_lists_decoder, content))
 
@@ -278,7 +293,10 @@
     incarnation = order.incarnation
     if lists is None:
         return events.BackendPolled(
-            incarnation, Outcome.UNKNOWN, fence=order.fence
+            incarnation,
+            Outcome.UNKNOWN,
+            fence=order.fence,
+            number=order.number,
         )
     if lists.born is not None and lists.born != incarnation.started_ms:
         return events.BackendPolled(
@@ -288,6 +306,7 @@
                 incarnation.backend_id, lists.born
             ),
             fence=order.fence,
+            number=order.number,
         )
     return events.BackendPolled(
         incarnation,
@@ -304,6 +323,8 @@
             for row in lists.ended
         ),
         order.fence,
+        number=order.number,
+        percents=tuple(row.progress for row in lists.running),
     )
 
 
