--- a/tests/emulator/test_configuration.py
+++ b/tests/emulator/test_configuration.py
@@ -83,6 +83,14 @@
             self.callers.append(caller)
             self.fleet.run(milliseconds(JOB_INTERVAL_MS))
 
+    def run_until_in_force(self, version):
+        """Run the load until a version is in force on all hosts."""
+        for _ in range(100):
+            if self.versions() == {version}:
+                return
+            self.run_load(100)
+        self.fail(f"version {version} is not in force on {self.versions()}")
+
     def count_unanswered(self):
         """Return how many jobs did not run to their end in time."""
         return sum(
@@ -142,8 +150,7 @@
                 sent = self.fleet.sent_bytes["catalog_part"]
                 self.run_load(IN_FORCE_MS)
                 self.assertEqual(self.versions(self.with_store), {version})
-                self.run_load(8000)
-                self.assertEqual(self.versions(), {version})
+                self.run_until_in_force(version)
                 self.assertEqual(self.fleet.closed_links, closed)
                 # Each of these hosts receives the document once.
                 sent = self.fleet.sent_bytes["catalog_part"] - sent
--- a/waxwingwalk/platform/catalog.py
+++ b/waxwingwalk/platform/catalog.py
@@ -261,6 +261,8 @@
                 )
                 return None
             self._queues = decoding.queues
+            # The catalog takes effect in a turn of the event loop of its own.
+            await asyncio.sleep(0)
             return decoding.catalog
 
 
