--- a/waxwingwalk/platform/catalog.py
+++ b/waxwingwalk/platform/catalog.py
@@ -304,6 +304,8 @@
                 )
                 return None
             self._queues = steps.queues
+            # The catalog takes effect in a turn of the event loop of its own.
+            await asyncio.sleep(0)
             return steps.catalog
 
 
