Explained jobs that were refused in an evacuation

waxwingwalk explain names the cause of the refusal and lists the start and the end of evacuations among the related events.

--- a/tests/host/test_history.py
+++ b/tests/host/test_history.py
@@ -37,6 +37,22 @@
         self.assertIn("late by 60 ms; slowest run 500 ms", explanation)
         self.assertIn("waited for capacity 400 ms", explanation)
 
+    def test_job_refused_in_an_evacuation_names_its_start(self):
+        explained = self.explain(
+            [
+                line(0, "evacuation.started", zone="north", version=12),
+                line(
+                    51,
+                    "job.answered",
+                    job="j",
+                    outcome="not_run",
+                    reason="zone evacuated",
+                ),
+            ]
+        )
+        self.assertIn("operators had evacuated", explained.explanation)
+        self.assertIn("evacuation.started", explained.explanation)
+
     def test_lost_job_names_related_events(self):
         explained = self.explain(
             [
--- a/waxwingwalk/host/history.py
+++ b/waxwingwalk/host/history.py
@@ -22,6 +22,8 @@
         "drain.started",
         "link.closed",
         "store.lost",
+        "evacuation.started",
+        "evacuation.ended",
         "pool.claimed",
         "pool.lost",
         "backend.suspect",
@@ -47,6 +49,7 @@
     "scheduler changed": "another host took over the backend server",
     "peer lost": "the link to a host that ran a task broke",
     "leaving": "the scheduling host was shutting down",
+    "zone evacuated": "operators had evacuated the zones that could serve it",
     "twice": "the same job was already running",
     "cancelled": "the caller cancelled the job",
 }
