Configuration: asked hosts without their version ever less often

Cause: a host that tells a version which it does not have refused each request, and was asked again every 300 ms for ever, as one that is busy.

A busy host is asked again after 300 ms as before.

Measured in test_host_without_its_version_is_asked_ever_less_often: fewer than 20 requests in 60 s.

--- a/tests/dispatch/test_catalog_sharing.py
+++ b/tests/dispatch/test_catalog_sharing.py
@@ -152,9 +152,26 @@
         )
 
     def test_refusal_makes_it_ask_another_host_at_once(self):
-        first = self.start_transfer(ONE, TWO)
-        done = self.part(first, 601, version=5, total=0, content="")
-        self.assertNotEqual(self.requested(done).link, first)
+        for version in (5, 6):
+            self.setUp()
+            first = self.start_transfer(ONE, TWO)
+            done = self.part(first, 601, version=version, total=0, content="")
+            self.assertNotEqual(self.requested(done).link, first)
+
+    def test_host_without_its_version_is_asked_ever_less_often(self):
+        self.learn(ONE, 10**9, 0)
+        requests = 0
+        for at in range(WAIT_MS, 60_000, 25):
+            if builders.of_type(self.tick(at), effects.Send):
+                requests += 1
+                self.part(ONE, at, version=5, total=0, content="")
+        self.assertLess(requests, 20)
+
+    def test_busy_host_is_asked_again_soon(self):
+        link = self.start_transfer(ONE)
+        self.part(link, WAIT_MS, total=0, content="")
+        self.assertEqual(self.tick(WAIT_MS + 299), [])
+        self.requested(self.tick(WAIT_MS + 300))
 
     def test_newer_version_of_the_sender_starts_over(self):
         link = self.start_transfer(ONE)
--- a/waxwingwalk/dispatch/catalog_sharing.py
+++ b/waxwingwalk/dispatch/catalog_sharing.py
@@ -206,8 +206,11 @@
         transfer = self._transfer
         if transfer is None or transfer.link != link:
             return []
+        if part.total == 0 and part.version < transfer.version:
+            done = self._fail_transfer("not available", now)
+            return [*done, *self._continue(now)]
         if part.total == 0:
-            # The host is busy, or does not have the version any more.
+            # The host sends to others at the moment.
             address = self._addresses[link]
             count = self._failure_count(address)
             self._failures[address] = _Failures(count, now + RETRY_DELAY)
