Added look-ahead placement, off by default

Tasks that request half of a server fit in pairs only if they are selected to fit. Of the first waiting jobs, the one whose task fills a gap best now starts next, and a task that smaller ones pass over for too long gets a reservation.

--- a/waxwingwalk/dispatch/reducer.py
+++ b/waxwingwalk/dispatch/reducer.py
@@ -24,6 +24,7 @@
 from waxwingwalk.dispatch import front as dispatch_front
 from waxwingwalk.dispatch import hosts as dispatch_hosts
 from waxwingwalk.dispatch import links
+from waxwingwalk.dispatch import lookahead
 from waxwingwalk.dispatch import messages
 from waxwingwalk.dispatch import model
 from waxwingwalk.dispatch import observed_time
@@ -90,12 +91,17 @@
         self._observed = observed_time.ObservedTime()
         self.run_tracker = run_tracker.RunTracker(self._observed)
         self._crash_history = crashes.CrashHistory()
+        placement = placement or dispatch_placement.FastestInTime()
+        look_ahead = None
+        if self.settings.look_ahead:
+            placement = look_ahead = lookahead.LookAhead(placement)
         self.scheduler = dispatch_scheduler.Scheduler(
             self.run_tracker,
             job_order or ordering.PriorityThenSlack(),
-            placement or dispatch_placement.FastestInTime(),
+            placement,
             self._observed,
             self._crash_history,
+            look_ahead,
         )
         self.front = dispatch_front.Front(
             self.hosts, self.ownership, self.scheduler
--- a/waxwingwalk/dispatch/scheduler.py
+++ b/waxwingwalk/dispatch/scheduler.py
@@ -9,6 +9,7 @@
 from waxwingwalk.dispatch import crashes
 from waxwingwalk.dispatch import effects
 from waxwingwalk.dispatch import job_record
+from waxwingwalk.dispatch import lookahead
 from waxwingwalk.dispatch import messages
 from waxwingwalk.dispatch import model
 from waxwingwalk.dispatch import observed_time
@@ -82,6 +83,8 @@
 
 
 # Service, required label and resources of a task.
+# Key in the job order, a number that decides between equal keys, and the job.
+_Waiting = tuple[tuple[float, float], int, job_record.JobRecord]
 _TaskKind = tuple[str, str | None, model.Resources]
 
 
@@ -100,7 +103,9 @@
         placement: dispatch_placement.Placement,
         observed: observed_time.ObservedTime | None = None,
         crash_history: crashes.CrashHistory | None = None,
+        look_ahead: lookahead.LookAhead | None = None,
     ) -> None:
+        self._look_ahead = look_ahead
         self._observed = observed or observed_time.ObservedTime()
         self._crash_history = crash_history or crashes.CrashHistory()
         # Servers that are being emptied for tasks that have to run alone.
@@ -166,6 +171,8 @@
         if reason is not None:
             return self._answer(record, model.JobOutcome.NOT_RUN, reason, now)
         self._jobs[job.job_id] = record
+        if self._look_ahead is not None:
+            self._look_ahead.learn(record, self._run_tracker.usable(now))
         log = effects.Log(
             "job.queued",
             {
@@ -516,6 +523,13 @@
         waiting.sort()
         done: effects.Effects = []
         free_share = self._free_processor_share(now)
+        if self._look_ahead is not None and self._look_ahead.applies(
+            min(lookahead.largest_request(each) for _, _, each in waiting),
+            self._run_tracker.usable(now),
+        ):
+            return self._dispatch_with_look_ahead(
+                self._look_ahead, waiting, free_share, now
+            )
         for _, _, record in waiting:
             if self._job_order.is_deferred(record, free_share, now):
                 continue
@@ -525,14 +539,61 @@
                 free_share = self._free_processor_share(now)
         return done
 
+    def _dispatch_with_look_ahead(
+        self,
+        look_ahead: lookahead.LookAhead,
+        waiting: list[_Waiting],
+        free_share: float,
+        now: datetime.datetime,
+    ) -> effects.Effects:
+        """Start the tasks that fill the gaps on servers best."""
+        done: effects.Effects = []
+        jobs = [
+            (lookahead.waiting_job(*key, record), record)
+            for key, _, record in waiting
+            if not self._job_order.is_deferred(record, free_share, now)
+        ]
+        usable = self._run_tracker.usable(now)
+        look_ahead.begin([each for each, _ in jobs])
+        while jobs:
+            number = look_ahead.select([each for each, _ in jobs], usable)
+            if number is None:
+                break
+            job, record = jobs.pop(number)
+            started = self._start_ready_tasks(record, now, 1)
+            if not started:
+                continue
+            done += started
+            look_ahead.record_started(job)
+            if record.ready_tasks():
+                jobs.insert(
+                    number,
+                    (
+                        lookahead.waiting_job(job.rank, job.slack, record),
+                        record,
+                    ),
+                )
+        for _, record in jobs:
+            done += self._start_ready_tasks(record, now)
+        look_ahead.update_reservations(
+            [each for each, record in jobs if record.ready_tasks()],
+            usable,
+            now,
+        )
+        return done
+
     def _start_ready_tasks(
         self,
         record: job_record.JobRecord,
         now: datetime.datetime,
+        count: int | None = None,
     ) -> effects.Effects:
-        """Start or offer ready tasks of a job while there is capacity."""
+        """Start or offer ready tasks of a job while there is capacity.
+
+        At most ``count`` tasks are started, if it is given.
+        """
         done: effects.Effects = []
-        for task in list(record.ready_tasks()):
+        for task in list(record.ready_tasks())[:count]:
             if self._has_unfinished_run(task.ref.name, now):
                 continue
             if task.retry_at is not None and now < task.retry_at:
--- a/waxwingwalk/emulator/fleet.py
+++ b/waxwingwalk/emulator/fleet.py
@@ -18,6 +18,7 @@
 from waxwingwalk.dispatch import placement as dispatch_placement
 from waxwingwalk.dispatch import pool_rows
 from waxwingwalk.dispatch import reducer as dispatch_reducer
+from waxwingwalk.dispatch import settings as dispatch_settings
 from waxwingwalk.emulator import backend as emulated_backend
 from waxwingwalk.emulator import guarantees
 from waxwingwalk.emulator import timeline as emulator_timeline
@@ -120,9 +121,13 @@
         seed: int,
         job_order: ordering.JobOrder | None = None,
         placement: dispatch_placement.Placement | None = None,
+        settings: dispatch_settings.DispatchSettings | None = None,
     ) -> None:
         self._job_order = job_order
         self._placement = placement
+        self._settings = settings
+        # Is called with each log line of a host, if set.
+        self.observe_log: Callable[[effects.Log], None] | None = None
         self.timeline = emulator_timeline.Timeline()
         self.random = random.Random(seed)
         self.task_definitions: dict[str, emulated_backend.TaskDefinition] = {}
@@ -224,6 +229,7 @@
             self.timeline.now(),
             job_order=self._job_order,
             placement=self._placement,
+            settings=self._settings,
         )
         host.link_targets = frozenset()
         host.list_read_at = None
@@ -626,6 +632,9 @@
 
     def _execute_effect(self, host: Host, effect: effects.Effect) -> None:
         match effect:
+            case effects.Log():
+                if self.observe_log is not None:
+                    self.observe_log(effect)
             case effects.Send():
                 self._send(host, effect.link, effect.message)
             case (
