--- a/waxwingwalk/emulator/fleet.py
+++ b/waxwingwalk/emulator/fleet.py
@@ -144,6 +144,8 @@
         self._settings = settings
         self._job_order = job_order
         self._placement = placement
+        # Is called with each log line of a host, if set.
+        self.observe_log: Callable[[effects.Log], None] | None = None
         self.timeline = emulator_timeline.Timeline()
         self.random = random.Random(seed)
         self.task_definitions: dict[str, emulated_backend.TaskDefinition] = {}
@@ -771,6 +773,8 @@
         match effect:
             case effects.Log():
                 self.log_counts[effect.event] += 1
+                if self.observe_log is not None:
+                    self.observe_log(effect)
             case effects.Send():
                 self._send(host, effect.link, effect.message)
             case (
