--- a/waxwingwalk/dispatch/scheduler.py
+++ b/waxwingwalk/dispatch/scheduler.py
@@ -5,6 +5,7 @@
 import datetime
 
 from waxwingwalk.core import clock
+from waxwingwalk.dispatch import admission
 from waxwingwalk.dispatch import backend as backends
 from waxwingwalk.dispatch import crashes
 from waxwingwalk.dispatch import effects
@@ -115,6 +116,11 @@
         # The pools that this host schedules, as its claims change.
         self._pools = pools
         self._settings = settings or dispatch_settings.DispatchSettings()
+        self._admission: admission.Admission = (
+            admission.PrecedingWork()
+            if self._settings.job_admission
+            else admission.AllQueuedWork()
+        )
         self._stuck_policy: stuck_runs.StuckPolicy = (
             stuck_runs.LearnedTail()
             if self._settings.run_progress
@@ -137,7 +143,7 @@
         # The queued work in core-microseconds, and the rate at which usable
         # servers process it: thousandths of a core, divided by the slowness of
         # each server. The quotient of the two is in milliseconds.
-        self._queued_work = 0.0
+        self._queued_work = admission.QueuedWork()
         self._service_rate = 0.0
         self._backlog_valid_until = clock.DISTANT_PAST
         # The usable servers that suit tasks of a kind, for one list of those.
@@ -207,7 +213,7 @@
         )
         started = self.dispatch(now)
         # The cached backlog was computed without this job.
-        self._queued_work += record.queued_work()
+        self._queued_work.add(record, now)
         return [log, *started]
 
     def _new_job_record(
@@ -283,7 +289,8 @@
             return "queue full"
         if now + record.remaining_critical_path() > record.useful_until:
             return "too late"
-        ready_at = now + self.backlog(now) + record.remaining_critical_path()
+        waits_until = now + self._preceding_backlog(record, now)
+        ready_at = waits_until + record.remaining_critical_path()
         if ready_at > record.useful_until:
             return "backlog"
         return None
@@ -438,6 +445,10 @@
         retry_after = None
         if outcome is model.JobOutcome.NOT_RUN:
             retry_after = self.retry_after(now)
+            if self._settings.job_admission:
+                retry_after *= 1 + admission.RETRY_SPREAD * (
+                    evacuation.hash_share(record.job.job_id)
+                )
         job = record.job
         log = effects.Log(
             "job.ended",
@@ -485,18 +496,27 @@
             self._update_backlog(now)
         if not self._service_rate:
             return model.ZERO
-        return self._queued_work / self._service_rate * model.MILLISECOND
+        work = self._queued_work.total
+        return work / self._service_rate * model.MILLISECOND
+
+    def _preceding_backlog(
+        self, record: job_record.JobRecord, now: datetime.datetime
+    ) -> datetime.timedelta:
+        """Return how long the work that precedes a new job will take."""
+        if not self.backlog(now):
+            return model.ZERO
+        work = self._admission.preceding_work(self._queued_work, record)
+        return work / self._service_rate * model.MILLISECOND
 
     def _update_backlog(self, now: datetime.datetime) -> None:
         self._service_rate = sum(
             backend.report.capacity.processors / backend.slowness(now)
             for backend in self._run_tracker.usable(now)
         )
-        self._queued_work = sum(
-            record.queued_work()
-            for record in self._jobs.values()
-            if record.ready_tasks()
-        )
+        self._queued_work = admission.QueuedWork()
+        for record in self._jobs.values():
+            if record.ready_tasks():
+                self._queued_work.add(record, now)
 
     def retry_after(self, now: datetime.datetime) -> datetime.timedelta:
         """Return after what time a refused caller should retry."""
