Checked the speed of a server again only when a run may be overdue

The slowness of each server was computed again after 10 ms, over all its runs. It can only change when a run ends or becomes overdue, so it is now kept until the first one may be, for 1 s at most. An overdue run may be noticed up to 10 ms earlier than before. The key of a run is created only when an order is used, the second of a log line is not computed for each line, and the collector no longer visits what the imports created.

--- a/waxwingwalk/dispatch/backend.py
+++ b/waxwingwalk/dispatch/backend.py
@@ -35,6 +35,8 @@
 # runs are checked for at this interval, which is short compared with the
 # shortest tasks.
 SLOWNESS_INTERVAL = datetime.timedelta(milliseconds=10)
+# No check is due before the first run becomes overdue, up to this time.
+SLOWNESS_INTERVAL_MAX = datetime.timedelta(seconds=1)
 
 
 class RunState(enum.Enum):
@@ -73,11 +75,18 @@
     requester_link: int | None
     is_suspect: bool = False
     runs_alone: bool = False
-    # The run as named by backend servers.
-    key: model.RunKey = dataclasses.field(init=False)
+    # Created when it is needed, as most orders find no capacity while the load
+    # is high.
+    _key: model.RunKey | None = dataclasses.field(
+        default=None, init=False, compare=False, repr=False
+    )
 
-    def __post_init__(self) -> None:
-        self.key = model.RunKey(self.ref.name, self.run)
+    @property
+    def key(self) -> model.RunKey:
+        """The run as named by backend servers."""
+        if self._key is None:
+            self._key = model.RunKey(self.ref.name, self.run)
+        return self._key
 
 
 @dataclasses.dataclass(slots=True)
@@ -227,6 +236,7 @@
         for other in self.runs.values():
             run.was_shared = other.was_shared = True
         self.runs[run.order.key] = run
+        self._slowness_until = clock.DISTANT_PAST
         self.is_exclusive = self.is_exclusive or run.order.runs_alone
         self.used = self.used + run.order.resources
         self._free = self.report.capacity - self.used
@@ -413,8 +423,8 @@
         Overdue runs are taken into account before they end.
         """
         if now >= self._slowness_until:
-            self._slowness = self._measure_slowness(now)
-            self._slowness_until = now + SLOWNESS_INTERVAL
+            self._slowness, overdue_in = self._measure_slowness(now)
+            self._slowness_until = now + max(SLOWNESS_INTERVAL, overdue_in)
         return self._slowness
 
     def learn_slowness(
@@ -424,14 +434,28 @@
         self.learned_slowness.learn(actual, estimate)
         self._slowness_until = clock.DISTANT_PAST
 
-    def _measure_slowness(self, now: datetime.datetime) -> float:
+    def _measure_slowness(
+        self, now: datetime.datetime
+    ) -> tuple[float, datetime.timedelta]:
+        """Return the slowness, and when the first run becomes overdue.
+
+        The latter is not positive if one is already. A run that has not been
+        accepted yet is accepted now at the earliest.
+        """
         slowest = self.learned_slowness.slowness
+        overdue_in = SLOWNESS_INTERVAL_MAX
         observed_now = self._observed.at(now)
         for run in self.runs.values():
-            if run.accepted_at is not None and run.stop_requested_at is None:
+            if run.stop_requested_at is not None:
+                continue
+            estimate = run.order.estimate
+            left = speeds.overdue_after(estimate)
+            if run.accepted_at is not None:
                 elapsed = observed_now - run.accepted_at
-                slowest = max(
-                    slowest,
-                    speeds.overdue_slowness(elapsed, run.order.estimate),
-                )
-        return slowest
+                left -= elapsed
+                if left <= model.ZERO:
+                    slowest = max(
+                        slowest, speeds.overdue_slowness(elapsed, estimate)
+                    )
+            overdue_in = min(overdue_in, left)
+        return slowest, overdue_in
--- a/waxwingwalk/dispatch/speeds.py
+++ b/waxwingwalk/dispatch/speeds.py
@@ -43,6 +43,11 @@
         self._log_slowness += weight * (math.log(bounded) - self._log_slowness)
 
 
+def overdue_after(estimate: datetime.timedelta) -> datetime.timedelta:
+    """Return the elapsed time from which a run may be overdue."""
+    return OVERDUE_FACTOR * max(estimate, MIN_RUN_TIME)
+
+
 def overdue_slowness(
     elapsed: datetime.timedelta, estimate: datetime.timedelta
 ) -> float:
--- a/waxwingwalk/host/logs.py
+++ b/waxwingwalk/host/logs.py
@@ -23,6 +23,7 @@
 # Bytes that may wait for the reader: a few seconds of a busy host's lines.
 BUFFER_MAX = 1 << 20
 STDOUT = 1
+SECOND = datetime.timedelta(seconds=1)
 # Maximum length of a library's message or error in a line, in characters.
 MESSAGE_MAX = 500
 
@@ -85,15 +86,17 @@
 
     def __init__(self, time: clock.Clock) -> None:
         self._clock = time
-        self._second: datetime.datetime | None = None
+        # The bounds of the current second of the clock.
+        self._second = self._second_end = clock.DISTANT_PAST
         self._remaining: dict[str, int] = {}
         self.suppressed: collections.Counter[str] = collections.Counter()
 
     def allows(self, event: str) -> bool:
         """Count a line, and return whether it may be written."""
-        second = self._clock.now().replace(microsecond=0)
-        if second != self._second:
-            self._second = second
+        now = self._clock.now()
+        if not self._second <= now < self._second_end:
+            self._second = now.replace(microsecond=0)
+            self._second_end = self._second + SECOND
             self._remaining.clear()
         remaining = self._remaining.get(event, EVENT_LINES_PER_SECOND)
         if remaining <= 0:
--- a/waxwingwalk/platform/__main__.py
+++ b/waxwingwalk/platform/__main__.py
@@ -16,5 +16,7 @@
 from waxwingwalk.platform import daemon  # noqa: E402
 
 if __name__ == "__main__":
+    # What the imports created stays until the process ends.
+    gc.freeze()
     gc.enable()
     sys.exit(daemon.main())
