Counted jobs as unstarted when their orders and offers had no effect

A job whose offered task was declined was answered as lost, although nothing had run. An order that a server refused, or an offer that was declined, no longer counts as a start unless something else of the job may have run. A start that was settled without an answer still counts, since a server that restarts may carry it out late; a peer reports such an end as gone, not as not run.

A property test plays random answers of servers and peers, with and without fast settlement, against the runs that may have started.

--- a/waxwingwalk/dispatch/job_record.py
+++ b/waxwingwalk/dispatch/job_record.py
@@ -44,7 +44,7 @@
     its run has certainly ended. ``lost_runs`` counts such runs. A task that
     ``is_held`` is not started, as it may crash another server. ``refusals``
     counts the starts that servers refused, and it is not started again before
-    ``retry_at``.
+    ``retry_at``. ``may_have_run`` is set once a run of it may have started.
     """
 
     ref: model.TaskRef
@@ -61,6 +61,7 @@
     is_held: bool = False
     refusals: int = 0
     retry_at: datetime.datetime | None = None
+    may_have_run: bool = False
 
 
 class JobRecord:
@@ -70,7 +71,8 @@
     this host, and ``request`` the number of the request there. ``estimates``
     holds the expected run time of the tasks of each step; the default is the
     declared run time. An answer has value for the caller until
-    ``useful_until``; the caller waits until the job expires.
+    ``useful_until``; the caller waits until the job expires. ``has_started``
+    is whether a run of it may have started, or may still start.
     """
 
     def __init__(
@@ -173,11 +175,22 @@
         self.has_started = True
         self._ready_tasks = None
 
-    def requeue(self, task: TaskRecord) -> None:
-        """Set a task to waiting, so that it is run again."""
+    def requeue(self, task: TaskRecord, *, is_unstarted: bool = False) -> None:
+        """Set a task to waiting, so that it is run again.
+
+        ``is_unstarted`` is whether its order or offer certainly had no effect.
+        The job is unstarted again if that holds for all of its tasks.
+        """
         task.state = TaskState.WAITING
         task.over_at = None
         self._ready_tasks = None
+        if not is_unstarted:
+            task.may_have_run = True
+            return
+        self.has_started = any(
+            each.may_have_run or each.state is not TaskState.WAITING
+            for each in self.tasks.values()
+        )
 
     def tasks_offered_over(self, link: int) -> list[TaskRecord]:
         """Return the tasks that are currently offered over a link."""
--- a/waxwingwalk/dispatch/peer_tasks.py
+++ b/waxwingwalk/dispatch/peer_tasks.py
@@ -85,8 +85,14 @@
 
 
 def ended_message(ended: run_tracker.EndedTask) -> messages.TaskEnded:
-    """Return the message that reports the end of an offered task."""
-    ref = ended.order.ref
+    """Return the message that reports the end of an offered task.
+
+    NOT_RUN says that the task certainly has not run and will not, which is
+    not certain of an order that got no answer.
+    """
+    ref, end = ended.order.ref, ended.end
+    if ended.reason == run_tracker.NEVER_STARTED:
+        end = model.TaskEnd.GONE
     return messages.TaskEnded(
-        ref.job_id, ref.step, ref.index, ended.order.run, ended.end
+        ref.job_id, ref.step, ref.index, ended.order.run, end
     )
--- a/waxwingwalk/dispatch/run_tracker.py
+++ b/waxwingwalk/dispatch/run_tracker.py
@@ -57,6 +57,10 @@
 # A live server may be missing from the platform's list for about two seconds.
 MISSING_GRACE = datetime.timedelta(seconds=2.5)
 
+# The reason of the end of a run that was settled: a poll after a stop does not
+# list it. The order may be carried out late if the server restarts.
+NEVER_STARTED = "never started"
+
 # Outcomes which show that this host can no longer schedule an incarnation.
 LOST_OUTCOMES = frozenset(
     {model.CallOutcome.FENCED, model.CallOutcome.OTHER_INCARNATION}
@@ -827,9 +831,9 @@
                 backend.assume_longest_lease()
                 self._record_presence(backend, run)
             elif not run.is_moved:
-                self._record_settlement(backend, run, "never started", now)
+                self._record_settlement(backend, run, NEVER_STARTED, now)
                 self._end_run(
-                    backend, run, model.TaskEnd.NOT_RUN, "never started", now
+                    backend, run, model.TaskEnd.NOT_RUN, NEVER_STARTED, now
                 )
             elif key.task not in present_tasks:
                 # An earlier run of the task may have started late.
--- a/waxwingwalk/dispatch/scheduler.py
+++ b/waxwingwalk/dispatch/scheduler.py
@@ -927,7 +927,13 @@
                     record, model.JobOutcome.LOST, "scheduler changed", now
                 )
             case _:
-                record.requeue(task)
+                # An order that was settled may yet be carried out late by a
+                # server that restarts, so its job does not count as unstarted.
+                record.requeue(
+                    task,
+                    is_unstarted=end is ends.NOT_RUN
+                    and reason != dispatch_run_tracker.NEVER_STARTED,
+                )
                 if reason in REFUSALS:
                     delay = REFUSAL_RETRY * 2 ** min(task.refusals, 8)
                     task.refusals += 1
