Ejected at most a quarter of a zone's servers at a time

A fault that looks like one of many servers took all of them out of use. A server that was ejected gets one task at a time until one completes.

--- a/waxwingwalk/dispatch/backend.py
+++ b/waxwingwalk/dispatch/backend.py
@@ -427,17 +427,24 @@
             and not self.is_releasing
             and self.missing_since is None
             and self.report.advertised_state is model.AdvertisedState.READY
-            and (self.ejected_until is None or self.ejected_until <= now)
+            and not self.is_ejected(now)
             and self._clock_reading is not None
         )
 
+    def is_ejected(self, now: datetime.datetime) -> bool:
+        """Return whether no run is ordered here because runs fail here."""
+        return self.ejected_until is not None and now < self.ejected_until
+
     def can_fit_now(self, order: TaskOrder) -> bool:
         """Return whether a task fits beside the current runs.
 
-        A run for an earlier request for the same job may have the same key.
+        A run for an earlier request for the same job may have the same key. A
+        server that was ejected gets one task at a time until one completes.
         """
         if self.is_exclusive or self.is_acknowledging:
             return False
+        if self.ejected_until is not None and self.runs:
+            return False
         if order.runs_alone and self.runs:
             return False
         if self.reserved_for not in (None, order.ref.name):
--- a/waxwingwalk/dispatch/run_tracker.py
+++ b/waxwingwalk/dispatch/run_tracker.py
@@ -54,6 +54,9 @@
 # fail there but not elsewhere, is ejected for this time, then tried again. The
 # ejection ends early if a run completes there.
 EJECTION_TIME = datetime.timedelta(seconds=3)
+# At most this share of a zone's servers is ejected at a time, but always one:
+# a fault that shows on more of them is not one of the servers.
+MAX_EJECTED_SHARE = 0.25
 # A live server may be missing from the platform's list for about two seconds.
 MISSING_GRACE = datetime.timedelta(seconds=2.5)
 
@@ -1169,8 +1172,10 @@
             if backend.ejected_until is not None:
                 backend.ejected_until = None
                 self._usable_until = None
+                self.changes += 1
         elif end is model.TaskEnd.FAILED:
-            if self._detector.task_failed(name, run.order.queue):
+            is_faulty = self._detector.task_failed(name, run.order.queue)
+            if is_faulty and self._may_eject(backend, now):
                 backend.ejected_until = now + EJECTION_TIME
                 self._usable_until = None
                 self.pending_logs.append(
@@ -1187,6 +1192,21 @@
                     )
                 )
 
+    def _may_eject(
+        self, backend: backends.Backend, now: datetime.datetime
+    ) -> bool:
+        """Return whether a server may be ejected beside the ejected ones."""
+        zone = backend.report.zone
+        others = [
+            each
+            for each in self._backends.values()
+            if each.report.zone == zone and each is not backend
+        ]
+        ejected = sum(each.is_ejected(now) for each in others)
+        usable = sum(each.is_usable(now) for each in others)
+        limit = max(1.0, MAX_EJECTED_SHARE * (usable + ejected + 1))
+        return ejected + 1 <= limit
+
     def _compare(
         self,
         backend: backends.Backend,
