--- a/waxwingwalk/dispatch/run_tracker.py
+++ b/waxwingwalk/dispatch/run_tracker.py
@@ -61,9 +61,16 @@
 # fail there but not elsewhere, is ejected for this time, then tried again. The
 # ejection ends early if a run completes there.
 EJECTION_TIME = datetime.timedelta(seconds=3)
+# At most this share of a zone's servers is ejected at a time, but always one:
+# a fault that shows on more of them is not one of the servers.
+MAX_EJECTED_SHARE = 0.25
 # A live server may be missing from the platform's list for about two seconds.
 MISSING_GRACE = datetime.timedelta(seconds=2.5)
 
+# The reason of the end of a run that was settled: a poll after a stop does not
+# list it. The order may be carried out late if the server restarts.
+NEVER_STARTED = "never started"
+
 # Outcomes which show that this host can no longer schedule an incarnation.
 LOST_OUTCOMES = frozenset(
     {model.CallOutcome.FENCED, model.CallOutcome.OTHER_INCARNATION}
@@ -892,9 +899,9 @@
                 backend.assume_longest_lease()
                 self._record_presence(backend, run)
             elif not run.is_moved:
-                self._record_settlement(backend, run, "never started", now)
+                self._record_settlement(backend, run, NEVER_STARTED, now)
                 self._end_run(
-                    backend, run, model.TaskEnd.NOT_RUN, "never started", now
+                    backend, run, model.TaskEnd.NOT_RUN, NEVER_STARTED, now
                 )
             elif key.task not in present_tasks:
                 # An earlier run of the task may have started late.
@@ -1235,8 +1242,10 @@
             if backend.ejected_until is not None:
                 backend.ejected_until = None
                 self._usable_until = None
+                self.changes += 1
         elif end is model.TaskEnd.FAILED:
-            if self._detector.task_failed(name, run.order.queue):
+            is_faulty = self._detector.task_failed(name, run.order.queue)
+            if is_faulty and self._may_eject(backend, now):
                 backend.ejected_until = now + EJECTION_TIME
                 self._usable_until = None
                 self.pending_logs.append(
@@ -1253,6 +1262,21 @@
                     )
                 )
 
+    def _may_eject(
+        self, backend: backends.Backend, now: datetime.datetime
+    ) -> bool:
+        """Return whether a server may be ejected beside the ejected ones."""
+        zone = backend.report.zone
+        others = [
+            each
+            for each in self._backends.values()
+            if each.report.zone == zone and each is not backend
+        ]
+        ejected = sum(each.is_ejected(now) for each in others)
+        usable = sum(each.is_usable(now) for each in others)
+        limit = max(1.0, MAX_EJECTED_SHARE * (usable + ejected + 1))
+        return ejected + 1 <= limit
+
     def _compare(
         self,
         backend: backends.Backend,
