--- a/waxwingwalk/dispatch/backend.py
+++ b/waxwingwalk/dispatch/backend.py
@@ -37,8 +37,6 @@
 # runs are checked for at this interval, which is short compared with the
 # shortest tasks.
 SLOWNESS_INTERVAL = datetime.timedelta(milliseconds=10)
-# A server that is still slow after its start is checked at this interval.
-COLD_INTERVAL = datetime.timedelta(milliseconds=100)
 # No check is due before the first run becomes overdue, up to this time.
 SLOWNESS_INTERVAL_MAX = datetime.timedelta(seconds=1)
 
@@ -576,7 +574,7 @@
         overdue_in = SLOWNESS_INTERVAL_MAX
         if self.is_cold(now):
             slowest *= max(1.0, self._cold_slowness.slowness)
-            overdue_in = COLD_INTERVAL
+            overdue_in = SLOWNESS_INTERVAL
         observed_now = self._observed.at(now)
         for run in self.runs.values():
             if run.stop_requested_at is not None:
