Played large configurations and the decisions under load in the soak

Seeds from 700 on draw a configuration that grows by 1,000 to 2,000 routes, and start the hosts with all decisions under heavy load enabled.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -12,6 +12,7 @@
 
 from tests.soak import proxy
 from waxwingwalk.dispatch import model
+from waxwingwalk.dispatch import settings
 
 # How long a fault waits until a backend server is idle.
 IDLE_WAIT_SECONDS = 2.0
@@ -213,6 +214,15 @@
         await asyncio.sleep(random.uniform(0.01, 0.5))
 
 
+async def grow_config(cluster, random):
+    """Add many routes to the configuration at once; remove them later."""
+    if cluster.platform.status is None:
+        cluster.change_config(bulk_routes=random.randint(1000, 2000))
+    await asyncio.sleep(random.uniform(1, 4))
+    if cluster.platform.status is None:
+        cluster.change_config()
+
+
 def _choose_server(cluster, random):
     names = [
         name
@@ -398,13 +408,18 @@
 )
 _LATER = (pause_and_reset, restart_server, unlist_server, stall_paths)
 _CRASHES = (crashing_job, shrink_server)
-ALL = {fault.__name__: fault for fault in (*_FIRST, *_LATER, *_CRASHES)}
+_LOAD = (grow_config,)
+ALL = {
+    fault.__name__: fault for fault in (*_FIRST, *_LATER, *_CRASHES, *_LOAD)
+}
 # Routine work of operators, which must not break a request.
 PLANNED = ("terminate", "roll", "change_config")
 # Earlier seeds draw from the first faults only, so that they still play the
 # faults that they were kept for.
 FIRST_SEED_WITH_LATER = 400
 FIRST_SEED_WITH_CRASHES = 600
+# From this seed on, the hosts' decisions under heavy load are enabled, too.
+FIRST_SEED_WITH_LOAD = 700
 
 
 def has_later(seed):
@@ -412,6 +427,14 @@
     return seed >= FIRST_SEED_WITH_LATER
 
 
+def dispatch_settings(seed):
+    """Return the settings of dispatch with which the hosts start, as YAML."""
+    if seed < FIRST_SEED_WITH_LOAD:
+        return ""
+    fields = dataclasses.fields(settings.DispatchSettings)
+    return "{" + ", ".join(f"{each.name}: true" for each in fields) + "}"
+
+
 def kinds(seed):
     """Return the names that a seed draws from.
 
@@ -420,4 +443,6 @@
     later = _LATER * (len(_FIRST) // len(_LATER)) if has_later(seed) else ()
     if seed >= FIRST_SEED_WITH_CRASHES:
         later += _CRASHES * (len(_FIRST) // len(_CRASHES))
+    if seed >= FIRST_SEED_WITH_LOAD:
+        later += _LOAD * (len(_FIRST) // 2)
     return [fault.__name__ for fault in (*_FIRST, *later)]
--- a/tests/soak/hosts.py
+++ b/tests/soak/hosts.py
@@ -24,11 +24,12 @@
     ``incarnation`` counts the starts of the process.
     """
 
-    def __init__(self, name, ip, zone, folder):
+    def __init__(self, name, ip, zone, folder, dispatch_settings=""):
         self.name = name
         self.zone = zone
         self.ip = ip
         self.folder = pathlib.Path(folder)
+        self._dispatch_settings = dispatch_settings
         self.incarnation = 0
         self.is_in_rotation = False
         # Whether a fault that stops or freezes the process is in progress; no
@@ -90,7 +91,10 @@
                 sys.executable,
                 "-m",
                 "waxwingwalk.platform",
-                env={"WAXWINGWALK_BOOT": str(path)},
+                env={
+                    "WAXWINGWALK_BOOT": str(path),
+                    "WAXWINGWALK_DISPATCH": self._dispatch_settings,
+                },
                 stdout=log,
                 stderr=log,
             )
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -107,6 +107,7 @@
                 f"{network}.{1 + len(ZONES) * number + zone_index}",
                 zone,
                 folder,
+                faults.dispatch_settings(seed),
             )
             for zone_index, zone in enumerate(ZONES)
             for number in range(hosts_per_zone)
@@ -215,14 +216,20 @@
             for key in self.endpoints[name].backend.runs
         )
 
-    def change_config(self):
-        """Write a new configuration, which adds a route each time."""
+    def change_config(self, bulk_routes=0):
+        """Write a new configuration, which adds a route each time.
+
+        It also has a number of routes that the next one does not have.
+        """
         self.version += self.random.randint(1, 3)
         self.route_count += 1
         document = stand_in.config(self.version)
         document["routes"] += [
             document["routes"][0] | {"name": name, "prefix": f"/{name}/"}
-            for name in (f"extra-{n}" for n in range(1, self.route_count))
+            for name in (
+                *(f"extra-{n}" for n in range(1, self.route_count)),
+                *(f"bulk-{n}" for n in range(bulk_routes)),
+            )
         ]
         self.platform.put("op", "config", document)
 
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -30,7 +30,7 @@
         )
 
     def test_no_guarantee_is_violated(self):
-        for seed in (100, 600, *REGRESSIONS):
+        for seed in (100, 600, 700, *REGRESSIONS):
             with self.subTest(seed=seed):
                 result = self.run_soak(seed)
                 self.assertEqual(result.findings, ())
