Logged the count of dropped lines by a method of its own

The check of the log catalogue reads the calls of info, warning and error in the code, and did not find the line log.suppressed since log lines are written without structlog's processors. The line is the same as before.

--- a/tests/platform/test_imports.py
+++ b/tests/platform/test_imports.py
@@ -1,7 +1,7 @@
 """The daemon starts without libraries that it does not need.
 
-A day has up to 200 starts, and pydantic with the models built with it took some
-0.25 s of processor time of each.
+A day has up to 200 starts, and pydantic with the models built with it took
+some 0.25 s of processor time of each.
 """
 
 import pathlib
--- a/waxwingwalk/host/logs.py
+++ b/waxwingwalk/host/logs.py
@@ -130,6 +130,10 @@
         if self._rate_limiter.allows(event):
             self._write(event, logging.INFO, "info", fields)
 
+    def warning(self, event: str, **fields: object) -> None:
+        """Log a condition of the log itself, which has no rate limit."""
+        self._write(event, logging.WARNING, "warning", fields)
+
     def error(self, event: str, **fields: object) -> None:
         """Log a failure of the program itself."""
         if self._rate_limiter.allows(event):
@@ -142,9 +146,7 @@
                 self.suppressed - self._reported,
                 self.suppressed,
             )
-            self._write(
-                "log.suppressed", logging.WARNING, "warning", {"lines": count}
-            )
+            self.warning("log.suppressed", lines=count)
         self._writer.flush()
 
     def _write(
