Balanced whole jobs and offered tasks between zones

All fronts see the same advertised loads, and chose the same pool. With `zone_balance`, the status of a host carries the free capacity and the demand of each pool. A front keeps jobs in its own zone while that is calm, else compares it with two pools that are drawn by free capacity and the age of the status, and counts what it has sent there since. A job that is refused for lack of capacity is routed once more, nothing of it having run. Offers are spread over peers in the same way, and a zone advertises only what its growing demand will leave.

--- a/waxwingwalk/dispatch/front.py
+++ b/waxwingwalk/dispatch/front.py
@@ -8,12 +8,14 @@
 import dataclasses
 import datetime
 
+from waxwingwalk.dispatch import balance
 from waxwingwalk.dispatch import effects
 from waxwingwalk.dispatch import hosts as dispatch_hosts
 from waxwingwalk.dispatch import messages
 from waxwingwalk.dispatch import model
 from waxwingwalk.dispatch import ownership as dispatch_ownership
 from waxwingwalk.dispatch import scheduler as dispatch_scheduler
+from waxwingwalk.dispatch import settings as dispatch_settings
 
 # A pool of another zone is chosen only if its backlog is this much shorter.
 LOCAL_ZONE_PREFERENCE = datetime.timedelta(milliseconds=60)
@@ -40,6 +42,9 @@
     request: int
     link: int | None = None
     unrouted_since: datetime.datetime | None = None
+    # The scheduler that refused it, after which it is routed once more.
+    refused_by: str | None = None
+    address: str | None = None
 
 
 class Front:
@@ -50,7 +55,13 @@
         hosts: dispatch_hosts.Hosts,
         ownership: dispatch_ownership.Ownership,
         scheduler: dispatch_scheduler.Scheduler,
+        settings: dispatch_settings.DispatchSettings | None = None,
     ) -> None:
+        self._settings = settings or dispatch_settings.DispatchSettings()
+        self._pool_choice: balance.PoolChoice = balance.TwoChoices()
+        # What was sent to each scheduler since its last status, in
+        # thousandths of a core, with the time of the status.
+        self._sent: dict[str, tuple[datetime.datetime | None, int]] = {}
         self._hosts = hosts
         self._ownership = ownership
         self._scheduler = scheduler
@@ -98,7 +109,11 @@
             pending.link = None
             self._unrouted[job.job_id] = None
             return []
-        address = self._choose_scheduler(now)
+        if self._settings.zone_balance:
+            address = self._choose_balanced(pending, now)
+        else:
+            address = self._choose_scheduler(now)
+        pending.address = address
         if address is None:
             return self._wait_for_scheduler(pending, now)
         pending.unrouted_since = None
@@ -164,6 +179,72 @@
                 best = (wait, address)
         return None if best is None else best[1]
 
+    def _choose_balanced(
+        self, pending: PendingJob, now: datetime.datetime
+    ) -> str | None:
+        """Return the scheduler where a job is expected to end soonest."""
+        views = [
+            self._pool_view(pool, address, now)
+            for pool in self._ownership.pools
+            if (address := self._ownership.owner_address(pool)) is not None
+            and address != pending.refused_by
+        ]
+        job = pending.job
+        processors = sum(
+            step.count * step.room.processors
+            for step in job.steps
+            if not step.after
+        )
+        estimate = max(step.estimate for step in job.steps)
+        chosen = self._pool_choice.choose(
+            views, job.job_id, processors, estimate
+        )
+        if chosen is None:
+            return None
+        address = chosen.address
+        known_at = self._status_time(address)
+        self._sent[address] = (known_at, chosen.sent + processors)
+        return address
+
+    def _status_time(self, address: str) -> datetime.datetime | None:
+        peer = self._hosts.get(address)
+        return None if peer is None else peer.status_at
+
+    def _pool_view(
+        self, pool: str, address: str, now: datetime.datetime
+    ) -> balance.PoolView:
+        is_local = pool == self._hosts.local_host.zone
+        backlog = self._backlog(address, now)
+        if address == self._hosts.local_host.address:
+            loads = self._scheduler.advertised_balances(pool, now)
+            known_at: datetime.datetime | None = now
+            sent = 0
+        else:
+            peer = self._hosts.get(address)
+            status = None if peer is None else peer.status
+            loads = [
+                load.balance
+                for load in (() if status is None else status.loads)
+                if load.pool == pool and load.balance is not None
+            ]
+            known_at = self._status_time(address)
+            sent_since, sent = self._sent.get(address, (None, 0))
+            if sent_since != known_at:
+                sent = 0
+        age = model.ZERO if known_at is None else now - known_at
+        if not loads:
+            return balance.PoolView(address, is_local, backlog, age, sent=sent)
+        return balance.PoolView(
+            address,
+            is_local,
+            backlog,
+            age,
+            sum(each.free for each in loads),
+            sum(each.capacity for each in loads),
+            max(each.demand for each in loads),
+            sent,
+        )
+
     def _backlog(
         self, address: str, now: datetime.datetime
     ) -> datetime.timedelta:
@@ -204,8 +285,44 @@
             and now < pending.job.expires
         ):
             return self._route(pending, now)
+        if (
+            self._settings.zone_balance
+            and outcome is model.JobOutcome.NOT_RUN
+            and reason in balance.CAPACITY_REASONS
+            and pending.refused_by is None
+            and pending.address is not None
+        ):
+            rerouted = self._reroute(pending, now)
+            if rerouted is not None:
+                return rerouted
         return self._answer(job_id, outcome, reason, retry_after)
 
+    def _reroute(
+        self, pending: PendingJob, now: datetime.datetime
+    ) -> effects.Effects | None:
+        """Route a refused job once more, if another zone may serve it.
+
+        Nothing of it has run. None means that no other zone is expected to
+        complete it while its answer has value.
+        """
+        pending.refused_by = pending.address
+        job = pending.job
+        longest = sum((step.estimate for step in job.steps), model.ZERO)
+        views = [
+            self._pool_view(pool, address, now)
+            for pool in self._ownership.pools
+            if (address := self._ownership.owner_address(pool)) is not None
+            and address != pending.refused_by
+        ]
+        if not any(
+            view.free is not None
+            and view.freshness > 0
+            and now + view.wait(0, longest) + longest < job.due
+            for view in views
+        ):
+            return None
+        return self._route(pending, now)
+
     def _answer(
         self,
         job_id: str,
--- a/waxwingwalk/dispatch/hosts.py
+++ b/waxwingwalk/dispatch/hosts.py
@@ -31,6 +31,7 @@
     down_since: datetime.datetime | None = None
     is_connection_refused: bool = False
     status: messages.HostStatus | None = None
+    status_at: datetime.datetime | None = None
     released: dict[str, set[model.BackendIncarnation]] = dataclasses.field(
         default_factory=dict
     )
@@ -40,9 +41,14 @@
         """Whether the host has announced that it is shutting down."""
         return self.status is not None and self.status.is_leaving
 
-    def update_status(self, status: messages.HostStatus) -> None:
+    def update_status(
+        self,
+        status: messages.HostStatus,
+        now: datetime.datetime | None = None,
+    ) -> None:
         """Record the status that the host has sent."""
         self.status = status
+        self.status_at = now
         for load in status.loads:
             self.released.pop(load.pool, None)
 
--- a/waxwingwalk/dispatch/messages.py
+++ b/waxwingwalk/dispatch/messages.py
@@ -113,6 +113,20 @@
     slowness: float
 
 
+@dataclasses.dataclass(slots=True)
+class PoolBalance:
+    """What fronts need to balance the load between zones.
+
+    ``free`` and ``capacity`` are the processors of all usable servers, in
+    thousandths of a core; ``demand`` is the work that arrives, as a share of
+    what they can process.
+    """
+
+    free: int
+    capacity: int
+    demand: float
+
+
 @dataclasses.dataclass(slots=True)
 class PoolLoad:
     """The load of a pool's backend servers of one service.
@@ -127,6 +141,8 @@
     service: str
     free: list[FreeRoom]
     backlog_ms: float
+    # None if the sender does not balance the load between zones.
+    balance: PoolBalance | None = None
 
 
 @dataclasses.dataclass(slots=True)
--- a/waxwingwalk/dispatch/peer_tasks.py
+++ b/waxwingwalk/dispatch/peer_tasks.py
@@ -4,6 +4,7 @@
 import datetime
 
 from waxwingwalk.dispatch import backend as backends
+from waxwingwalk.dispatch import balance
 from waxwingwalk.dispatch import messages
 from waxwingwalk.dispatch import model
 from waxwingwalk.dispatch import run_tracker
@@ -13,12 +14,40 @@
 class PeerPool:
     """The free capacity of a peer's pool for a service, as last advertised.
 
-    ``free`` is reduced by each task that is offered to the peer.
+    ``free`` is reduced by each task that is offered to the peer. ``known_at``
+    is when it was advertised, None if that is not known.
     """
 
     link: int
     service: str
     free: list[messages.FreeRoom]
+    known_at: datetime.datetime | None = None
+
+    def weight(self, now: datetime.datetime) -> float:
+        """Return the free processors, less the older they were known."""
+        age = model.ZERO if self.known_at is None else now - self.known_at
+        view = balance.PoolView("", False, model.ZERO, age)
+        return view.freshness * sum(each.room.processors for each in self.free)
+
+
+def order_links(
+    peers: dict[int, list[PeerPool]], job_id: str, now: datetime.datetime
+) -> list[int]:
+    """Return links in the order of offers, without those that know nothing.
+
+    All tasks of a job go to the same peer first. Schedulers that offer tasks
+    at the same time choose different ones, in proportion to the free capacity.
+    """
+    weights = {
+        link: sum(pool.weight(now) for pool in pools)
+        for link, pools in peers.items()
+    }
+    return sorted(
+        (link for link, weight in weights.items() if weight > 0),
+        key=lambda link: (
+            balance.exponential(f"{job_id}.{link}") / weights[link]
+        ),
+    )
 
 
 def reserve_capacity(
--- a/waxwingwalk/dispatch/reducer.py
+++ b/waxwingwalk/dispatch/reducer.py
@@ -101,7 +101,7 @@
             self.settings,
         )
         self.front = dispatch_front.Front(
-            self.hosts, self.ownership, self.scheduler
+            self.hosts, self.ownership, self.scheduler, self.settings
         )
         self.drain_deadline: datetime.datetime | None = None
         self._links: dict[int, links.Link] = {}
@@ -662,8 +662,8 @@
         if peer is None:
             return []
         former = peer.status
-        peer.update_status(message)
-        self.scheduler.update_peer_status(link, message.loads)
+        peer.update_status(message, now)
+        self.scheduler.update_peer_status(link, message.loads, now)
         self._links[link].catalog_version = message.catalog_version
         done: effects.Effects = self._push_catalog()
         changed = (
@@ -889,6 +889,7 @@
                         service,
                         free_capacity,
                         round(backlog, 1),
+                        self.scheduler.advertised_balance(pool, service, now),
                     )
                 )
         return loads
--- a/waxwingwalk/dispatch/scheduler.py
+++ b/waxwingwalk/dispatch/scheduler.py
@@ -6,6 +6,7 @@
 
 from waxwingwalk.core import clock
 from waxwingwalk.dispatch import backend as backends
+from waxwingwalk.dispatch import balance
 from waxwingwalk.dispatch import crashes
 from waxwingwalk.dispatch import effects
 from waxwingwalk.dispatch import job_record
@@ -41,6 +42,8 @@
 PEER_RUN_END_LIMIT = datetime.timedelta(milliseconds=2550)
 
 
+# The weight of the newest job in the mean length of tasks.
+MEAN_TIME_WEIGHT = 0.05
 # The estimate of the backlog is requested often. It is cached for this time,
 # which is short compared with the shortest tasks.
 BACKLOG_CACHE_TIME = datetime.timedelta(milliseconds=5)
@@ -124,6 +127,8 @@
         # each server. The quotient of the two is in milliseconds.
         self._queued_work = 0.0
         self._service_rate = 0.0
+        self._demand = balance.DemandMeter()
+        self._mean_task_time = model.ZERO
         self._backlog_valid_until = clock.DISTANT_PAST
         # The usable servers that suit tasks of a kind, for one list of those.
         self._suitable: dict[_TaskKind, list[backends.Backend]] = {}
@@ -159,6 +164,8 @@
     ) -> effects.Effects:
         """Accept a job, or refuse it at once if it cannot be served."""
         record = self._new_job_record(job, link, now, request)
+        if self._settings.zone_balance:
+            self._record_demand(record, now)
         if job.job_id in self._jobs:
             # Another request for the same job has no answer yet.
             return self._answer(record, model.JobOutcome.LOST, "twice", now)
@@ -188,6 +195,15 @@
         self._queued_work += record.queued_work()
         return [log, *started]
 
+    def _record_demand(
+        self, record: job_record.JobRecord, now: datetime.datetime
+    ) -> None:
+        self._demand.record(record.queued_work(), now)
+        longest = max(record.estimates)
+        self._mean_task_time += MEAN_TIME_WEIGHT * (
+            longest - self._mean_task_time
+        )
+
     def _new_job_record(
         self,
         job: model.Job,
@@ -488,14 +504,64 @@
             and backend.free.processors > 0
         ]
         free_capacity.sort(key=lambda each: each.slowness)
+        if self._settings.zone_balance:
+            free_capacity = balance.limit_free(
+                free_capacity, self._lendable(now)
+            )
         return free_capacity[:MAX_ADVERTISED_BACKENDS]
 
+    def _lendable(self, now: datetime.datetime) -> int:
+        """Return the processors that this host's own jobs will not need."""
+        usable = self._run_tracker.usable(now)
+        free = sum(each.free.processors for each in usable)
+        growth = self._demand.growth(now, self._mean_task_time)
+        return balance.lendable(free, growth)
+
+    def advertised_balances(
+        self, pool: str, now: datetime.datetime
+    ) -> list[messages.PoolBalance]:
+        """Return the load of a pool of this host, by service."""
+        services = {
+            each.report.service
+            for each in self._run_tracker.usable(now)
+            if each.report.zone == pool
+        }
+        loads = [
+            self.advertised_balance(pool, service, now) for service in services
+        ]
+        return [each for each in loads if each is not None]
+
+    def advertised_balance(
+        self, pool: str, service: str, now: datetime.datetime
+    ) -> messages.PoolBalance | None:
+        """Return what fronts need to know of a pool."""
+        if not self._settings.zone_balance:
+            return None
+        servers = [
+            each
+            for each in self._run_tracker.usable(now)
+            if each.report.zone == pool and each.report.service == service
+        ]
+        # The backlog is computed for all pools of this host, too.
+        self.backlog(now)
+        demand = 0.0
+        if self._service_rate:
+            demand = self._demand.rate(now) / self._service_rate
+        return messages.PoolBalance(
+            sum(each.free.processors for each in servers),
+            sum(each.report.capacity.processors for each in servers),
+            round(demand, 2),
+        )
+
     def update_peer_status(
-        self, link: int, loads: list[messages.PoolLoad]
+        self,
+        link: int,
+        loads: list[messages.PoolLoad],
+        now: datetime.datetime | None = None,
     ) -> None:
         """Record the free capacity that a peer advertises."""
         self._peers[link] = [
-            peer_tasks.PeerPool(link, load.service, list(load.free))
+            peer_tasks.PeerPool(link, load.service, list(load.free), now)
             for load in loads
         ]
 
@@ -821,10 +887,15 @@
     ) -> effects.Effects:
         """Offer a task to a peer that has advertised enough capacity."""
         time_left = record.job.due - now
-        for link, pools in self._peers.items():
-            if link in task.refused_by:
-                continue
-            for pool in pools:
+        links = [each for each in self._peers if each not in task.refused_by]
+        if self._settings.zone_balance:
+            links = peer_tasks.order_links(
+                {link: self._peers[link] for link in links},
+                record.job.job_id,
+                now,
+            )
+        for link in links:
+            for pool in self._peers[link]:
                 free = peer_tasks.reserve_capacity(pool, order, time_left)
                 if free is None:
                     continue
