--- a/tests/dispatch/test_messages.py
+++ b/tests/dispatch/test_messages.py
@@ -68,6 +68,7 @@
 )
 # Fields that the former version ignores, as it does not know them.
 ADDED_FIELDS = {"host_status": {"evacuated": None}}
+ADDED_LOAD_FIELDS = {"balance": None}
 
 
 class FormerVersionTests(unittest.TestCase):
@@ -86,6 +87,8 @@
                 encoded = orjson.loads(messages.decoder.dump_json(frame))
                 expected = orjson.loads(content)
                 expected |= ADDED_FIELDS.get(message.kind, {})
+                for load in expected.get("loads", ()):
+                    load |= ADDED_LOAD_FIELDS
                 self.assertEqual(encoded["messages"], [expected])
 
     def test_unknown_fields_of_a_later_version_are_ignored(self):
--- a/waxwingwalk/dispatch/messages.py
+++ b/waxwingwalk/dispatch/messages.py
@@ -106,6 +106,19 @@
     slowness: float
 
 
+class PoolBalance(msgspec.Struct):
+    """What fronts need to balance the load between zones.
+
+    ``free`` and ``capacity`` are the processors of all usable servers, in
+    thousandths of a core; ``demand`` is the work that arrives, as a share of
+    what they can process.
+    """
+
+    free: int
+    capacity: int
+    demand: float
+
+
 class PoolLoad(msgspec.Struct):
     """The load of a pool's backend servers of one service.
 
@@ -119,6 +132,8 @@
     service: str
     free: list[FreeRoom]
     backlog_ms: float
+    # None if the sender does not balance the load between zones.
+    balance: PoolBalance | None = None
 
 
 class HostStatus(_Tagged, tag="host_status"):
--- a/waxwingwalk/dispatch/reducer.py
+++ b/waxwingwalk/dispatch/reducer.py
@@ -115,7 +115,11 @@
             look_ahead,
         )
         self.front = dispatch_front.Front(
-            self.hosts, self.ownership, self.scheduler, self.evacuation
+            self.hosts,
+            self.ownership,
+            self.scheduler,
+            self.evacuation,
+            self.settings,
         )
         self.drain_deadline: datetime.datetime | None = None
         self._links: dict[int, links.Link] = {}
@@ -728,8 +732,8 @@
         if peer is None:
             return []
         former = peer.status
-        peer.update_status(message)
-        self.scheduler.update_peer_status(link, message.loads)
+        peer.update_status(message, now)
+        self.scheduler.update_peer_status(link, message.loads, now)
         done = self._merge_evacuations(message.evacuated, link, now)
         done += self._record_catalog_version(message, link, now)
         changed = (
@@ -987,6 +991,7 @@
                         service,
                         free_capacity,
                         round(backlog, 1),
+                        self.scheduler.advertised_balance(pool, service, now),
                     )
                 )
         return loads
