Added explain-placement, which tells where a job would go and why

Operators could not ask a host why a job waits, is refused or is placed on a certain server without submitting it.

The command asks the peers' listener of a dispatch host. The host submits the job to copies of its front and scheduler (copy_for_trial), so that the code that decides for callers decides here, too, and nothing of the host changes. dispatch/explanation.py adds the figures and the reason against each server. Peers keep the time of their latest status, for the age of the news.

A property test over 150 random states compares the explanation with the submit that follows (scheduler, verdict, server of the first task) and the state before and after.

--- a/waxwingwalk/dispatch/backend.py
+++ b/waxwingwalk/dispatch/backend.py
@@ -1,5 +1,6 @@
 """An incarnation of a backend server, as known to its scheduler."""
 
+import copy
 import dataclasses
 import datetime
 import enum
@@ -283,6 +284,14 @@
     def __repr__(self) -> str:
         return f"<Backend {self.report.incarnation} {self.state.value}>"
 
+    def copy_for_trial(self) -> "Backend":
+        """Return a copy on which runs can be added without an effect here."""
+        trial = copy.copy(self)
+        trial.runs = {key: copy.copy(run) for key, run in self.runs.items()}
+        trial.foreign_runs = set(self.foreign_runs)
+        trial.foreign_stop_sent_at = dict(self.foreign_stop_sent_at)
+        return trial
+
     @property
     def incarnation(self) -> model.BackendIncarnation:
         """The backend server and its incarnation."""
--- a/waxwingwalk/dispatch/front.py
+++ b/waxwingwalk/dispatch/front.py
@@ -5,6 +5,7 @@
 its callers' connections break, and they ask another host.
 """
 
+import copy
 import dataclasses
 import datetime
 
@@ -75,6 +76,31 @@
         """The jobs that wait for an answer; not to be modified."""
         return self._pending
 
+    @property
+    def is_held(self) -> bool:
+        """Whether jobs are not routed for now, as this host was paused."""
+        return self._is_held
+
+    def copy_for_trial(
+        self, scheduler: dispatch_scheduler.Scheduler
+    ) -> "Front":
+        """Return a copy that asks a copy of the scheduler for its backlog."""
+        trial = copy.copy(self)
+        trial._scheduler = scheduler
+        return trial
+
+    def preview_route(
+        self, job: model.Job, now: datetime.datetime
+    ) -> str | None:
+        """Return the address of the scheduler that a new job would go to."""
+        return self._choose_scheduler(PendingJob(job, 0), now)
+
+    def known_backlog(
+        self, address: str, now: datetime.datetime
+    ) -> datetime.timedelta:
+        """Return the backlog of a scheduler, as far as it is known here."""
+        return self._backlog(address, now)
+
     def links_in_use(self) -> set[int]:
         """Return the links to the schedulers of pending jobs."""
         return {
--- a/waxwingwalk/dispatch/hosts.py
+++ b/waxwingwalk/dispatch/hosts.py
@@ -19,7 +19,8 @@
     when a link that should exist went missing, and ``is_connection_refused``
     is whether a connection was refused since then. ``is_considered_dead`` is
     set when the host was found to be gone, until it is heard from again; it
-    only matters while the host is not a link target. ``released`` are the
+    only matters while the host is not a link target. ``status_at`` is when
+    the latest status was received, if that is known. ``released`` are the
     backend servers, by pool, that the host has released since it last
     scheduled the pool.
     """
@@ -31,6 +32,7 @@
     down_since: datetime.datetime | None = None
     is_connection_refused: bool = False
     status: messages.HostStatus | None = None
+    status_at: datetime.datetime | None = None
     released: dict[str, set[model.BackendIncarnation]] = dataclasses.field(
         default_factory=dict
     )
@@ -40,9 +42,14 @@
         """Whether the host has announced that it is shutting down."""
         return self.status is not None and self.status.is_leaving
 
-    def update_status(self, status: messages.HostStatus) -> None:
+    def update_status(
+        self,
+        status: messages.HostStatus,
+        now: datetime.datetime | None = None,
+    ) -> None:
         """Record the status that the host has sent."""
         self.status = status
+        self.status_at = now
         for load in status.loads:
             self.released.pop(load.pool, None)
 
--- a/waxwingwalk/dispatch/job_record.py
+++ b/waxwingwalk/dispatch/job_record.py
@@ -1,5 +1,6 @@
 """The state of a job at the dispatch host that schedules it."""
 
+import copy
 import dataclasses
 import datetime
 import enum
@@ -100,6 +101,19 @@
         self._ready_tasks: list[TaskRecord] | None = None
         self._remaining_critical_path: datetime.timedelta | None = None
 
+    def copy_for_trial(self) -> "JobRecord":
+        """Return a copy whose waiting tasks can be started.
+
+        The other tasks are shared with this record.
+        """
+        trial = copy.copy(self)
+        trial.tasks = {
+            key: copy.copy(task) if task.state is TaskState.WAITING else task
+            for key, task in self.tasks.items()
+        }
+        trial._ready_tasks = None
+        return trial
+
     @property
     def is_done(self) -> bool:
         """Whether every task has completed."""
--- a/waxwingwalk/dispatch/lookahead.py
+++ b/waxwingwalk/dispatch/lookahead.py
@@ -12,7 +12,9 @@
 
 import bisect
 from collections.abc import Iterable
+from collections.abc import Mapping
 from collections.abc import Sequence
+import copy
 import dataclasses
 import datetime
 import math
@@ -277,6 +279,15 @@
         self._smallest = 0
         self._smallest_of: Sequence[backends.Backend] = ()
 
+    def copy_for_trial(
+        self, copies: Mapping[int, backends.Backend]
+    ) -> "LookAhead":
+        """Return a copy that has its own state.
+
+        ``copies`` are the copies of servers, by the ``id()`` of the original.
+        """
+        return copy.deepcopy(self, dict(copies))
+
     @property
     def reservations(self) -> dict[str, Reservation]:
         """The reservations by backend id; not to be modified."""
--- a/waxwingwalk/dispatch/reducer.py
+++ b/waxwingwalk/dispatch/reducer.py
@@ -728,7 +728,7 @@
         if peer is None:
             return []
         former = peer.status
-        peer.update_status(message)
+        peer.update_status(message, now)
         self.scheduler.update_peer_status(link, message.loads)
         done = self._merge_evacuations(message.evacuated, link, now)
         done += self._record_catalog_version(message, link, now)
--- a/waxwingwalk/dispatch/run_tracker.py
+++ b/waxwingwalk/dispatch/run_tracker.py
@@ -10,6 +10,7 @@
 import collections
 from collections.abc import Iterable
 from collections.abc import Iterator
+import copy
 import dataclasses
 import datetime
 import math
@@ -136,6 +137,35 @@
     def __iter__(self) -> Iterator[backends.Backend]:
         return iter(self._backends.values())
 
+    def copy_for_trial(self) -> "RunTracker":
+        """Return a copy whose runs and servers are not those of this one.
+
+        Runs can be started on the copy; other events must not be passed to it.
+        """
+        trial = copy.copy(self)
+        trial._backends = {
+            incarnation: backend.copy_for_trial()
+            for incarnation, backend in self._backends.items()
+        }
+        trial._backend_by_run = {
+            key: trial._backends[backend.incarnation]
+            for key, backend in self._backend_by_run.items()
+            if backend.incarnation in trial._backends
+        }
+        trial._active_run_counts = self._active_run_counts.copy()
+        trial._late_starts = {
+            task: dict(limits) for task, limits in self._late_starts.items()
+        }
+        trial.ended = list(self.ended)
+        trial.pending_logs = list(self.pending_logs)
+        trial.crash_evidence = list(self.crash_evidence)
+        trial._usable = [
+            trial._backends[each.incarnation]
+            for each in self._usable
+            if each.incarnation in trial._backends
+        ]
+        return trial
+
     def get(
         self, incarnation: model.BackendIncarnation
     ) -> backends.Backend | None:
--- a/waxwingwalk/dispatch/scheduler.py
+++ b/waxwingwalk/dispatch/scheduler.py
@@ -1,6 +1,7 @@
 """The scheduler: places the tasks of jobs on backend servers."""
 
 from collections.abc import Collection
+import copy
 import dataclasses
 import datetime
 
@@ -91,6 +92,19 @@
 _TaskKind = tuple[str, str | None, model.Resources]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Assessment:
+    """The figures by which a job is admitted or refused.
+
+    ``record`` is that of the job, with the expected run times. ``preceding``
+    is how long the work that precedes the job takes.
+    """
+
+    record: job_record.JobRecord
+    preceding: datetime.timedelta
+    expected_end: datetime.datetime
+
+
 class Scheduler:
     """Schedules the jobs that were submitted to this host.
 
@@ -163,6 +177,50 @@
         """Whether all pools of this host are in evacuated zones."""
         return self._evacuation.are_evacuated(self._pools)
 
+    @property
+    def run_tracker(self) -> dispatch_run_tracker.RunTracker:
+        """The runs and servers of this host; not to be modified."""
+        return self._run_tracker
+
+    @property
+    def reserved_backends(self) -> set[str]:
+        """The ids of servers that look-ahead placement has reserved."""
+        if self._look_ahead is None:
+            return set()
+        return set(self._look_ahead.reservations)
+
+    def copy_for_trial(self) -> "Scheduler":
+        """Return a copy to which a job can be submitted without an effect.
+
+        What ``submit`` changes is copied, the caches of estimates included;
+        the rest is shared.
+        """
+        trial = copy.copy(self)
+        tracker = trial._run_tracker = self._run_tracker.copy_for_trial()
+        trial._reserved = {
+            task: tracker.get(each.incarnation) or each.copy_for_trial()
+            for task, each in self._reserved.items()
+        }
+        trial._jobs = {
+            job_id: record.copy_for_trial() if record.ready_tasks() else record
+            for job_id, record in self._jobs.items()
+        }
+        trial._peers = {
+            link: [dataclasses.replace(p, free=list(p.free)) for p in pools]
+            for link, pools in self._peers.items()
+        }
+        trial._queued_work = dataclasses.replace(self._queued_work)
+        trial._suitable, trial._suitable_of = {}, []
+        if self._look_ahead is not None:
+            copies = {
+                id(each): tracker.get(each.incarnation) or each
+                for each in self._run_tracker
+            }
+            trial._look_ahead = self._look_ahead.copy_for_trial(copies)
+            if self._placement is self._look_ahead:
+                trial._placement = trial._look_ahead
+        return trial
+
     def links_in_use(self) -> set[int]:
         """Return the links with unfinished jobs or tasks."""
         links = set(self._stopping_at_peers.values()) | set(
@@ -295,6 +353,19 @@
             return "backlog"
         return None
 
+    def assess(self, job: model.Job, now: datetime.datetime) -> Assessment:
+        """Return the figures by which a new job is admitted or refused."""
+        record = self._new_job_record(job, None, now, 0)
+        # In evacuated zones nothing starts, whatever precedes the job.
+        preceding = self.backlog(now)
+        if not self.is_evacuated:
+            preceding = self._preceding_backlog(record, now)
+        return Assessment(
+            record,
+            preceding,
+            now + preceding + record.remaining_critical_path(),
+        )
+
     def abandon(
         self,
         job_id: str,
--- a/waxwingwalk/management/__init__.py
+++ b/waxwingwalk/management/__init__.py
@@ -11,6 +11,7 @@
 from waxwingwalk.management.commands import emulate
 from waxwingwalk.management.commands import entry
 from waxwingwalk.management.commands import explain
+from waxwingwalk.management.commands import explain_placement
 from waxwingwalk.management.commands import hosts
 from waxwingwalk.management.commands import jobs
 from waxwingwalk.management.commands import platform
@@ -28,6 +29,7 @@
         emulate.EmulateLoadCommand(),
         entry.EntryCommand(),
         explain.ExplainCommand(),
+        explain_placement.ExplainPlacementCommand(),
         hosts.BackendServerListCommand(),
         hosts.HostDrainCommand(),
         hosts.HostListCommand(),
