--- a/waxwingwalk/dispatch/front.py
+++ b/waxwingwalk/dispatch/front.py
@@ -5,6 +5,7 @@
 its callers' connections break, and they ask another host.
 """
 
+import copy
 import dataclasses
 import datetime
 
@@ -86,6 +87,32 @@
         """The jobs that wait for an answer; not to be modified."""
         return self._pending
 
+    @property
+    def is_held(self) -> bool:
+        """Whether jobs are not routed for now, as this host was paused."""
+        return self._is_held
+
+    def copy_for_trial(
+        self, scheduler: dispatch_scheduler.Scheduler
+    ) -> "Front":
+        """Return a copy that asks a copy of the scheduler for its backlog."""
+        trial = copy.copy(self)
+        trial._scheduler = scheduler
+        trial._sent = dict(self._sent)
+        return trial
+
+    def preview_route(
+        self, job: model.Job, now: datetime.datetime
+    ) -> str | None:
+        """Return the address of the scheduler that a new job would go to."""
+        return self._choose_address(PendingJob(job, 0), now)
+
+    def known_backlog(
+        self, address: str, now: datetime.datetime
+    ) -> datetime.timedelta:
+        """Return the backlog of a scheduler, as far as it is known here."""
+        return self._backlog(address, now)
+
     def links_in_use(self) -> set[int]:
         """Return the links to the schedulers of pending jobs."""
         return {
@@ -121,10 +148,7 @@
             return []
         if self._evacuation.are_evacuated(self._ownership.pools):
             return self._refuse_evacuated(job.job_id)
-        if self._settings.zone_balance:
-            address = self._choose_balanced(pending, now)
-        else:
-            address = self._choose_scheduler(pending, now)
+        address = self._choose_address(pending, now)
         pending.address = address
         if address is None:
             return self._wait_for_scheduler(pending, now)
@@ -184,6 +208,14 @@
             EVACUATED_RETRY_MIN + spread * evacuation.hash_share(job_id),
         )
 
+    def _choose_address(
+        self, pending: PendingJob, now: datetime.datetime
+    ) -> str | None:
+        """Return the address of the scheduler for a job."""
+        if self._settings.zone_balance:
+            return self._choose_balanced(pending, now)
+        return self._choose_scheduler(pending, now)
+
     def _choose_scheduler(
         self, pending: PendingJob, now: datetime.datetime
     ) -> str | None:
--- a/waxwingwalk/dispatch/hosts.py
+++ b/waxwingwalk/dispatch/hosts.py
@@ -19,7 +19,8 @@
     when a link that should exist went missing, and ``is_connection_refused``
     is whether a connection was refused since then. ``is_considered_dead`` is
     set when the host was found to be gone, until it is heard from again; it
-    only matters while the host is not a link target. ``released`` are the
+    only matters while the host is not a link target. ``status_at`` is when
+    the latest status was received, if that is known. ``released`` are the
     backend servers, by pool, that the host has released since it last
     scheduled the pool.
     """
