Reduced the weight of gaps in look-ahead's choice of a server

A gap counted as much as the whole speed of a server, and jobs with long tasks were late on slower servers. Its weight is 0.2 now. The load experiment is replayed with and without look-ahead, with lost servers and with tasks that take 7 times as long.

--- a/tests/emulator/test_experiment.py
+++ b/tests/emulator/test_experiment.py
@@ -1,7 +1,9 @@
+import dataclasses
 import unittest
 
 from waxwingwalk.dispatch import ordering
 from waxwingwalk.dispatch import placement as dispatch_placement
+from waxwingwalk.dispatch import settings
 from waxwingwalk.emulator import experiment
 
 SEEDS = (0, 1, 2)
@@ -57,3 +59,42 @@
             ordering.PriorityThenSlack, dispatch_placement.SlowestInTime, 0.9
         )
         self.assertGreater(chosen, baseline)
+
+
+class HardLoadTests(unittest.TestCase):
+    """Replay the load of docs/design/hard-load.md with and without a setting.
+
+    An eighth of the servers is lost while the most urgent queue has a burst.
+    """
+
+    # What a deployment may lose at most, from the same page.
+    MAX_LOSS = 0.03
+
+    def replay(self, seed, **site):
+        """Return the earned shares without look-ahead and with it."""
+        shares = []
+        for is_enabled in (False, True):
+            run = experiment.Experiment(
+                seed,
+                load=experiment.HARD_LOAD,
+                slownesses=experiment.HARD_SLOWNESSES,
+                site=dataclasses.replace(experiment.HARD_SITE, **site),
+                settings=settings.DispatchSettings(look_ahead=is_enabled),
+            )
+            shares.append(experiment.earned_share(run.run()))
+            self.assertEqual(run.fleet.checker.violations, [])
+        return shares
+
+    def test_look_ahead_loses_no_more_than_is_allowed(self):
+        # Guards against servers that idle for large tasks, and against
+        # reservations of servers that are lost.
+        shares = [self.replay(seed, lost_share=0.125) for seed in SEEDS]
+        without, enabled = (
+            sum(each) / len(SEEDS) for each in zip(*shares, strict=True)
+        )
+        self.assertGreater(enabled, without - self.MAX_LOSS)
+
+    def test_tasks_that_take_7_times_as_long_break_no_guarantee(self):
+        # Guards against capacity that is used twice when a reserved server's
+        # runs end far later than expected.
+        self.replay(SEEDS[0], long_share=0.03)
--- a/waxwingwalk/dispatch/lookahead.py
+++ b/waxwingwalk/dispatch/lookahead.py
@@ -33,11 +33,11 @@
 # Weights of the score by which a server is chosen for a task: of the
 # probability that the task is late there, of the slowness of the server, and
 # of the share of the task's request that is lost in the gap. In the load
-# experiment, 0.3 and 1.0 for the slowness, and 0.0 and 0.5 for the loss, earn
-# the same within the noise of six seeds.
+# experiment at the usual load with a burst (six seeds, no reservations), a
+# weight of 1.0 for the loss earned 0.933 of the worth, 0.2 earned 0.943.
 RISK_WEIGHT = 3.0
 SPEED_WEIGHT = 1.0
-SERVER_LOSS_WEIGHT = 1.0
+SERVER_LOSS_WEIGHT = 0.2
 # The probability of being late is 1 / (1 + margin ** RISK_EXPONENT), where
 # the margin is the time left divided by the expected run time. The exponent
 # is that of a log-normal error with a sigma of about 0.3.
