--- a/waxwingwalk/host/metrics.py
+++ b/waxwingwalk/host/metrics.py
@@ -182,6 +182,7 @@
                     "Moving mean of the time from an unanswered start's order "
                     "until it was settled.",
                 ),
+                ("stranded_cores", "Free cores while tasks wait, else 0."),
                 ("catalog_version", "The version of the catalog in force."),
             )
         }
@@ -286,6 +287,8 @@
                 reducer.run_tracker.unsettled_processors / CORE
             ),
             "settlement_seconds": reducer.run_tracker.settlement_seconds,
+            "stranded_cores": reducer.scheduler.stranded_processors(now)
+            / 1000,
             "catalog_version": 0 if catalog is None else catalog.version,
         }
         for name, value in values.items():
