--- a/tests/platform/test_clients.py
+++ b/tests/platform/test_clients.py
@@ -176,6 +176,24 @@
             polled.ended, (model.EndedRun(1, RUN.task, 1, model.RunEnd.DONE),)
         )
 
+    async def test_progress_of_runs_is_decoded(self):
+        await self.start()
+        polled = await self.poll()
+        self.assertEqual(polled.percents, (50,))
+
+    async def test_invalid_progress_does_not_hide_a_run(self):
+        """The run holds capacity, whatever its progress."""
+        for rest in ([], [""], ["", "half"], ["", -1], ["", 101], ["", None]):
+            with self.subTest(rest=rest):
+                content = {
+                    "clock_ms": 1,
+                    "running": [[RUN.task, RUN.run, *rest]],
+                }
+                self.worker.planned_replies["/hold"] = (200, content)
+                polled = await self.poll()
+                self.assertEqual(polled.running, (RUN,))
+                self.assertEqual(polled.percents, (0,))
+
     async def test_malformed_lists_have_an_unknown_outcome(self):
         rows = (
             {"running": [[]]},
