Run tracker: kept ends to acknowledge when polls overtake each other

With fast settlement two polls may be in flight. A reply that the server had built before a run ended, but that was read after the reply with the end, cleared the time of the acknowledgement, so that an idle server kept the end until its next run. The time is now cleared by the reply to a poll that acknowledges all ends that were read.

test_overtaken_reply_without_ends_leaves_them_to_acknowledge fails without the change.

--- a/waxwingwalk/dispatch/backend.py
+++ b/waxwingwalk/dispatch/backend.py
@@ -270,6 +270,8 @@
         # Both are identified by their numbers, and sent in observed time.
         self.poll_number = 0
         self.poll_wait = model.ZERO
+        # The serial number of the last end that it acknowledges, 0 if none.
+        self.poll_acknowledged = 0
         self.poll_sent_at = now
         self.check_number: int | None = None
         self.check_sent_at = now
--- a/waxwingwalk/dispatch/run_tracker.py
+++ b/waxwingwalk/dispatch/run_tracker.py
@@ -599,12 +599,13 @@
             and not (self._settings.fast_settlement and backend.failed_polls)
         )
         backend.poll_wait = POLL_WAIT if may_wait else model.ZERO
+        backend.poll_acknowledged = backend.acknowledged if acknowledges else 0
         return [
             effects.PollBackend(
                 incarnation=backend.incarnation,
                 address=backend.report.address,
                 fence=backend.fence,
-                acknowledged=backend.acknowledged if acknowledges else 0,
+                acknowledged=backend.poll_acknowledged,
                 lease_ends_ms=backend.extend_lease(now)
                 if may_extend
                 else None,
@@ -825,7 +826,13 @@
         if self._is_poll_overdue(backend, now):
             backend.is_polling = False
         backend.next_poll_at = now
-        backend.acknowledge_at = None
+        if (
+            number == backend.poll_number
+            and backend.poll_acknowledged >= backend.acknowledged
+        ):
+            # A reply that was overtaken may not list the ends yet, so only
+            # the reply to their acknowledgement shows that it has arrived.
+            backend.acknowledge_at = None
         self._record_answer(backend)
         if self._settings.run_progress:
             self._record_progress(backend, running, percents, now)
