Run tracker: guarded open starts against a second restart of their server

When a server restarted while a start was open, the run moved to the new incarnation and the later failure of the call was ignored, as its incarnation was gone. The start may still be carried out 2 to 12 s later. The new, idle incarnation was not polled every 250 ms, so that a third one, which knows no fence, was found late, and the task did not wait while the server was silent. An open start now counts as unanswered when its run moves.

test_unanswered_order_is_guarded_against_at_a_second_restart fails without the change.

--- a/waxwingwalk/dispatch/run_tracker.py
+++ b/waxwingwalk/dispatch/run_tracker.py
@@ -367,6 +367,9 @@
         # It may restart again before the order arrives.
         backend.order_pending_until = pending_until
         for run in moved:
+            if run.state is backends.RunState.ORDERED:
+                # The call that is open is not answered any more.
+                self._record_late_start(backend, run, now)
             run.state = backends.RunState.SETTLED
             run.is_moved = True
             run.settled_by_poll = backend.poll_count
@@ -712,11 +715,7 @@
             # It is being settled already, or is known to have been started.
             return []
         run.is_overdue = self._settings.fast_settlement
-        backend.order_pending_until = now + backends.LATE_ORDER_LIMIT
-        limits = self._late_starts.setdefault(run.order.ref.name, {})
-        limits[backend.incarnation.backend_id] = (
-            run.sent_at + backends.LATE_RUN_LIMIT
-        )
+        self._record_late_start(backend, run, now)
         if run.is_stop_confirmed:
             _settle_by_next_poll(backend, run, now)
             return [*done, *self._poll_to_settle(backend, now)]
@@ -725,6 +724,19 @@
         run.stop_requested_at = run.stop_requested_at or now
         return [*done, *self._send_stop(backend, run, now)]
 
+    def _record_late_start(
+        self,
+        backend: backends.Backend,
+        run: backends.Run,
+        now: datetime.datetime,
+    ) -> None:
+        """Record that an unanswered start may be carried out late."""
+        backend.order_pending_until = now + backends.LATE_ORDER_LIMIT
+        limits = self._late_starts.setdefault(run.order.ref.name, {})
+        limits[backend.incarnation.backend_id] = (
+            run.sent_at + backends.LATE_RUN_LIMIT
+        )
+
     def _handle_late_answer(
         self, run: backends.Run, now: datetime.datetime
     ) -> None:
