Balance: kept jobs away from pools without usable servers

A pool none of whose servers is usable advertises neither backlog nor capacity, and the own host advertised nothing to itself. Both looked like an idle pool, so that a front kept the jobs of its zone there while others were free. Such a pool now counts as a wait of 5 s, so that it is used only if there is no other.

test_zone_without_usable_servers_gets_no_job_that_another_can_run and test_job_leaves_a_host_whose_own_pool_has_no_usable_server fail without the change.

--- a/tests/dispatch/test_balance.py
+++ b/tests/dispatch/test_balance.py
@@ -61,6 +61,23 @@
             "there",
         )
 
+    def test_zone_without_usable_servers_gets_no_job_that_another_can_run(
+        self,
+    ):
+        """Its backlog is 0, so that it looked as if it were idle."""
+        empty = {"free": 0, "capacity": 0}
+        self.assertEqual(
+            self.choose(view("here", is_local=True, **empty), view("there")),
+            "there",
+        )
+        self.assertEqual(
+            self.choose(view("here", **empty), view("there", backlog=30)),
+            "there",
+        )
+        self.assertEqual(
+            self.choose(view("here", is_local=True, **empty)), "here"
+        )
+
     def test_small_advantage_does_not_move_a_job(self):
         self.assertEqual(
             self.choose(
@@ -242,6 +259,12 @@
         ((link, _),) = self.submit()
         self.assertEqual(link, 12)
 
+    def test_job_leaves_a_host_whose_own_pool_has_no_usable_server(self):
+        row = pool_rows.PoolRow((reducer_case.LOCAL,))
+        self.apply(events.PoolsListed({"north": (20, row)}))
+        ((link, _),) = self.submit()
+        self.assertEqual(link, 12)
+
     def test_refused_job_is_routed_once_more_and_not_again(self):
         ((link, message),) = self.submit()
         done = self.refuse(link, message, "backlog")
--- a/waxwingwalk/dispatch/balance.py
+++ b/waxwingwalk/dispatch/balance.py
@@ -29,6 +29,9 @@
 ADVANTAGE = datetime.timedelta(milliseconds=10)
 # The least weight of a pool without free capacity, as a share of its size.
 MIN_WEIGHT = 0.02
+# The wait at a pool none of whose servers is usable. Servers that restart are
+# back after some seconds.
+NO_SERVER_WAIT = datetime.timedelta(seconds=5)
 # Demand is counted in slices of this length over the last DEMAND_SLICES.
 DEMAND_SLICE = datetime.timedelta(milliseconds=250)
 DEMAND_SLICES = 8
@@ -74,8 +77,11 @@
         """Return the expected wait of a job that needs ``processors``.
 
         What does not fit now waits until tasks of about the same length have
-        ended, and a backlog has grown by the excess of the demand since.
+        ended, and a backlog has grown by the excess of the demand since. A
+        pool without usable servers advertises no backlog.
         """
+        if self.capacity == 0:
+            return NO_SERVER_WAIT
         growth = max(0.0, self.demand - 1.0) * self.age
         missing = max(0, processors + self.sent - (self.free or 0))
         queued = model.ZERO
--- a/waxwingwalk/dispatch/front.py
+++ b/waxwingwalk/dispatch/front.py
@@ -266,7 +266,8 @@
     ) -> balance.PoolView:
         is_local = pool == self._hosts.local_host.zone
         backlog = self._backlog(address, now)
-        if address == self._hosts.local_host.address:
+        is_here = address == self._hosts.local_host.address
+        if is_here:
             loads = self._scheduler.advertised_balances(pool, now)
             known_at: datetime.datetime | None = now
             sent = 0
@@ -283,7 +284,7 @@
             if sent_since != known_at:
                 sent = 0
         age = model.ZERO if known_at is None else now - known_at
-        if not loads:
+        if not loads and not is_here:
             return balance.PoolView(address, is_local, backlog, age, sent=sent)
         return balance.PoolView(
             address,
@@ -292,7 +293,7 @@
             age,
             sum(each.free for each in loads),
             sum(each.capacity for each in loads),
-            max(each.demand for each in loads),
+            max((each.demand for each in loads), default=0.0),
             sent,
         )
 
