--- a/waxwingwalk/dispatch/run_tracker.py
+++ b/waxwingwalk/dispatch/run_tracker.py
@@ -397,6 +397,9 @@
         # It may restart again before the order arrives.
         backend.order_pending_until = pending_until
         for run in moved:
+            if run.state is backends.RunState.ORDERED:
+                # The call that is open is not answered any more.
+                self._record_late_start(backend, run, now)
             run.state = backends.RunState.SETTLED
             run.is_moved = True
             run.settled_by_poll = backend.poll_count
@@ -629,12 +632,13 @@
             and not (self._settings.fast_settlement and backend.failed_polls)
         )
         backend.poll_wait = POLL_WAIT if may_wait else model.ZERO
+        backend.poll_acknowledged = backend.acknowledged if acknowledges else 0
         return [
             effects.PollBackend(
                 incarnation=backend.incarnation,
                 address=backend.report.address,
                 fence=backend.fence,
-                acknowledged=backend.acknowledged if acknowledges else 0,
+                acknowledged=backend.poll_acknowledged,
                 lease_ends_ms=backend.extend_lease(now)
                 if may_extend
                 else None,
@@ -741,11 +745,7 @@
             # It is being settled already, or is known to have been started.
             return []
         run.is_overdue = self._settings.fast_settlement
-        backend.order_pending_until = now + backends.LATE_ORDER_LIMIT
-        limits = self._late_starts.setdefault(run.order.ref.name, {})
-        limits[backend.incarnation.backend_id] = (
-            run.sent_at + backends.LATE_RUN_LIMIT
-        )
+        self._record_late_start(backend, run, now)
         if run.is_stop_confirmed:
             _settle_by_next_poll(backend, run, now)
             return [*done, *self._poll_to_settle(backend, now)]
@@ -754,6 +754,19 @@
         run.stop_requested_at = run.stop_requested_at or now
         return [*done, *self._send_stop(backend, run, now)]
 
+    def _record_late_start(
+        self,
+        backend: backends.Backend,
+        run: backends.Run,
+        now: datetime.datetime,
+    ) -> None:
+        """Record that an unanswered start may be carried out late."""
+        backend.order_pending_until = now + backends.LATE_ORDER_LIMIT
+        limits = self._late_starts.setdefault(run.order.ref.name, {})
+        limits[backend.incarnation.backend_id] = (
+            run.sent_at + backends.LATE_RUN_LIMIT
+        )
+
     def _handle_late_answer(
         self, run: backends.Run, now: datetime.datetime
     ) -> None:
@@ -855,7 +868,13 @@
         if self._is_poll_overdue(backend, now):
             backend.is_polling = False
         backend.next_poll_at = now
-        backend.acknowledge_at = None
+        if (
+            number == backend.poll_number
+            and backend.poll_acknowledged >= backend.acknowledged
+        ):
+            # A reply that was overtaken may not list the ends yet, so only
+            # the reply to their acknowledgement shows that it has arrived.
+            backend.acknowledge_at = None
         self._record_answer(backend)
         if self._settings.run_progress:
             self._record_progress(backend, running, percents, now)
