--- a/waxwingwalk/dispatch/lookahead.py
+++ b/waxwingwalk/dispatch/lookahead.py
@@ -35,10 +35,7 @@
 CHOICES = 3
 # Weights of the score by which a server is chosen for a task: of the
 # probability that the task is late there, of the slowness of the server, and
-# of the share of the task's request that is lost in the gap. In the load
-# experiment at the usual load with a burst (six seeds, no reservations), a
-# weight of 1.0 for the loss and for the slowness earned 0.933 of the worth,
-# 0.2 for the loss 0.943.
+# of the share of the task's request that is lost in the gap.
 RISK_WEIGHT = 3.0
 SPEED_WEIGHT = 3.0
 SERVER_LOSS_WEIGHT = 0.2
@@ -76,9 +73,8 @@
 # Another task may start on a reserved server if it is expected to end in time
 # even if it takes this many times its estimate.
 BACKFILL_MARGIN = 1.4
-# The largest share of the usable servers that is reserved, rounded up. In the
-# load experiment at 1.6 times the load, 0 earned 0.835 of the worth, 0.02 (one
-# server) 0.820 and 0.0625 (three servers) 0.801.
+# The largest share of the usable servers that is reserved, rounded up. What
+# they leave idle costs more than large tasks gain if more are reserved.
 MAX_RESERVED_SHARE = 0.02
 # Look-ahead is used for tasks that request more than this share of the
 # smallest server. Smaller ones leave no gaps that matter.
--- a/waxwingwalk/dispatch/scheduler.py
+++ b/waxwingwalk/dispatch/scheduler.py
@@ -89,9 +89,9 @@
 Suspicion = crashes.Suspicion
 
 
-# Service, required label and resources of a task.
 # Key in the job order, a number that decides between equal keys, and the job.
 _Waiting = tuple[tuple[float, float], int, job_record.JobRecord]
+# Service, required label and resources of a task.
 _TaskKind = tuple[str, str | None, model.Resources]
 
 
