--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -377,7 +377,9 @@
         return
     cluster.shrunk.add(name)
     capacity = cluster.endpoints[name].backend.report.capacity
-    halved = dataclasses.replace(capacity, processors=capacity.processors // 2)
+    halved = model.Resources(
+        capacity.processors // 2, capacity.memory, capacity.accelerators
+    )
     cluster.resize_server(name, halved)
     await asyncio.sleep(random.uniform(4, 7))
     cluster.resize_server(name, capacity)
