--- a/waxwingwalk/dispatch/ordering.py
+++ b/waxwingwalk/dispatch/ordering.py
@@ -14,10 +14,6 @@
 # smaller shares (0.1, 0.3) earn less of the worth of all jobs at 1.6 times the
 # usual load.
 MIN_FREE_SHARE_FOR_LATE_JOBS = 0.5
-# The same where jobs are admitted by the work that precedes them. Large tasks
-# leave gaps, so half of the processors are free only when the load is over,
-# and callers who do not return are better off with a late answer than none.
-MIN_FREE_SHARE_WITH_ADMISSION = 0.15
 URGENT_PRIORITY = 0
 
 
@@ -73,15 +69,9 @@
     If the load exceeds the capacity, least slack alone makes the jobs of all
     queues late at once, short jobs first. With priority, jobs of less urgent
     queues wait instead. Jobs that are late before their first task has
-    started are deferred until the peak is over, so that others are on time:
-    until a share ``min_free_share`` of the processors is free.
+    started are deferred until the peak is over, so that others are on time.
     """
 
-    def __init__(
-        self, min_free_share: float = MIN_FREE_SHARE_FOR_LATE_JOBS
-    ) -> None:
-        self._min_free_share = min_free_share
-
     def key(
         self, record: job_record.JobRecord, now: datetime.datetime
     ) -> tuple[float, float]:
@@ -98,6 +88,6 @@
         free_share: float,
         now: datetime.datetime,
     ) -> bool:
-        if record.has_started or free_share >= self._min_free_share:
+        if record.has_started or free_share >= MIN_FREE_SHARE_FOR_LATE_JOBS:
             return False
         return record.slack(now) < datetime.timedelta()
--- a/waxwingwalk/dispatch/reducer.py
+++ b/waxwingwalk/dispatch/reducer.py
@@ -105,7 +105,7 @@
             placement = look_ahead = lookahead.LookAhead(placement)
         self.scheduler = dispatch_scheduler.Scheduler(
             self.run_tracker,
-            job_order or self._default_job_order(),
+            job_order or ordering.PriorityThenSlack(),
             placement,
             self._observed,
             self._crash_history,
@@ -176,13 +176,6 @@
             messages.ReportCrashes: self._record_reported_crashes,
         }
 
-    def _default_job_order(self) -> ordering.JobOrder:
-        if self.settings.job_admission:
-            return ordering.PriorityThenSlack(
-                ordering.MIN_FREE_SHARE_WITH_ADMISSION
-            )
-        return ordering.PriorityThenSlack()
-
     @property
     def is_idle(self) -> bool:
         """Whether there is nothing that requires frequent ticks."""
