Host logs: named the requests that a drain cuts off, and what keeps it from ending

drain.cut_off is now logged before the connections are closed, with the jobs without an answer; drain.ended counts jobs, scheduled jobs and servers that are not released; drain.request_read tells for each job submitted in a drain what is left of it and whether its connection was open before.

--- a/waxwingwalk/dispatch/reducer.py
+++ b/waxwingwalk/dispatch/reducer.py
@@ -1071,16 +1071,22 @@
     def _check_drain(self, now: datetime.datetime) -> effects.Effects:
         if self.drain_deadline is None or self._is_exiting:
             return []
-        is_idle = (
-            not self.front.pending
-            and not self.scheduler.jobs
-            and not list(self.run_tracker)
-        )
+        jobs, scheduled = len(self.front.pending), len(self.scheduler.jobs)
+        backends_left = len(list(self.run_tracker))
+        is_idle = not (jobs or scheduled or backends_left)
         if not is_idle and now < self.drain_deadline:
             return []
         self._is_exiting = True
         return [
-            effects.Log("drain.ended", {"is_idle": is_idle}),
+            effects.Log(
+                "drain.ended",
+                {
+                    "is_idle": is_idle,
+                    "jobs": jobs,
+                    "scheduled": scheduled,
+                    "backends": backends_left,
+                },
+            ),
             effects.Exit(),
         ]
 
--- a/waxwingwalk/host/engine.py
+++ b/waxwingwalk/host/engine.py
@@ -139,6 +139,11 @@
         )
         return answer
 
+    @property
+    def waiting_jobs(self) -> list[str]:
+        """The ids of the jobs whose callers wait, in order of arrival."""
+        return list(self._waiters)
+
     def is_waiting(self, job_id: str) -> bool:
         """Return whether a caller of this host waits for a job's answer."""
         return job_id in self._waiters
--- a/waxwingwalk/host/listeners.py
+++ b/waxwingwalk/host/listeners.py
@@ -1,6 +1,7 @@
 """HTTP listeners that answer what they have accepted before they close."""
 
 import asyncio
+from collections.abc import Callable
 import datetime
 import socket
 
@@ -41,10 +42,15 @@
         await self._runner.setup()
         await web.SockSite(self._runner, self._socket).start()
 
-    async def close(self, limit: datetime.timedelta) -> bool:
+    async def close(
+        self,
+        limit: datetime.timedelta,
+        before_cut_off: Callable[[], None] | None = None,
+    ) -> bool:
         """Stop accepting connections, and answer the requests that were read.
 
-        Return whether all of them were answered within the limit. No
+        Return whether all of them were answered within the limit. If not,
+        ``before_cut_off`` is called before their connections are closed. No
         connection is open afterwards.
         """
         await self._stop_accepting()
@@ -55,16 +61,22 @@
         # delayed, the time above has passed within one iteration.
         await _run_iterations(ACCEPT_ITERATIONS)
         server = self._runner.server
+        cleanup = asyncio.create_task(self._runner.cleanup())
         try:
-            async with asyncio.timeout(limit.total_seconds()):
-                await self._runner.cleanup()
-        except TimeoutError:
-            # The cancelled clean-up leaves its connections open.
-            if server is not None:
-                for connection in server.connections:
-                    connection.force_close()
-            return False
-        return True
+            await asyncio.wait([cleanup], timeout=limit.total_seconds())
+            if cleanup.done():
+                await cleanup
+                return True
+            if before_cut_off is not None:
+                before_cut_off()
+        finally:
+            cleanup.cancel()
+        await asyncio.gather(cleanup, return_exceptions=True)
+        # The cancelled clean-up leaves its connections open.
+        if server is not None:
+            for connection in server.connections:
+                connection.force_close()
+        return False
 
     async def _stop_accepting(self) -> None:
         """Close the listening socket, once accepted connections are set up.
--- a/waxwingwalk/host/log_catalogue.py
+++ b/waxwingwalk/host/log_catalogue.py
@@ -31,13 +31,22 @@
         "counts all jobs that it schedules",
         ("limit_seconds", "jobs", "scheduled"),
     ),
+    "drain.request_read": LogEvent(
+        "a job was submitted by a caller `left_ms` before the limit of the "
+        "drain; `is_reused` says whether its connection carried a request "
+        "before the drain",
+        ("job", "left_ms", "is_reused"),
+    ),
     "drain.ended": LogEvent(
-        "no work is left, or the time limit has passed", ("is_idle",)
+        "no work is left, or the time limit has passed; `jobs` of callers are "
+        "unanswered, `scheduled` jobs have not ended, `backends` are not "
+        "released",
+        ("is_idle", "jobs", "scheduled", "backends"),
     ),
     "drain.cut_off": LogEvent(
-        "the time limit passed while `jobs` of callers of this host were "
-        "unanswered",
-        ("jobs",),
+        "the connections of callers were closed at the time limit, `jobs` of "
+        "them without an answer; the first 20 of these are listed",
+        ("jobs", "unanswered"),
     ),
     "settings.reloaded": LogEvent(
         "the settings file changed", ("changed", "needs_restart")
--- a/waxwingwalk/host/service.py
+++ b/waxwingwalk/host/service.py
@@ -42,6 +42,8 @@
 )
 # Maximum length of a validation error in a log line, in characters.
 ERROR_MAX = 500
+# Number of unanswered jobs that a log line lists.
+REPORTED_JOBS_MAX = 20
 # Part of the time before SIGKILL that is reserved for sending last answers.
 DRAIN_MARGIN = datetime.timedelta(milliseconds=1000)
 # Minimum time for requests to complete once the listeners are closed.
@@ -231,13 +233,20 @@
         The links stay open for this, as the requests may have been forwarded
         to other hosts.
         """
-        completed = await asyncio.gather(
-            *(each.close(limit) for each in self._callers_listeners)
-        )
-        if not all(completed):
-            self._engine.log.info(
-                "drain.cut_off", jobs=len(self._engine.reducer.front.pending)
+        await asyncio.gather(
+            *(
+                each.close(limit, self._report_cut_off)
+                for each in self._callers_listeners
             )
+        )
+
+    def _report_cut_off(self) -> None:
+        waiting = self._engine.waiting_jobs
+        self._engine.log.info(
+            "drain.cut_off",
+            jobs=len(waiting),
+            unanswered=waiting[:REPORTED_JOBS_MAX],
+        )
 
     async def _close(self) -> None:
         for task in self._tasks:
--- a/waxwingwalk/platform/callers.py
+++ b/waxwingwalk/platform/callers.py
@@ -1,9 +1,11 @@
 """The platform's API for callers, and its readiness check."""
 
+import asyncio
 import datetime
 import re
 from typing import Annotated
 from typing import Any
+import weakref
 
 from aiohttp import web
 import msgspec
@@ -67,6 +69,10 @@
 
     def __init__(self, engine: host_engine.Engine) -> None:
         self._engine = engine
+        # The tasks of connections that carried a request before the drain.
+        self._used_connections: weakref.WeakSet[asyncio.Task[None]] = (
+            weakref.WeakSet()
+        )
 
     def application(self) -> web.Application:
         """Return the application for callers."""
@@ -85,6 +91,8 @@
         return web.Response(status=200 if is_ready else 503)
 
     async def _handle(self, request: web.Request) -> web.Response:
+        if self._engine.reducer.drain_deadline is None:
+            self._used_connections.add(request.task)
         response = await self._route(request)
         if self._engine.reducer.drain_deadline is not None:
             # Close the connection, so that the caller opens its next one to
@@ -145,6 +153,14 @@
             )
             return _error_response(code, detail)
         wait = _parse_wait(request.headers.get(DEADLINE_HEADER), queue)
+        drain_deadline = self._engine.reducer.drain_deadline
+        if drain_deadline is not None:
+            self._engine.log.info(
+                "drain.request_read",
+                job=job_id,
+                left_ms=model.milliseconds(drain_deadline - arrived_at),
+                is_reused=request.task in self._used_connections,
+            )
         job = _build_job(decoded.unwrap(), queue, job_id, arrived_at, wait)
         answer = await self._engine.run_job(job)
         self._engine.log.info(
