Tests: reproduced requests that are cut off at the end of a drain

The emulator did not look at the callers of a host that shuts down: it made them ask again, as after a crash. A new guarantee of its checker is that no caller waits when its host exits. Over sockets, a caller whose run outlasts the drain, on the scheduling host or another, and callers that ask until the end lose their connections.

--- a/tests/platform/hosts.py
+++ b/tests/platform/hosts.py
@@ -57,7 +57,9 @@
         self._store_address = ""
         self.session = None
 
-    async def start(self, workers=1, hosts=1, zones=("north",)):
+    async def start(
+        self, workers=1, hosts=1, zones=("north",), grace_seconds=6
+    ):
         """Start the store, workers and hosts, each in the next zone."""
         self.session = aiohttp.ClientSession()
         self._store_address = await self._serve(self.store.application())
@@ -72,7 +74,11 @@
         self.store.put("servers", "foreign", {"state": "resting"})
         self.store.put("op", "config", stand_in.config())
         for number in range(hosts):
-            await self.start_host(number, zone=zones[number % len(zones)])
+            await self.start_host(
+                number,
+                zone=zones[number % len(zones)],
+                grace_seconds=grace_seconds,
+            )
 
     async def _serve(self, application):
         server = test_utils.TestServer(application)
@@ -80,7 +86,9 @@
         self._servers.append(server)
         return f"127.0.0.1:{server.port}"
 
-    async def start_host(self, number, seeds=(), zone="north"):
+    async def start_host(
+        self, number, seeds=(), zone="north", grace_seconds=6
+    ):
         """Start a host, which opens links to seeds before it has a list."""
         callers, readiness, peers, metrics_address = free_addresses(4)
         settings = config.HostConfig(
@@ -94,7 +102,7 @@
             store=self._store_address,
             seeds=seeds,
             processors=1.0,
-            grace=datetime.timedelta(seconds=6),
+            grace=datetime.timedelta(seconds=grace_seconds),
             linger=datetime.timedelta(milliseconds=100),
         )
         writer = MemoryWriter()
--- /dev/null
+++ b/tests/platform/test_drains.py
@@ -0,0 +1,97 @@
+"""Requests that a dispatch host has read when it is asked to stop."""
+
+import asyncio
+import unittest
+from unittest import mock
+
+import orjson
+
+from tests.platform import hosts
+from tests.platform import stand_in
+
+STEP = {"count": 1, "cpu": 500, "mem_mb": 64, "est_ms": 50}
+JOB = {"spec": "text", "best_effort": True, "steps": [STEP]}
+GRACE_SECONDS = 2
+# A task that has not ended when its host is killed.
+LONG_RUN_SECONDS = 30
+CALLER_WAIT = {"Deadline-Ms": "20000"}
+REQUEST_INTERVAL_SECONDS = 0.05
+TRIES = 100
+PAUSE_SECONDS = 0.1
+# The drain of a host lasts for a second less than its grace.
+DRAIN_SECONDS = GRACE_SECONDS - 1
+
+
+class DrainTests(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.deployment = hosts.Deployment()
+
+    async def asyncTearDown(self):
+        await self.deployment.stop()
+
+    async def submit(self, job_number, number=0):
+        """Submit a job; return the status and the content of the answer."""
+        status, content, headers = await self.deployment.call(
+            "POST",
+            f"/refund/{job_number:016x}",
+            number=number,
+            json=JOB,
+            headers=CALLER_WAIT,
+        )
+        return status, orjson.loads(content), headers
+
+    async def start(self):
+        """Start two hosts; return the numbers of scheduler and other host."""
+        await self.deployment.start(hosts=2, grace_seconds=GRACE_SECONDS)
+        for number in range(2):
+            for attempt in range(TRIES):
+                if (await self.submit(attempt, number))[0] == 200:
+                    break
+                await asyncio.sleep(PAUSE_SECONDS)
+        scheduler = 0 if "pool.claimed" in self.deployment.logs[0] else 1
+        return scheduler, 1 - scheduler
+
+    async def check_unfinished_job_is_answered(self, number):
+        """Stop a host whose caller waits for a run that does not end."""
+        with mock.patch.object(stand_in, "RUN_SECONDS", LONG_RUN_SECONDS):
+            waiting = asyncio.create_task(self.submit(TRIES, number))
+            while not self.deployment.workers[0].running:
+                await asyncio.sleep(0.01)
+            await self.deployment.stop_host(number)
+            status, content, _ = await waiting
+        self.assertEqual((status, content["error"]), (502, "expired"))
+        self.assertNotIn("drain.cut_off", self.deployment.logs[number])
+
+    async def test_caller_whose_run_outlasts_the_drain_is_answered(self):
+        _, other = await self.start()
+        await self.check_unfinished_job_is_answered(other)
+
+    async def test_caller_at_a_draining_scheduler_is_answered(self):
+        scheduler, _ = await self.start()
+        await self.check_unfinished_job_is_answered(scheduler)
+
+    async def test_requests_read_until_the_end_of_a_drain_are_answered(self):
+        _, other = await self.start()
+        log = self.deployment.logs[other]
+        requests = {}
+        with mock.patch.object(stand_in, "RUN_SECONDS", LONG_RUN_SECONDS):
+            stopping = asyncio.create_task(self.deployment.stop_host(other))
+            while not stopping.done():
+                job_number = TRIES + len(requests)
+                requests[f"{job_number:016x}"] = asyncio.create_task(
+                    self.submit(job_number, other)
+                )
+                await asyncio.sleep(REQUEST_INTERVAL_SECONDS)
+            await asyncio.wait(requests.values())
+        answered = 0
+        for job_id, request in requests.items():
+            if job_id not in log:
+                # The listener was closed before the request was read.
+                continue
+            status, _, _ = await request
+            self.assertIn(status, (502, 503))
+            answered += 1
+        self.assertGreater(
+            answered, DRAIN_SECONDS / REQUEST_INTERVAL_SECONDS / 2
+        )
+        self.assertNotIn("drain.cut_off", log)
--- a/waxwingwalk/emulator/fleet.py
+++ b/waxwingwalk/emulator/fleet.py
@@ -69,6 +69,11 @@
     answer: effects.AnswerJob | None = None
     answered_at: datetime.datetime | None = None
 
+    @property
+    def is_waiting(self) -> bool:
+        """Whether the caller still waits for an answer."""
+        return self.answer is None and not self.has_left
+
 
 @dataclasses.dataclass(slots=True)
 class EmulatedLink:
@@ -676,6 +681,9 @@
             return
         self._apply(host, events.Ticked())
         if host.has_exited:
+            for job_id, caller in self.callers.items():
+                if caller.host is host and caller.is_waiting:
+                    self.checker.record_unanswered_caller(job_id)
             self.kill_host(host)
             return
         self.timeline.call_later(
--- a/waxwingwalk/emulator/guarantees.py
+++ b/waxwingwalk/emulator/guarantees.py
@@ -46,6 +46,7 @@
     CRASHES = "a task that crashes servers was started again and again"
     FAILURE = "a job was answered as failed though none of its tasks failed"
     EVACUATION = "a task was ordered to start in an evacuated zone"
+    ANSWER = "a host shut down without answering a caller"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -260,6 +261,10 @@
         if job_id not in self._failed_jobs:
             self._record(Guarantee.FAILURE, job_id)
 
+    def record_unanswered_caller(self, job_id: str) -> None:
+        """Record a job whose caller had no answer when its host exited."""
+        self._record(Guarantee.ANSWER, job_id)
+
     def check_refused_job(self, job_id: str) -> None:
         """Check that no task ran if all attempts were refused as not run."""
         if job_id in self.started_jobs:
