Emulator: a host that exits answers the requests that it has read

The emulated host ended 25 ms after its drain, whatever its callers waited for. A real one closes its listener first, and answers until the limit of the drain what it has read.

--- a/waxwingwalk/emulator/fleet.py
+++ b/waxwingwalk/emulator/fleet.py
@@ -68,11 +68,14 @@
     has_left: bool = False
     answer: effects.AnswerJob | None = None
     answered_at: datetime.datetime | None = None
+    # Whether the host has read the latest request, which it has not while it
+    # is frozen.
+    is_read: bool = False
 
     @property
-    def is_waiting(self) -> bool:
-        """Whether the caller still waits for an answer."""
-        return self.answer is None and not self.has_left
+    def is_owed_answer(self) -> bool:
+        """Whether a request was read that has no answer yet."""
+        return self.is_read and self.answer is None and not self.has_left
 
 
 @dataclasses.dataclass(slots=True)
@@ -578,12 +581,14 @@
     def _send_job(self, caller: Caller, host: Host) -> None:
         caller.attempts += 1
         caller.host = host
-        if not host.is_up:
+        caller.is_read = False
+        if not host.is_up or host.has_exited:
             self._repeat_request_later(caller)
             return
         if host.is_frozen:
             self._defer(host, lambda: self._read_request(host, caller))
             return
+        caller.is_read = True
         self._apply(host, events.JobSubmitted(caller.job))
 
     def _read_request(self, host: Host, caller: Caller) -> None:
@@ -597,6 +602,7 @@
             due=now + caller.objective,
             expires=now + caller.timeout,
         )
+        caller.is_read = True
         self._apply(host, events.JobSubmitted(job))
 
     def _repeat_request_later(
@@ -680,10 +686,7 @@
         if host.incarnation != incarnation or not host.is_up:
             return
         self._apply(host, events.Ticked())
-        if host.has_exited:
-            for job_id, caller in self.callers.items():
-                if caller.host is host and caller.is_waiting:
-                    self.checker.record_unanswered_caller(job_id)
+        if host.has_exited and self._close_callers_listener(host):
             self.kill_host(host)
             return
         self.timeline.call_later(
@@ -691,6 +694,26 @@
             lambda: self._tick(host, incarnation),
         )
 
+    def _close_callers_listener(self, host: Host) -> bool:
+        """Return whether the requests that a host has read are answered.
+
+        After the limit of its drain, those without an answer are cut off.
+        """
+        unanswered = [
+            job_id
+            for job_id, caller in self.callers.items()
+            if caller.host is host and caller.is_owed_answer
+        ]
+        deadline = None
+        if host.reducer is not None:
+            deadline = host.reducer.drain_deadline
+        if unanswered and deadline is not None:
+            if self.timeline.now() < deadline:
+                return False
+            for job_id in unanswered:
+                self.checker.record_unanswered_caller(job_id)
+        return True
+
     def _read_store(self, host: Host, incarnation: int) -> None:
         """Apply the rows of the store, as the followers of a host do."""
         if host.incarnation != incarnation or not host.is_up:
