Dispatch: limited jobs to the drain of their caller's host, and answered all callers at its end

Cause: a draining host bounded its own life, and nothing that it had accepted. It reads requests until its listeners close, over connections that callers kept open and over new ones, as the balancer goes back to hosts that are not ready if fewer than half of a zone's are. Each job was passed on with the time that its caller waits, so its scheduler admitted and planned it with an end beyond the end of the host; and at the limit the listeners were closed on what still waited.

The requests that were cut off had been read from 4.9 s before the limit to 24 ms after it, both over kept connections and over new ones.

Change: a job expires 200 ms before the end of the drain of its caller's host at the latest, so that a scheduler refuses at once what it cannot complete by then, says truthfully whether it ran, and gives up a started job when that is certain. For jobs that were passed on before SIGTERM the schedulers are told with a new message, limit_job; jobs that a draining host schedules itself expire with its drain. At the limit the host answers all callers that still wait: NOT_RUN where no scheduler has the job, else LOST. Requests that are read after that are refused at once with a Retry-After. The listeners are closed after these answers have been sent.

--- a/waxwingwalk/dispatch/front.py
+++ b/waxwingwalk/dispatch/front.py
@@ -29,6 +29,8 @@
 # A caller that is refused because there is no scheduler is asked to retry
 # after this time, by when one has probably been found.
 NO_SCHEDULER_RETRY = datetime.timedelta(seconds=1)
+# Part of a drain that is reserved for the answers of schedulers to arrive.
+DRAIN_ANSWER_TIME = datetime.timedelta(milliseconds=200)
 # Bounds of the same for a job that is refused because all zones are evacuated,
 # which lasts. Within them it is spread, so that callers do not all return at
 # once.
@@ -81,6 +83,7 @@
         self._unrouted: dict[str, None] = {}
         self._is_held = False
         self._requests = 0
+        self._drain_deadline: datetime.datetime | None = None
 
     @property
     def pending(self) -> dict[str, PendingJob]:
@@ -134,10 +137,65 @@
     ) -> effects.Effects:
         """Route a caller's job to a scheduler."""
         self._requests += 1
-        pending = PendingJob(job, self._requests)
+        pending = PendingJob(self._limit_expiry(job), self._requests)
+        if self._drain_deadline is not None and now >= pending.job.expires:
+            return [_refuse_leaving(job.job_id)]
         self._pending[job.job_id] = pending
         return self._route(pending, now)
 
+    def start_drain(
+        self, deadline: datetime.datetime, now: datetime.datetime
+    ) -> effects.Effects:
+        """Limit all jobs, present and later ones, to the time until then.
+
+        A scheduler refuses at once what it cannot complete in this time.
+        """
+        self._drain_deadline = deadline
+        done: effects.Effects = []
+        for pending in self._pending.values():
+            limited = self._limit_expiry(pending.job)
+            if limited is pending.job:
+                continue
+            pending.job = limited
+            if pending.link is not None:
+                message = messages.LimitJob(
+                    limited.job_id,
+                    model.milliseconds(limited.expires - now),
+                    pending.request,
+                )
+                done.append(effects.Send(pending.link, message))
+        return done
+
+    def _limit_expiry(self, job: model.Job) -> model.Job:
+        """Return the job, which expires before the host's drain ends."""
+        if self._drain_deadline is None:
+            return job
+        latest = self._drain_deadline - DRAIN_ANSWER_TIME
+        if job.expires <= latest:
+            return job
+        return dataclasses.replace(job, expires=latest)
+
+    def end_drain(self, now: datetime.datetime) -> effects.Effects:
+        """Answer all callers that still wait, as the host is about to exit."""
+        done: effects.Effects = []
+        for job_id, pending in list(self._pending.items()):
+            if job_id in self._unrouted:
+                del self._pending[job_id], self._unrouted[job_id]
+                done.append(_refuse_leaving(job_id))
+                continue
+            if pending.link is None:
+                done += self._scheduler.abandon(job_id, None, now)
+            else:
+                message = messages.AbandonJob(job_id, pending.request)
+                done.append(effects.Send(pending.link, message))
+            done += self._answer(
+                job_id,
+                model.JobOutcome.LOST,
+                dispatch_scheduler.REASON_LEAVING,
+                None,
+            )
+        return done
+
     def _route(
         self, pending: PendingJob, now: datetime.datetime
     ) -> effects.Effects:
@@ -458,6 +516,16 @@
         return done
 
 
+def _refuse_leaving(job_id: str) -> effects.AnswerJob:
+    """Return the refusal of a job of which nothing has run."""
+    return effects.AnswerJob(
+        job_id,
+        model.JobOutcome.NOT_RUN,
+        dispatch_scheduler.REASON_LEAVING,
+        NO_SCHEDULER_RETRY,
+    )
+
+
 def _to_message(
     pending: PendingJob, now: datetime.datetime
 ) -> messages.SubmitJob:
--- a/waxwingwalk/dispatch/job_record.py
+++ b/waxwingwalk/dispatch/job_record.py
@@ -116,6 +116,12 @@
         trial._ready_tasks = None
         return trial
 
+    def limit_expiry(self, expires: datetime.datetime) -> None:
+        """Let the job expire at a time, unless it expires earlier."""
+        if expires < self.job.expires:
+            self.job = dataclasses.replace(self.job, expires=expires)
+            self.useful_until = min(self.useful_until, expires)
+
     @property
     def is_done(self) -> bool:
         """Whether every task has completed."""
--- a/waxwingwalk/dispatch/messages.py
+++ b/waxwingwalk/dispatch/messages.py
@@ -49,6 +49,17 @@
     request: int = 0
 
 
+class LimitJob(_Tagged, tag="limit_job"):
+    """Moves the time at which a job expires, as its caller's host shuts down.
+
+    The time is in milliseconds from now, and is never later than before.
+    """
+
+    job_id: str
+    expires_in_ms: float
+    request: int = 0
+
+
 class JobEnded(_Tagged, tag="job_ended"):
     """The answer to a request for a job."""
 
@@ -212,6 +223,7 @@
 Message = (
     SubmitJob
     | AbandonJob
+    | LimitJob
     | JobEnded
     | OfferTask
     | StopTask
@@ -235,6 +247,8 @@
     if isinstance(message, SubmitJob):
         message.due_in_ms -= delay_ms
         message.expires_in_ms -= delay_ms
+    elif isinstance(message, LimitJob):
+        message.expires_in_ms -= delay_ms
     elif isinstance(message, OfferTask):
         message.due_in_ms -= delay_ms
 
--- a/waxwingwalk/dispatch/reducer.py
+++ b/waxwingwalk/dispatch/reducer.py
@@ -163,6 +163,7 @@
         ] = {
             messages.SubmitJob: self._submit_for_peer,
             messages.AbandonJob: self._abandon_for_peer,
+            messages.LimitJob: self._limit_for_peer,
             messages.JobEnded: self._handle_peer_answer,
             messages.OfferTask: self.scheduler.handle_offer,
             messages.StopTask: self._stop_task_for_peer,
@@ -692,6 +693,18 @@
             message.job_id, link, now, message.request
         )
 
+    def _limit_for_peer(
+        self,
+        message: messages.LimitJob,
+        link: int,
+        now: datetime.datetime,
+    ) -> effects.Effects:
+        expires = now + message.expires_in_ms * model.MILLISECOND
+        self.scheduler.limit_job(
+            message.job_id, link, message.request, expires
+        )
+        return []
+
     def _handle_peer_answer(
         self,
         message: messages.JobEnded,
@@ -1065,19 +1078,32 @@
         ]
         for number in self._links:
             done += self._send_keep_alive(number, now)
+        done += self.front.start_drain(self.drain_deadline, now)
         done += self.scheduler.reject_unstarted_jobs(now)
+        self.scheduler.limit_jobs(self.drain_deadline)
         return [*done, *self._reconcile_backends(now)]
 
     def _check_drain(self, now: datetime.datetime) -> effects.Effects:
-        if self.drain_deadline is None or self._is_exiting:
+        """Exit when no work is left or the time limit has passed.
+
+        Requests are read until the listeners are closed, so callers are
+        answered at the time limit even if the drain has ended before.
+        """
+        if self.drain_deadline is None:
             return []
+        done: effects.Effects = []
         jobs, scheduled = len(self.front.pending), len(self.scheduler.jobs)
         backends_left = len(list(self.run_tracker))
         is_idle = not (jobs or scheduled or backends_left)
-        if not is_idle and now < self.drain_deadline:
-            return []
+        if now >= self.drain_deadline:
+            done += self.front.end_drain(now)
+        elif not is_idle:
+            return done
+        if self._is_exiting:
+            return done
         self._is_exiting = True
         return [
+            *done,
             effects.Log(
                 "drain.ended",
                 {
--- a/waxwingwalk/dispatch/scheduler.py
+++ b/waxwingwalk/dispatch/scheduler.py
@@ -413,6 +413,25 @@
                 )
         return done
 
+    def limit_jobs(self, expires: datetime.datetime) -> None:
+        """Let all jobs expire at a time, unless they expire earlier."""
+        for record in self._jobs.values():
+            record.limit_expiry(expires)
+
+    def limit_job(
+        self,
+        job_id: str,
+        link: int,
+        request: int,
+        expires: datetime.datetime,
+    ) -> None:
+        """Let a job of another host expire at a time, if not earlier."""
+        record = self._jobs.get(job_id)
+        if record is not None and (
+            (record.link, record.request) == (link, request)
+        ):
+            record.limit_expiry(expires)
+
     def close_link(self, link: int, now: datetime.datetime) -> effects.Effects:
         """End the jobs and runs that depend on a closed link."""
         self._peers.pop(link, None)
--- a/waxwingwalk/host/history.py
+++ b/waxwingwalk/host/history.py
@@ -48,7 +48,7 @@
     "scheduler lost": "the link to the scheduling host broke",
     "scheduler changed": "another host took over the backend server",
     "peer lost": "the link to a host that ran a task broke",
-    "leaving": "the scheduling host was shutting down",
+    "leaving": "the scheduling host, or the caller's, was shutting down",
     "zone evacuated": "operators had evacuated the zones that could serve it",
     "twice": "the same job was already running",
     "cancelled": "the caller cancelled the job",
--- a/waxwingwalk/host/listeners.py
+++ b/waxwingwalk/host/listeners.py
@@ -14,6 +14,8 @@
 # An event loop needs fewer iterations than this from accepting a connection
 # until its handler waits for a request.
 ACCEPT_ITERATIONS = 8
+# The same from the answer of a job until its response is written.
+ANSWER_ITERATIONS = 8
 
 
 class Listener:
@@ -64,6 +66,8 @@
         cleanup = asyncio.create_task(self._runner.cleanup())
         try:
             await asyncio.wait([cleanup], timeout=limit.total_seconds())
+            # If the event loop was delayed, answers may not be sent yet.
+            await _run_iterations(ANSWER_ITERATIONS)
             if cleanup.done():
                 await cleanup
                 return True
--- a/waxwingwalk/host/service.py
+++ b/waxwingwalk/host/service.py
@@ -46,8 +46,8 @@
 REPORTED_JOBS_MAX = 20
 # Part of the time before SIGKILL that is reserved for sending last answers.
 DRAIN_MARGIN = datetime.timedelta(milliseconds=1000)
-# Minimum time for requests to complete once the listeners are closed.
-ANSWER_TIME_MIN = datetime.timedelta(milliseconds=200)
+# Time to send the answers that callers get at the limit of the drain.
+ANSWER_TIME = datetime.timedelta(milliseconds=200)
 
 
 class Closable(Protocol):
@@ -219,7 +219,7 @@
         )
         elapsed = self._engine.clock.now() - started_at
         await self._close_callers_listeners(
-            max(limit - elapsed, ANSWER_TIME_MIN)
+            max(limit - elapsed, datetime.timedelta()) + ANSWER_TIME
         )
         unregister.cancel()
         self._engine.log.info("process.stopped", host=self._config.name)
@@ -254,7 +254,7 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self._links.close()
         await asyncio.gather(
-            *(each.close(ANSWER_TIME_MIN) for each in self._listeners)
+            *(each.close(ANSWER_TIME) for each in self._listeners)
         )
         await self._engine.close()
         await asyncio.gather(*(each.close() for each in self._closables))
