--- a/tests/platform/hosts.py
+++ b/tests/platform/hosts.py
@@ -54,7 +54,7 @@
         self.logs = []
         self._servers = []
         self._hosts = []
-        self._store_address = ""
+        self.store_address = ""
         self.session = None
 
     async def start(
@@ -62,7 +62,7 @@
     ):
         """Start the store, workers and hosts, each in the next zone."""
         self.session = aiohttp.ClientSession()
-        self._store_address = await self._serve(self.store.application())
+        self.store_address = await self._serve(self.store.application())
         for number in range(workers):
             worker = stand_in.Worker(f"w-{number}")
             address = await self._serve(worker.application())
@@ -99,7 +99,7 @@
             readiness=readiness,
             peers=peers,
             metrics=metrics_address,
-            store=self._store_address,
+            store=self.store_address,
             seeds=seeds,
             processors=1.0,
             grace=datetime.timedelta(seconds=grace_seconds),
--- a/tests/soak/hosts.py
+++ b/tests/soak/hosts.py
@@ -124,6 +124,10 @@
             self.signal(signal.SIGKILL)
             await self._process.wait()
 
+    async def wait(self):
+        """Return the exit status of the process once it has ended."""
+        return await self._process.wait()
+
     async def terminate(self):
         """Stop the process as the platform does.
 
