Platform: a second signal ends a drain with answers, and kills no process

What callers saw: connections that ended without a response when a draining host got a second SIGTERM.

Cause: the entrypoint of aiomisc restores the default handlers of signals before it stops the services, so that the second signal ended the process. The promise of a graceful shutdown (a second signal ends it, with answers) held for entry processes only.

Change: the daemon handles SIGTERM and SIGINT itself from the start of the host on. The first stops the loop, and the services as before. A second one brings the limit of the drain forward to now: callers that wait are answered, with NOT_RUN or LOST as at the limit, and the listeners are closed without the linger time. The limit of a drain that hangs stays at 60 s.

--- a/waxwingwalk/dispatch/reducer.py
+++ b/waxwingwalk/dispatch/reducer.py
@@ -1061,9 +1061,13 @@
         """Give up pools and unstarted jobs.
 
         The process exits when the rest is finished or the time limit has
-        passed.
+        passed. A further request may bring the limit forward.
         """
-        self.drain_deadline = now + event.limit
+        deadline = now + event.limit
+        if self.drain_deadline is not None:
+            self.drain_deadline = min(deadline, self.drain_deadline)
+            return self._limit_jobs(now)
+        self.drain_deadline = deadline
         self.ownership.is_leaving = True
         self.ownership.claims.clear()
         done: effects.Effects = [
@@ -1078,11 +1082,17 @@
         ]
         for number in self._links:
             done += self._send_keep_alive(number, now)
-        done += self.front.start_drain(self.drain_deadline, now)
+        done += self._limit_jobs(now)
         done += self.scheduler.reject_unstarted_jobs(now)
-        self.scheduler.limit_jobs(self.drain_deadline)
         return [*done, *self._reconcile_backends(now)]
 
+    def _limit_jobs(self, now: datetime.datetime) -> effects.Effects:
+        """Let all jobs end before the drain does."""
+        if self.drain_deadline is None:
+            return []
+        self.scheduler.limit_jobs(self.drain_deadline)
+        return self.front.start_drain(self.drain_deadline, now)
+
     def _check_drain(self, now: datetime.datetime) -> effects.Effects:
         """Exit when no work is left or the time limit has passed.
 
--- a/waxwingwalk/host/log_catalogue.py
+++ b/waxwingwalk/host/log_catalogue.py
@@ -31,6 +31,10 @@
         "counts all jobs that it schedules",
         ("limit_seconds", "jobs", "scheduled"),
     ),
+    "drain.forced": LogEvent(
+        "a second signal ended the drain; `jobs` of callers were unanswered",
+        ("jobs",),
+    ),
     "drain.request_read": LogEvent(
         "a job was submitted by a caller `left_ms` before the limit of the "
         "drain; `is_reused` says whether its connection carried a request "
--- a/waxwingwalk/host/service.py
+++ b/waxwingwalk/host/service.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from collections.abc import Coroutine
 from collections.abc import Sequence
+import contextlib
 import dataclasses
 import datetime
 import gc
@@ -93,6 +94,7 @@
         self._closables = closables
         self._reload = reload
         self._tasks: list[asyncio.Task[None]] = []
+        self._drain_ended = asyncio.Event()
 
     async def start(self) -> None:
         """Open the listeners and start the loops."""
@@ -213,18 +215,33 @@
         limit = self._config.grace - DRAIN_MARGIN
         started_at = self._engine.clock.now()
         unregister = asyncio.create_task(self._registry.unregister())
-        await asyncio.gather(
-            self._engine.drain(limit),
-            asyncio.sleep(self._config.linger.total_seconds()),
-        )
-        elapsed = self._engine.clock.now() - started_at
+        await asyncio.gather(self._engine.drain(limit), self._linger())
+        remaining = limit - (self._engine.clock.now() - started_at)
+        if self._drain_ended.is_set():
+            remaining = datetime.timedelta()
         await self._close_callers_listeners(
-            max(limit - elapsed, datetime.timedelta()) + ANSWER_TIME
+            max(remaining, datetime.timedelta()) + ANSWER_TIME
         )
         unregister.cancel()
         self._engine.log.info("process.stopped", host=self._config.name)
         await self._close()
 
+    def end_drain(self) -> None:
+        """End the drain now, with an answer to every caller that waits."""
+        if self._drain_ended.is_set():
+            return
+        self._drain_ended.set()
+        self._engine.log.info(
+            "drain.forced", jobs=len(self._engine.waiting_jobs)
+        )
+        self._engine.apply(events.DrainRequested(datetime.timedelta()))
+
+    async def _linger(self) -> None:
+        """Wait until new connections go to other hosts."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(self._config.linger.total_seconds()):
+                await self._drain_ended.wait()
+
     async def _close_callers_listeners(
         self, limit: datetime.timedelta
     ) -> None:
--- a/waxwingwalk/platform/daemon.py
+++ b/waxwingwalk/platform/daemon.py
@@ -1,6 +1,8 @@
 """The dispatch daemon on the users' platform."""
 
+import asyncio
 import logging
+import signal
 import sys
 
 import aiomisc
@@ -10,11 +12,13 @@
 from waxwingwalk.core import clock
 from waxwingwalk.host import config as host_config
 from waxwingwalk.host import logs
+from waxwingwalk.host import service
 from waxwingwalk.platform import boot
 from waxwingwalk.platform import wiring
 
 # The drain has its own time limit; this one applies only if the drain hangs.
 SHUTDOWN_TIMEOUT_SECONDS = 60
+TERMINATION_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
 
 class Daemon(aiomisc.Service):
@@ -26,10 +30,14 @@
         super().__init__()
         self._config = config
         self._settings = settings
-        self._host: aiomisc.Service | None = None
+        self._host: service.HostService | None = None
+        self._is_stopping = False
 
     async def start(self) -> None:
         """Build the host and start it."""
+        loop = asyncio.get_running_loop()
+        for number in TERMINATION_SIGNALS:
+            loop.add_signal_handler(number, self._terminate)
         time = clock.SystemClock()
         log = logs.HostLog(
             time, logs.NonBlockingWriter(), self._config.log_level
@@ -38,14 +46,27 @@
         self._host = wiring.build(self._config, time, log, self._settings.load)
         await self._host.start()
 
+    def _terminate(self) -> None:
+        """Stop on the first signal; end the drain on a second one."""
+        if not self._is_stopping:
+            self._is_stopping = True
+            asyncio.get_running_loop().stop()
+        elif self._host is not None:
+            self._host.end_drain()
+
     async def stop(self, exception: Exception | None = None) -> None:
         """Drain the host and stop it."""
         if self._host is not None:
-            await self._host.stop(exception)
+            async with asyncio.timeout(SHUTDOWN_TIMEOUT_SECONDS):
+                await self._host.stop(exception)
 
 
 def main() -> int:
-    """Run until SIGTERM; return the exit status."""
+    """Run until SIGTERM; return the exit status.
+
+    The entrypoint catches no signals: it would restore their default handlers
+    before the host drains, so that a second signal would kill the process.
+    """
     settings = boot.SettingsFile()
     match settings.load():
         case result.Success(config):
@@ -57,7 +78,7 @@
         daemon,
         loop_factory=uvloop.new_event_loop,
         log_config=False,
-        shutdown_timeout=SHUTDOWN_TIMEOUT_SECONDS,
+        catch_signals=(),
     ) as loop:
         loop.run_forever()
     return 0
