Gave jobs that a drain of an entry process ends unstarted a Retry-After

A job that a drain ended before any of its tasks started was answered 2017, not run, without a Retry-After, unlike one that was refused during the drain (2009). Callers could not tell when to submit it again.

ending.end now takes the time after which to submit a job again, and a drain sets it if no task was started. A job that had started is answered 3005 as before, without it. The test fails before the change ("0 not greater than 0") for a queued job and one whose key is being claimed, and passes with it.

--- a/tests/entry/test_drains.py
+++ b/tests/entry/test_drains.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from tests.entry import jobs
+from waxwingwalk.core import events
 from waxwingwalk.core import results
 from waxwingwalk.testing import fleet
 
@@ -18,6 +19,10 @@
         started.mark_ended(entry)
         return asyncio.create_task(entry.service.stop())
 
+    def force_drain(self, started):
+        """End the drain of the first entry process, as a signal does."""
+        started.entries[0].engine.apply(events.DrainForced())
+
 
 class WaitingRequestTests(DrainTestCase):
     async def test_drain_answers_waiting_requests_at_its_deadline(self):
@@ -57,3 +62,29 @@
             codes = [reply["code"] for reply in await replies]
             self.assertEqual([code for _, code in waiting], codes)
             await stopping
+
+    async def test_unstarted_jobs_get_a_retry_after(self):
+        """One job is queued, the other one's key is being claimed."""
+        async with fleet.Fleet() as started:
+            await jobs.add_backends(started, 1)
+            running = asyncio.create_task(
+                started.submit(0, jobs.job(count=8, seconds=20))
+            )
+            await jobs.wait_until(lambda: len(started.starts()) == 8)
+            started.platform.latency = 1.5
+            unstarted = asyncio.gather(
+                started.submit(0, jobs.job()),
+                started.submit(0, jobs.job(key="crate-7")),
+            )
+            state = started.entries[0].engine.state
+            await jobs.wait_until(lambda: state.active_jobs == 3)
+            stopping = self.start_drain(started)
+            await asyncio.sleep(0.05)
+            self.force_drain(started)
+            for reply in await unstarted:
+                self.assertEqual(Code.DRAIN_UNSTARTED, reply["code"], reply)
+                self.assertGreater(reply.get("retry_after_seconds", 0), 0)
+            reply = await running
+            self.assertEqual(Code.DRAIN_ENDED, reply["code"], reply)
+            self.assertNotIn("retry_after_seconds", reply)
+            await stopping
--- a/waxwingwalk/core/lifecycle.py
+++ b/waxwingwalk/core/lifecycle.py
@@ -8,6 +8,7 @@
 from waxwingwalk.core import state as core_state
 from waxwingwalk.jobs import dispatch
 from waxwingwalk.jobs import ending
+from waxwingwalk.jobs import intake
 from waxwingwalk.jobs import keys
 from waxwingwalk.membership import handlers as membership_handlers
 from waxwingwalk.routing import overdue
@@ -115,5 +116,8 @@
             unstarted=results.ResultCode.DRAIN_UNSTARTED,
             otherwise=results.ResultCode.DRAIN_ENDED,
         )
-        done += ending.end(state, job, code, "", now)
+        retry_after = None
+        if code is results.ResultCode.DRAIN_UNSTARTED:
+            retry_after = intake.UNAVAILABLE_RETRY
+        done += ending.end(state, job, code, "", now, retry_after)
     return done
--- a/waxwingwalk/jobs/ending.py
+++ b/waxwingwalk/jobs/ending.py
@@ -36,6 +36,7 @@
     code: results.ResultCode,
     detail: str,
     now: datetime.datetime,
+    retry_after: datetime.timedelta | None = None,
 ) -> Effects:
     """Set the final answer of a job and stop its remaining tasks."""
     is_complete = code is results.ResultCode.COMPLETE
@@ -51,6 +52,7 @@
         detail=detail or results.CODES[code].meaning,
         results=job.results if is_complete else [],
         started=job.started,
+        retry_after=retry_after,
     )
     job.results = []
     job.estimates = []
