Closed the connections of an entry process with its responses during a drain

Callers kept sending requests over connections to a process that drained, as its responses did not say that the connection was about to end. A request that was sent when the listeners were closed got no response.

A middleware, which the listeners of callers, operators and peers share, now closes the connection after each response that is given during a drain (Connection: close), refusals, errors and answers of earlier requests included. A connection on which no request comes during the drain stays open until its end.

--- a/tests/entry/test_drains.py
+++ b/tests/entry/test_drains.py
@@ -1,6 +1,7 @@
 """Requests that wait, arrive or are answered while a process drains."""
 
 import asyncio
+import socket
 
 from tests.entry import jobs
 from waxwingwalk.core import events
@@ -8,6 +9,29 @@
 from waxwingwalk.testing import fleet
 
 Code = results.ResultCode
+# A socket buffer that is far smaller than the answers that are sent.
+SMALL_BUFFER = 2**14
+
+
+async def connect(address, buffer_size=None):
+    """Return a reader and a writer of a new connection."""
+    host, port = address.rsplit(":", 1)
+    connection = socket.socket()
+    if buffer_size is not None:
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, buffer_size)
+    connection.setblocking(False)
+    loop = asyncio.get_running_loop()
+    await loop.sock_connect(connection, (host, int(port)))
+    return await asyncio.open_connection(sock=connection, limit=SMALL_BUFFER)
+
+
+def request_head(method, path, size=0, headers=None):
+    """Return the head of a request with a body of this many bytes."""
+    lines = [f"{method} {path} HTTP/1.1", "Host: localhost"]
+    for name, value in (headers or {}).items():
+        lines.append(f"{name}: {value}")
+    lines.append(f"Content-Length: {size}")
+    return "\r\n".join([*lines, "", ""]).encode()
 
 
 class DrainTestCase(jobs.FleetTestCase):
@@ -88,3 +112,38 @@
             self.assertEqual(Code.DRAIN_ENDED, reply["code"], reply)
             self.assertNotIn("retry_after_seconds", reply)
             await stopping
+
+
+class AnswerTests(DrainTestCase):
+    async def test_responses_of_a_drain_end_their_connections(self):
+        """Callers that kept them would send to a process that is exiting."""
+        async with fleet.Fleet() as started:
+            await jobs.add_backends(started, 1)
+            accepted = await started.submit(0, jobs.job(seconds=1, wait=False))
+            path = f"/v1/jobs/{accepted['job']}"
+            entry = started.entries[0]
+            cases = [
+                (entry.callers_address, "GET", "/ready"),
+                (entry.callers_address, "GET", path),
+                (entry.callers_address, "POST", "/v1/jobs"),
+                (entry.callers_address, "GET", "/no-such-path"),
+                (entry.callers_address, "GET", f"{path}?wait=true"),
+                (entry.operators_address, "GET", "/v1/hosts"),
+                (entry.peers_address, "GET", "/v1/settings"),
+            ]
+            connections = []
+            for address, method, path in cases:
+                reader, writer = await connect(address)
+                self.addCleanup(writer.close)
+                writer.write(request_head("GET", "/version"))
+                head = await reader.readuntil(b"\r\n\r\n")
+                self.assertNotIn(b"Connection: close", head)
+                connections.append((method, path, reader, writer))
+            stopping = self.start_drain(started)
+            await asyncio.sleep(0.05)
+            for method, path, reader, writer in connections:
+                with self.subTest(path=path):
+                    writer.write(request_head(method, path))
+                    head = await reader.readuntil(b"\r\n\r\n")
+                    self.assertIn(b"Connection: close", head)
+            await stopping
--- a/waxwingwalk/entry/callers_api.py
+++ b/waxwingwalk/entry/callers_api.py
@@ -8,6 +8,7 @@
 from waxwingwalk.core import results
 from waxwingwalk.entry import access
 from waxwingwalk.entry import engine as entry_engine
+from waxwingwalk.entry import open_requests
 from waxwingwalk.entry import replies
 from waxwingwalk.entry import submission
 
@@ -19,15 +20,20 @@
         self,
         engine: entry_engine.Engine,
         submissions: submission.Submissions,
+        unanswered: open_requests.OpenRequests,
         tokens: Mapping[str, str] | None,
     ) -> None:
         self._engine = engine
         self._submissions = submissions
+        self._unanswered = unanswered
         self._tokens = tokens
 
     def application(self, body_max: int) -> web.Application:
         """Return the web application of this API."""
-        app = web.Application(client_max_size=body_max)
+        app = web.Application(
+            middlewares=[self._unanswered.middleware],
+            client_max_size=body_max,
+        )
         app.router.add_post("/v1/jobs", self._submit)
         app.router.add_get("/v1/jobs/{job}", self._status)
         app.router.add_delete("/v1/jobs/{job}", self._cancel)
--- a/waxwingwalk/entry/operators_api.py
+++ b/waxwingwalk/entry/operators_api.py
@@ -16,6 +16,7 @@
 from waxwingwalk.entry import callers_api
 from waxwingwalk.entry import engine as entry_engine
 from waxwingwalk.entry import metrics
+from waxwingwalk.entry import open_requests
 from waxwingwalk.entry import replies
 from waxwingwalk.entry import requests
 from waxwingwalk.entry import views
@@ -39,16 +40,21 @@
         engine: entry_engine.Engine,
         store: settings_store.SettingsStore,
         exporter: metrics.MetricsExporter,
+        unanswered: open_requests.OpenRequests,
         tokens: Mapping[str, str] | None,
     ) -> None:
         self._engine = engine
         self._store = store
         self._exporter = exporter
+        self._unanswered = unanswered
         self._tokens = tokens
 
     def application(self) -> web.Application:
         """Return the web application of this API."""
-        app = web.Application(client_max_size=BODY_MAX)
+        app = web.Application(
+            middlewares=[self._unanswered.middleware],
+            client_max_size=BODY_MAX,
+        )
         routes: list[tuple[str, str, Handler]] = [
             ("GET", "/v1/settings", self._get_settings),
             ("GET", "/v1/settings/effective", self._effective),
--- a/waxwingwalk/entry/peers_api.py
+++ b/waxwingwalk/entry/peers_api.py
@@ -9,6 +9,7 @@
 from waxwingwalk.entry import engine as entry_engine
 from waxwingwalk.entry import forwarding
 from waxwingwalk.entry import links
+from waxwingwalk.entry import open_requests
 from waxwingwalk.entry import submission
 
 Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
@@ -25,11 +26,13 @@
         engine: entry_engine.Engine,
         submissions: submission.Submissions,
         peer_links: links.PeerLinks,
+        unanswered: open_requests.OpenRequests,
         secret: str,
     ) -> None:
         self._engine = engine
         self._submissions = submissions
         self._links = peer_links
+        self._unanswered = unanswered
         self._secret = secret
 
     def application(self, body_max: int) -> web.Application:
@@ -44,7 +47,8 @@
             return await handler(request)
 
         app = web.Application(
-            middlewares=[check_secret], client_max_size=body_max
+            middlewares=[self._unanswered.middleware, check_secret],
+            client_max_size=body_max,
         )
         app.router.add_get("/v1/link", self._links.accept)
         app.router.add_get("/v1/settings", self._settings)
--- a/waxwingwalk/wiring.py
+++ b/waxwingwalk/wiring.py
@@ -21,6 +21,7 @@
 from waxwingwalk.entry import issued_keys
 from waxwingwalk.entry import links
 from waxwingwalk.entry import metrics
+from waxwingwalk.entry import open_requests
 from waxwingwalk.entry import operators_api
 from waxwingwalk.entry import peers_api
 from waxwingwalk.entry import server
@@ -191,6 +192,9 @@
     store = settings_store.SettingsStore(
         platform, time.now, lambda: uuid.uuid4().hex
     )
+    unanswered = open_requests.OpenRequests(
+        lambda: reducer.state.drain is not None
+    )
     forwarder = forwarding.Forwarder(peer_links.session, sent_traffic)
     issuer = issued_keys.KeyIssuer(process, secrets.peers)
     submissions = submission.Submissions(engine, issuer, forwarder)
@@ -206,14 +210,19 @@
         peer_links.session, engine.apply
     ).fetch
     body_max = BODY_LIMIT
-    callers = callers_api.CallersApi(engine, submissions, secrets.callers)
+    callers = callers_api.CallersApi(
+        engine, submissions, unanswered, secrets.callers
+    )
     operators = operators_api.OperatorsApi(
         engine,
         store,
         metrics.MetricsExporter(reducer.state, sent_traffic),
+        unanswered,
         secrets.operators,
     )
-    peers = peers_api.PeersApi(engine, submissions, peer_links, secrets.peers)
+    peers = peers_api.PeersApi(
+        engine, submissions, peer_links, unanswered, secrets.peers
+    )
     service = server.EntryService(
         engine,
         peer_links,
