Answered requests of an entry process that still wait when its drain ends

A request whose body was still arriving when the drain ended got no response: the listeners were closed, the rest of the body was discarded, and the handler was cancelled after a second. The same happened to a change of settings that waited for the store. Only jobs and forwarded requests had an end.

Handlers now wait within OpenRequests.until_end, which raises ProcessEndedError at the end of the drain, before anything is closed, so each handler answers with what it knows.

--- a/tests/entry/test_drains.py
+++ b/tests/entry/test_drains.py
@@ -1,11 +1,13 @@
 """Requests that wait, arrive or are answered while a process drains."""
 
 import asyncio
+import json
 import socket
 
 from tests.entry import jobs
 from waxwingwalk.core import events
 from waxwingwalk.core import results
+from waxwingwalk.entry import forwarding
 from waxwingwalk.testing import fleet
 
 Code = results.ResultCode
@@ -34,6 +36,21 @@
     return "\r\n".join([*lines, "", ""]).encode()
 
 
+async def read_response(reader):
+    """Return the status, the headers and the JSON content of a response.
+
+    Raise an exception if the response is not complete.
+    """
+    head = (await reader.readuntil(b"\r\n\r\n")).decode()
+    status, *lines = head.strip().split("\r\n")
+    headers = {}
+    for line in lines:
+        name, _, value = line.partition(":")
+        headers[name.lower()] = value.strip()
+    body = await reader.readexactly(int(headers["content-length"]))
+    return int(status.split()[1]), headers, json.loads(body)
+
+
 class DrainTestCase(jobs.FleetTestCase):
     """Base class of tests that drain the first entry process."""
 
@@ -87,6 +104,21 @@
             self.assertEqual([code for _, code in waiting], codes)
             await stopping
 
+    async def test_change_is_unsettled_if_a_drain_is_forced(self):
+        async with fleet.Fleet() as started:
+            await started.wait_until_ready()
+            started.platform.latency = 1.5
+            change = asyncio.create_task(
+                started.change_settings({"defaults.drain_timeout": "30 s"})
+            )
+            await asyncio.sleep(0.1)
+            stopping = self.start_drain(started)
+            await asyncio.sleep(0.05)
+            self.force_drain(started)
+            reply = await change
+            self.assertEqual(Code.SETTINGS_UNSETTLED, reply["code"], reply)
+            await stopping
+
     async def test_unstarted_jobs_get_a_retry_after(self):
         """One job is queued, the other one's key is being claimed."""
         async with fleet.Fleet() as started:
@@ -114,6 +146,42 @@
             await stopping
 
 
+class ArrivingRequestTests(DrainTestCase):
+    async def test_request_whose_body_arrives_is_refused(self):
+        async with fleet.Fleet() as started:
+            await started.wait_until_ready()
+            entry = started.entries[0]
+            peer_headers = {
+                "Authorization": f"Bearer {fleet.SECRET}",
+                forwarding.TARGET_HEADER: (
+                    entry.engine.state.process.incarnation
+                ),
+            }
+            cases = [
+                (entry.callers_address, "/v1/jobs", {}),
+                (entry.callers_address, "/v1/keys", {}),
+                (entry.operators_address, "/v1/settings/changes", {}),
+                (entry.operators_address, "/v1/settings/rollback", {}),
+                (entry.peers_address, "/v1/forward/submit", peer_headers),
+            ]
+            readers = []
+            for address, path, headers in cases:
+                reader, writer = await connect(address)
+                self.addCleanup(writer.close)
+                head = request_head("POST", path, 1000, headers)
+                writer.write(head + b"{" * 100)
+                readers.append(reader)
+            await asyncio.sleep(0.1)
+            stopping = self.start_drain(started)
+            for (_, path, _), reader in zip(cases, readers, strict=True):
+                with self.subTest(path=path):
+                    status, headers, reply = await read_response(reader)
+                    self.assertEqual(503, status)
+                    self.assertEqual(Code.DRAINING, reply["code"])
+                    self.assertIn("retry-after", headers)
+            await stopping
+
+
 class AnswerTests(DrainTestCase):
     async def test_responses_of_a_drain_end_their_connections(self):
         """Callers that kept them would send to a process that is exiting."""
--- a/waxwingwalk/entry/callers_api.py
+++ b/waxwingwalk/entry/callers_api.py
@@ -58,7 +58,9 @@
             return replies.Reply(results.ResultCode.UNAUTHORIZED).response()
         body_max = self._engine.state.settings.process().body_max
         try:
-            body = await request.clone(client_max_size=body_max).read()
+            body = await self._unanswered.read_body(
+                request.clone(client_max_size=body_max)
+            )
         except web.HTTPRequestEntityTooLarge:
             return replies.Reply(results.ResultCode.BODY_TOO_LARGE).response()
         reply = await self._submissions.submit(body, team=team)
@@ -90,7 +92,7 @@
         is_allowed, team = self._authenticate(request)
         if not is_allowed:
             return replies.Reply(results.ResultCode.UNAUTHORIZED).response()
-        body = await request.read()
+        body = await self._unanswered.read_body(request)
         return self._submissions.issue_keys(body, team=team).response()
 
 
--- a/waxwingwalk/entry/operators_api.py
+++ b/waxwingwalk/entry/operators_api.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Coroutine
 from collections.abc import Mapping
 import signal
 from typing import Any
@@ -113,7 +114,8 @@
             detail = f"count must be from 1 to {HISTORY_MAX}"
             members = {"detail": detail}
             return replies.Reply(Code.INVALID_REQUEST, members).response()
-        read = await self._store.history(count)
+        async with self._unanswered.until_end():
+            read = await self._store.history(count)
         if not isinstance(read, result.Success):
             return replies.Reply(Code.SETTINGS_STORE_UNAVAILABLE).response()
         revisions = [
@@ -122,30 +124,43 @@
         return replies.Reply(Code.OK, {"revisions": revisions}).response()
 
     async def _change(self, request: web.Request) -> web.Response:
-        body = await request.read()
+        body = await self._unanswered.read_body(request)
         try:
             change = requests.ChangeRequest.model_validate_json(body)
         except pydantic.ValidationError as error:
             return _invalid(error)
-        outcome = await self._store.change(
-            change.changes,
-            author=request.get("operator", change.author),
-            reason=change.reason,
-            based_on=change.based_on,
+        return await self._settle_change(
+            self._store.change(
+                change.changes,
+                author=request.get("operator", change.author),
+                reason=change.reason,
+                based_on=change.based_on,
+            )
         )
-        return self._apply_change_result(outcome)
 
     async def _roll_back(self, request: web.Request) -> web.Response:
-        body = await request.read()
+        body = await self._unanswered.read_body(request)
         try:
             rollback = requests.RollBackRequest.model_validate_json(body)
         except pydantic.ValidationError as error:
             return _invalid(error)
-        outcome = await self._store.roll_back(
-            rollback.revision,
-            author=request.get("operator", rollback.author),
-            reason=rollback.reason,
+        return await self._settle_change(
+            self._store.roll_back(
+                rollback.revision,
+                author=request.get("operator", rollback.author),
+                reason=rollback.reason,
+            )
         )
+
+    async def _settle_change(
+        self, change: Coroutine[Any, Any, settings_store.ChangeResult]
+    ) -> web.Response:
+        """Wait for a change's outcome; it is unknown if the process ends."""
+        try:
+            async with self._unanswered.until_end():
+                outcome = await change
+        except open_requests.ProcessEndedError:
+            return replies.Reply(Code.SETTINGS_UNSETTLED).response()
         return self._apply_change_result(outcome)
 
     def _apply_change_result(
--- a/waxwingwalk/entry/peers_api.py
+++ b/waxwingwalk/entry/peers_api.py
@@ -68,7 +68,7 @@
         target = request.headers.get(forwarding.TARGET_HEADER)
         if target != self._engine.state.process.incarnation:
             return web.Response(status=421)
-        body = await request.read()
+        body = await self._unanswered.read_body(request)
         action = request.match_info["action"]
         if action == "submit":
             reply = await self._submissions.submit(
--- a/waxwingwalk/entry/replies.py
+++ b/waxwingwalk/entry/replies.py
@@ -9,6 +9,7 @@
 
 from waxwingwalk.core import model
 from waxwingwalk.core import results
+from waxwingwalk.jobs import intake
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -40,6 +41,14 @@
         return response
 
 
+def draining() -> Reply:
+    """Return the refusal of a request that nothing was done for."""
+    retry_after = intake.UNAVAILABLE_RETRY.total_seconds()
+    return Reply(
+        results.ResultCode.DRAINING, {"retry_after_seconds": retry_after}
+    )
+
+
 def from_answer(answer: model.Answer) -> Reply:
     """Return the reply for an answer."""
     members: dict[str, Any] = {
--- a/waxwingwalk/entry/server.py
+++ b/waxwingwalk/entry/server.py
@@ -19,6 +19,7 @@
 from waxwingwalk.entry import engine as entry_engine
 from waxwingwalk.entry import forwarding
 from waxwingwalk.entry import links
+from waxwingwalk.entry import open_requests
 from waxwingwalk.settings import store as settings_store
 from waxwingwalk.store import base as store_base
 from waxwingwalk.store import host_list
@@ -53,6 +54,7 @@
         engine: entry_engine.Engine,
         peer_links: links.PeerLinks,
         forwarder: forwarding.Forwarder,
+        unanswered: open_requests.OpenRequests,
         hosts: store_base.HostList,
         store: settings_store.SettingsStore,
         seeds: list[str],
@@ -63,6 +65,7 @@
         self._engine = engine
         self._links = peer_links
         self._forwarder = forwarder
+        self._unanswered = unanswered
         self._hosts = hosts
         self._store = store
         self._seeds = seeds
@@ -87,7 +90,11 @@
             )
 
     async def stop(self, exception: Exception | None = None) -> None:
-        """Drain: finish the jobs in progress, then close everything."""
+        """Drain: finish the jobs in progress, then close everything.
+
+        Requests that still wait then are ended with an answer that says what
+        may have happened.
+        """
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             with contextlib.suppress(ValueError, RuntimeError):
@@ -96,6 +103,7 @@
         self._engine.apply(events.DrainRequested(deadline))
         await self._engine.exited.wait()
         await self._finish_forwarded_requests()
+        self._unanswered.end()
         await asyncio.sleep(RESPONSE_FLUSH_TIME.total_seconds())
         await self.abort()
 
--- a/waxwingwalk/entry/submission.py
+++ b/waxwingwalk/entry/submission.py
@@ -20,7 +20,6 @@
 from waxwingwalk.entry import replies
 from waxwingwalk.entry import requests
 from waxwingwalk.entry import views
-from waxwingwalk.jobs import intake
 from waxwingwalk.jobs import keys
 
 Code = results.ResultCode
@@ -116,7 +115,7 @@
         if is_forwarded:
             return replies.Reply(Code.KEY_INCARNATION_GONE)
         if self._is_draining:
-            return _draining()
+            return replies.draining()
         return await self._forward(
             key.issuer, request, body, Code.KEY_INCARNATION_GONE
         )
@@ -308,7 +307,7 @@
         if team is not None and request.team != team:
             return replies.Reply(Code.UNAUTHORIZED)
         if self._is_draining:
-            return _draining()
+            return replies.draining()
         options = self._engine.state.settings.process()
         issued = self._issuer.issue(
             request.team,
@@ -327,11 +326,6 @@
     return replies.Reply(Code.INVALID_REQUEST, {"detail": detail})
 
 
-def _draining() -> replies.Reply:
-    retry_after = intake.UNAVAILABLE_RETRY.total_seconds()
-    return replies.Reply(Code.DRAINING, {"retry_after_seconds": retry_after})
-
-
 def _accepted(job_id: str) -> replies.Reply:
     return replies.Reply(Code.ACCEPTED, {"job": job_id})
 
--- a/waxwingwalk/wiring.py
+++ b/waxwingwalk/wiring.py
@@ -227,6 +227,7 @@
         engine,
         peer_links,
         forwarder,
+        unanswered,
         platform,
         store,
         config.seeds,
