Ended forwarded requests before an entry process closes its links

A request for a job of a peer that was read after the links had been closed, and before the listener was, was answered with HTTP 500 and no result code: the forwarder used the session of the links, which raises RuntimeError once it is closed. Requests that waited for a peer at the deadline were answered only because their connections broke when the session was closed.

The forwarder now waits within OpenRequests.until_end, as other handlers do. At the end of the drain a waiting request gets the code for a lost reply (4006 or 4007), before anything is closed; later requests are not forwarded and get 4007 with a Retry-After.

The test fails before the change (the response is no JSON; "Session is closed" in the log) and passes with it, as do the tests of forced drains and of the deadline.

--- a/tests/entry/test_drains.py
+++ b/tests/entry/test_drains.py
@@ -3,11 +3,13 @@
 import asyncio
 import json
 import socket
+from unittest import mock
 
 from tests.entry import jobs
 from waxwingwalk.core import events
 from waxwingwalk.core import results
 from waxwingwalk.entry import forwarding
+from waxwingwalk.entry import links
 from waxwingwalk.testing import fleet
 
 Code = results.ResultCode
@@ -215,3 +217,28 @@
                     head = await reader.readuntil(b"\r\n\r\n")
                     self.assertIn(b"Connection: close", head)
             await stopping
+
+
+class ClosingTests(DrainTestCase):
+    async def test_request_read_while_links_close_is_not_forwarded(self):
+        """It cannot be, as the links and the forwarder share a session."""
+        async with fleet.Fleet(entries=2) as started:
+            await jobs.add_backends(started, 1)
+            accepted = await started.submit(1, jobs.job(wait=False))
+            address = started.entries[0].callers_address
+            reader, writer = await connect(address)
+            self.addCleanup(writer.close)
+            close = links.PeerLinks.close
+
+            async def close_and_read(peer_links):
+                await close(peer_links)
+                path = f"/v1/jobs/{accepted['job']}"
+                writer.write(request_head("GET", path))
+                await asyncio.sleep(0.1)
+
+            with mock.patch.object(links.PeerLinks, "close", close_and_read):
+                await self.start_drain(started)
+            status, headers, reply = await read_response(reader)
+            self.assertEqual(503, status)
+            self.assertEqual(Code.COORDINATOR_UNREACHABLE, reply["code"])
+            self.assertIn("retry-after", headers)
--- a/waxwingwalk/entry/forwarding.py
+++ b/waxwingwalk/entry/forwarding.py
@@ -8,6 +8,7 @@
 
 from waxwingwalk.core import identity
 from waxwingwalk.core import results
+from waxwingwalk.entry import open_requests
 from waxwingwalk.entry import replies
 from waxwingwalk.entry import traffic
 
@@ -27,10 +28,14 @@
     """Sends requests to one incarnation of a peer, without retries."""
 
     def __init__(
-        self, session: aiohttp.ClientSession, sent_traffic: traffic.Traffic
+        self,
+        session: aiohttp.ClientSession,
+        sent_traffic: traffic.Traffic,
+        unanswered: open_requests.OpenRequests,
     ) -> None:
         self._session = session
         self._traffic = sent_traffic
+        self._unanswered = unanswered
         self._in_progress = 0
 
     @property
@@ -53,13 +58,18 @@
         The reply has ``code_if_gone`` if that incarnation has ended,
         COORDINATOR_UNREACHABLE if no connection could be opened, so that the
         request was not sent, and ``code_if_lost`` if the request may have
-        arrived but got no valid reply.
+        arrived but got no valid reply before this process ends.
         """
+        if self._unanswered.is_ended:
+            return unreachable()
         self._in_progress += 1
         try:
-            return await self._forward(
-                target, action, body, wait, code_if_gone, code_if_lost
-            )
+            async with self._unanswered.until_end():
+                return await self._forward(
+                    target, action, body, wait, code_if_gone, code_if_lost
+                )
+        except open_requests.ProcessEndedError:
+            return replies.Reply(code_if_lost)
         finally:
             self._in_progress -= 1
 
--- a/waxwingwalk/entry/open_requests.py
+++ b/waxwingwalk/entry/open_requests.py
@@ -31,6 +31,11 @@
         self._is_ended = False
         self._limits: set[asyncio.Timeout] = set()
 
+    @property
+    def is_ended(self) -> bool:
+        """Whether requests that would have to wait are refused."""
+        return self._is_ended
+
     def end(self) -> None:
         """End all operations that requests wait for, and later ones."""
         if self._is_ended:
--- a/waxwingwalk/wiring.py
+++ b/waxwingwalk/wiring.py
@@ -195,7 +195,9 @@
     unanswered = open_requests.OpenRequests(
         lambda: reducer.state.drain is not None
     )
-    forwarder = forwarding.Forwarder(peer_links.session, sent_traffic)
+    forwarder = forwarding.Forwarder(
+        peer_links.session, sent_traffic, unanswered
+    )
     issuer = issued_keys.KeyIssuer(process, secrets.peers)
     submissions = submission.Submissions(engine, issuer, forwarder)
     key_claims = claims.KeyClaims(
