Waited for the requests that an entry process answers at the end of its drain

An entry process exited 0.2 s after its last job had ended, plus at most about 2 s while responses were being sent, whatever was left of the drain. A large answer that its caller read slowly was cut off, and a change of settings that waited for a slow store got no answer.

OpenRequests counts the requests that are being handled. After the last job, the drain goes on until all of them are answered and no connection has bytes to send, or until its deadline; this replaces the count of forwarded requests. After the end of the remaining ones it waits for at most a second for their responses. A request whose body is still arriving does not delay the end.

--- a/tests/entry/test_drains.py
+++ b/tests/entry/test_drains.py
@@ -13,6 +13,8 @@
 from waxwingwalk.testing import fleet
 
 Code = results.ResultCode
+# Longer than a drain without jobs takes to close the listeners.
+CLOSE_SECONDS = 4.0
 # A socket buffer that is far smaller than the answers that are sent.
 SMALL_BUFFER = 2**14
 
@@ -106,6 +108,19 @@
             self.assertEqual([code for _, code in waiting], codes)
             await stopping
 
+    async def test_change_that_waits_for_the_store_is_answered(self):
+        async with fleet.Fleet() as started:
+            await started.wait_until_ready()
+            started.platform.latency = 1.5
+            change = asyncio.create_task(
+                started.change_settings({"defaults.drain_timeout": "30 s"})
+            )
+            await asyncio.sleep(0.1)
+            stopping = self.start_drain(started)
+            reply = await change
+            self.assertEqual(Code.OK, reply["code"], reply)
+            await stopping
+
     async def test_change_is_unsettled_if_a_drain_is_forced(self):
         async with fleet.Fleet() as started:
             await started.wait_until_ready()
@@ -218,6 +233,31 @@
                     self.assertIn(b"Connection: close", head)
             await stopping
 
+    async def test_answer_that_is_read_slowly_is_complete(self):
+        changes = {
+            "defaults.payload_max": "2 MiB",
+            "defaults.body_max": "64 MiB",
+        }
+        async with fleet.Fleet(settings=changes) as started:
+            await jobs.add_backends(started, 1)
+            value = "x" * 2**20
+            payload = {"run_seconds": 0.1, "value": value}
+            job = {**jobs.job(), "tasks": [{"payload": payload}] * 32}
+            body = json.dumps(job).encode()
+            address = started.entries[0].callers_address
+            reader, writer = await connect(address, SMALL_BUFFER)
+            self.addCleanup(writer.close)
+            writer.write(request_head("POST", "/v1/jobs", len(body)) + body)
+            await jobs.wait_until(lambda: len(started.starts()) >= 8)
+            stopping = self.start_drain(started)
+            await started.entries[0].engine.exited.wait()
+            await asyncio.wait({stopping}, timeout=CLOSE_SECONDS)
+            self.assertFalse(stopping.done())
+            _, _, reply = await read_response(reader)
+            self.assertEqual(Code.COMPLETE, reply["code"])
+            self.assertEqual([value] * 32, reply["results"])
+            await stopping
+
 
 class ClosingTests(DrainTestCase):
     async def test_request_read_while_links_close_is_not_forwarded(self):
--- a/waxwingwalk/entry/forwarding.py
+++ b/waxwingwalk/entry/forwarding.py
@@ -36,12 +36,6 @@
         self._session = session
         self._traffic = sent_traffic
         self._unanswered = unanswered
-        self._in_progress = 0
-
-    @property
-    def in_progress(self) -> int:
-        """The number of forwarded requests without a reply."""
-        return self._in_progress
 
     async def forward(
         self,
@@ -62,7 +56,6 @@
         """
         if self._unanswered.is_ended:
             return unreachable()
-        self._in_progress += 1
         try:
             async with self._unanswered.until_end():
                 return await self._forward(
@@ -70,8 +63,6 @@
                 )
         except open_requests.ProcessEndedError:
             return replies.Reply(code_if_lost)
-        finally:
-            self._in_progress -= 1
 
     async def _forward(
         self,
--- a/waxwingwalk/entry/open_requests.py
+++ b/waxwingwalk/entry/open_requests.py
@@ -14,6 +14,7 @@
 
 from aiohttp import web
 
+from waxwingwalk.entry import links
 from waxwingwalk.entry import replies
 
 Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
@@ -24,18 +25,25 @@
 
 
 class OpenRequests:
-    """Ends the requests of all listeners that wait at a drain's end."""
+    """Counts the open requests of all listeners, and ends them."""
 
     def __init__(self, is_draining: Callable[[], bool]) -> None:
         self._is_draining = is_draining
         self._is_ended = False
         self._limits: set[asyncio.Timeout] = set()
+        self._open = 0
+        self._arriving = 0
 
     @property
     def is_ended(self) -> bool:
         """Whether requests that would have to wait are refused."""
         return self._is_ended
 
+    @property
+    def in_progress(self) -> int:
+        """The number of open requests whose body has arrived."""
+        return self._open - self._arriving
+
     def end(self) -> None:
         """End all operations that requests wait for, and later ones."""
         if self._is_ended:
@@ -62,19 +70,30 @@
             raise
 
     async def read_body(self, request: web.Request) -> bytes:
-        """Return the body of a request."""
-        async with self.until_end():
-            return await request.read()
+        """Return the body of a request.
+
+        A body that is still arriving does not delay the end of a drain, as
+        nothing has been done for its request.
+        """
+        self._arriving += 1
+        try:
+            async with self.until_end():
+                return await request.read()
+        finally:
+            self._arriving -= 1
 
     @web.middleware
     async def middleware(
         self, request: web.Request, handler: Handler
     ) -> web.StreamResponse:
-        """Answer a request, with a refusal if the process ends.
+        """Count a request until it is answered.
 
         A response that is given during a drain ends its connection, so that
         its caller sends the next request to another process.
         """
+        if request.path == links.PATH:
+            return await handler(request)
+        self._open += 1
         try:
             response = await handler(request)
         except ProcessEndedError:
@@ -82,6 +101,8 @@
         except web.HTTPException as error:
             self._close_after(error)
             raise
+        finally:
+            self._open -= 1
         self._close_after(response)
         return response
 
--- a/waxwingwalk/entry/server.py
+++ b/waxwingwalk/entry/server.py
@@ -17,7 +17,6 @@
 from waxwingwalk.core import events
 from waxwingwalk.entry import config as entry_config
 from waxwingwalk.entry import engine as entry_engine
-from waxwingwalk.entry import forwarding
 from waxwingwalk.entry import links
 from waxwingwalk.entry import open_requests
 from waxwingwalk.settings import store as settings_store
@@ -28,8 +27,11 @@
 # Allocations minus deallocations that trigger a collection of the youngest
 # generation.
 GC_THRESHOLD = 20_000
-# Time to send the last responses after the last job has ended.
-RESPONSE_FLUSH_TIME = datetime.timedelta(milliseconds=200)
+# Time to send the last messages to peers, and the responses to requests that
+# arrive at the end.
+FLUSH_TIME = datetime.timedelta(milliseconds=200)
+# Time that callers have to read their responses at the end of a drain.
+RESPONSE_TIME_MAX = datetime.timedelta(seconds=1)
 # Interval of requests to the store until there is a first revision.
 INITIAL_SETTINGS_INTERVAL = datetime.timedelta(milliseconds=500)
 LISTEN_BACKLOG = 1024
@@ -53,7 +55,6 @@
         self,
         engine: entry_engine.Engine,
         peer_links: links.PeerLinks,
-        forwarder: forwarding.Forwarder,
         unanswered: open_requests.OpenRequests,
         hosts: store_base.HostList,
         store: settings_store.SettingsStore,
@@ -64,7 +65,6 @@
         super().__init__()
         self._engine = engine
         self._links = peer_links
-        self._forwarder = forwarder
         self._unanswered = unanswered
         self._hosts = hosts
         self._store = store
@@ -90,10 +90,10 @@
             )
 
     async def stop(self, exception: Exception | None = None) -> None:
-        """Drain: finish the jobs in progress, then close everything.
+        """Drain: answer the requests in progress, then close everything.
 
-        Requests that still wait then are ended with an answer that says what
-        may have happened.
+        Requests that still wait at the drain's deadline are ended with an
+        answer that says what may have happened.
         """
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
@@ -102,21 +102,37 @@
         deadline = self._engine.state.settings.process().drain_timeout
         self._engine.apply(events.DrainRequested(deadline))
         await self._engine.exited.wait()
-        await self._finish_forwarded_requests()
+        await self._wait_for_responses(self._drain_deadline)
         self._unanswered.end()
-        await asyncio.sleep(RESPONSE_FLUSH_TIME.total_seconds())
+        limit = self._engine.clock.now() + RESPONSE_TIME_MAX
+        await self._wait_for_responses(lambda: limit)
+        await asyncio.sleep(FLUSH_TIME.total_seconds())
         await self.abort()
 
-    async def _finish_forwarded_requests(self) -> None:
-        """Wait for the replies of peers until the drain's deadline."""
-        state = self._engine.state
-        while self._forwarder.in_progress > 0:
-            if state.drain is None or (
-                self._engine.clock.now() >= state.drain.deadline
-            ):
+    def _drain_deadline(self) -> datetime.datetime:
+        """Return the deadline; a second signal brings it forward."""
+        drain = self._engine.state.drain
+        return self._engine.clock.now() if drain is None else drain.deadline
+
+    async def _wait_for_responses(
+        self, deadline: Callable[[], datetime.datetime]
+    ) -> None:
+        """Wait until the requests in progress are answered, or a deadline."""
+        while self._unanswered.in_progress > 0 or self._has_unsent_bytes():
+            if self._engine.clock.now() >= deadline():
                 return
             await asyncio.sleep(TICK_INTERVAL.total_seconds())
 
+    def _has_unsent_bytes(self) -> bool:
+        """Return whether a response has not been passed to the system yet."""
+        return any(
+            connection.transport.get_write_buffer_size() > 0
+            for runner in self._runners
+            if runner.server is not None
+            for connection in runner.server.connections
+            if connection.transport is not None
+        )
+
     def _force_drain(self) -> None:
         self._engine.apply(events.DrainForced())
 
--- a/waxwingwalk/settings/global_settings.py
+++ b/waxwingwalk/settings/global_settings.py
@@ -157,7 +157,7 @@
     settings_interval: Duration = pydantic.Field(
         seconds(10), ge=seconds(0.5), le=seconds(600)
     )
-    # How long a graceful shutdown waits for active jobs.
+    # How long a graceful shutdown waits for active jobs and open requests.
     drain_timeout: Duration = pydantic.Field(
         seconds(60), ge=seconds(0), le=seconds(3600)
     )
--- a/waxwingwalk/wiring.py
+++ b/waxwingwalk/wiring.py
@@ -228,7 +228,6 @@
     service = server.EntryService(
         engine,
         peer_links,
-        forwarder,
         unanswered,
         platform,
         store,
