--- a/waxwingwalk/entry/peers_api.py
+++ b/waxwingwalk/entry/peers_api.py
@@ -9,6 +9,7 @@
 from waxwingwalk.entry import engine as entry_engine
 from waxwingwalk.entry import forwarding
 from waxwingwalk.entry import links
+from waxwingwalk.entry import open_requests
 from waxwingwalk.entry import submission
 
 Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
@@ -25,11 +26,13 @@
         engine: entry_engine.Engine,
         submissions: submission.Submissions,
         peer_links: links.PeerLinks,
+        unanswered: open_requests.OpenRequests,
         secret: str,
     ) -> None:
         self._engine = engine
         self._submissions = submissions
         self._links = peer_links
+        self._unanswered = unanswered
         self._secret = secret
 
     def application(self, body_max: int) -> web.Application:
@@ -44,9 +47,10 @@
             return await handler(request)
 
         app = web.Application(
-            middlewares=[check_secret], client_max_size=body_max
+            middlewares=[self._unanswered.middleware, check_secret],
+            client_max_size=body_max,
         )
-        app.router.add_get("/v1/link", self._links.accept)
+        app.router.add_get(links.PATH, self._links.accept)
         app.router.add_get("/v1/settings", self._settings)
         app.router.add_post("/v1/forward/{action}", self._forward)
         return app
@@ -64,7 +68,7 @@
         target = request.headers.get(forwarding.TARGET_HEADER)
         if target != self._engine.state.process.incarnation:
             return web.Response(status=421)
-        body = await request.read()
+        body = await self._unanswered.read_body(request)
         action = request.match_info["action"]
         if action == "submit":
             reply = await self._submissions.submit(
