--- a/waxwingwalk/entry/links.py
+++ b/waxwingwalk/entry/links.py
@@ -35,7 +35,7 @@
 # added.
 QUEUE_MAX = 2000
 FRAME_MAX = 16 * 2**20
-PATH = "/v1/link"
+LINK_PATH = "/v1/link"
 ADDRESS_HEADER = "X-Waxwingwalk-Address"
 INCARNATION_HEADER = "X-Waxwingwalk-Incarnation"
 
@@ -141,7 +141,7 @@
                 timeout = CONNECT_TIMEOUT.total_seconds()
                 async with asyncio.timeout(timeout):
                     socket = await self._session.ws_connect(
-                        f"http://{link.address}{PATH}",
+                        f"http://{link.address}{LINK_PATH}",
                         max_msg_size=FRAME_MAX,
                         compress=0,
                     )
--- a/waxwingwalk/entry/open_requests.py
+++ b/waxwingwalk/entry/open_requests.py
@@ -91,7 +91,7 @@
         A response that is given during a drain ends its connection, so that
         its caller sends the next request to another process.
         """
-        if request.path == links.PATH:
+        if request.path == links.LINK_PATH:
             return await handler(request)
         self._open += 1
         try:
--- a/waxwingwalk/entry/peers_api.py
+++ b/waxwingwalk/entry/peers_api.py
@@ -50,7 +50,7 @@
             middlewares=[self._unanswered.middleware, check_secret],
             client_max_size=body_max,
         )
-        app.router.add_get(links.PATH, self._links.accept)
+        app.router.add_get(links.LINK_PATH, self._links.accept)
         app.router.add_get("/v1/settings", self._settings)
         app.router.add_post("/v1/forward/{action}", self._forward)
         return app
