Entry: signals in quick succession kill no process that begins to drain

What callers saw: connections that ended without a response when an entry process got two SIGTERMs within about a millisecond, as from a supervisor that signals a process and its group.

The entrypoint restored the default handlers, and the service set its own only when its stop began, some iterations of the event loop later.

Change: host.termination handles the signals of both daemons, from before the first listener opens until the end.

--- a/tests/management/test_daemon.py
+++ b/tests/management/test_daemon.py
@@ -15,6 +15,9 @@
 
 Code = results.ResultCode
 
+# Signals that arrive while the daemon begins to drain.
+SIGNALS = 3000
+
 
 class DaemonTests(jobs.FleetTestCase):
     """A daemon that joins a fleet with one in-process entry process."""
@@ -120,6 +123,15 @@
         self.assertEqual(Code.DRAIN_ENDED, reply["code"], reply)
         self.assertEqual(0, await self.daemon.wait())
 
+    async def test_signals_in_quick_succession_cut_off_no_caller(self):
+        running = await self.start_job(60)
+        for _ in range(SIGNALS):
+            self.daemon.send_signal(signal.SIGTERM)
+        reply = await running
+        # The process may see all of them as one, and complete the job.
+        self.assertIn(reply["code"], (Code.DRAIN_ENDED, Code.COMPLETE), reply)
+        self.assertEqual(0, await self.daemon.wait())
+
     async def test_paused_daemon_is_declared_gone_and_rejoins(self):
         """The daemon is paused beyond the peer timeout while tasks run."""
         running = await self.start_job(12)
--- a/tests/platform/test_signals.py
+++ b/tests/platform/test_signals.py
@@ -20,6 +20,8 @@
 LONG_RUN_SECONDS = 30
 TRIES = 100
 PAUSE_SECONDS = 0.1
+# Signals that arrive while the process begins to drain.
+SIGNALS = 3000
 # The process has this long to exit after the second signal, which is less
 # than its linger time and its grace.
 EXIT_SECONDS = 1.5
@@ -58,22 +60,22 @@
         except aiohttp.ClientConnectionError:
             return None
 
-    async def check_two_signals(self, delay_seconds, limit_seconds):
-        """Send two signals while a caller waits for its answer."""
+    async def check_signals(self, delay_seconds, limit_seconds, count=2):
+        """Send signals while a caller waits for its answer."""
         with mock.patch.object(stand_in, "RUN_SECONDS", LONG_RUN_SECONDS):
             waiting = asyncio.create_task(self.submit(TRIES))
             while not self.deployment.workers[0].running:
                 await asyncio.sleep(0.01)
-            self.host.signal(signal.SIGTERM)
-            await asyncio.sleep(delay_seconds)
-            self.host.signal(signal.SIGTERM)
+            for _ in range(count):
+                self.host.signal(signal.SIGTERM)
+                if delay_seconds:
+                    await asyncio.sleep(delay_seconds)
             async with asyncio.timeout(limit_seconds):
                 self.assertEqual(await waiting, 502)
                 self.assertEqual(await self.host.wait(), 0)
 
     async def test_second_sigterm_ends_the_drain_with_an_answer(self):
-        await self.check_two_signals(0.5, EXIT_SECONDS)
+        await self.check_signals(0.5, EXIT_SECONDS)
 
-    async def test_sigterm_that_is_sent_twice_cuts_off_no_caller(self):
-        # The process may see these two as one.
-        await self.check_two_signals(0.0, process_hosts.GRACE_SECONDS)
+    async def test_signals_in_quick_succession_cut_off_no_caller(self):
+        await self.check_signals(0.0, process_hosts.GRACE_SECONDS, SIGNALS)
--- a/waxwingwalk/entry/server.py
+++ b/waxwingwalk/entry/server.py
@@ -3,10 +3,8 @@
 import asyncio
 from collections.abc import Callable
 from collections.abc import Coroutine
-import contextlib
 import datetime
 import gc
-import signal
 import socket
 from typing import Any
 
@@ -95,10 +93,6 @@
         Requests that still wait at the drain's deadline are ended with an
         answer that says what may have happened.
         """
-        loop = asyncio.get_running_loop()
-        for number in (signal.SIGTERM, signal.SIGINT):
-            with contextlib.suppress(ValueError, RuntimeError):
-                loop.add_signal_handler(number, self._force_drain)
         deadline = self._engine.state.settings.process().drain_timeout
         self._engine.apply(events.DrainRequested(deadline))
         await self._engine.exited.wait()
@@ -133,7 +127,8 @@
             if connection.transport is not None
         )
 
-    def _force_drain(self) -> None:
+    def end_drain(self) -> None:
+        """End the drain now, with an answer to every caller that waits."""
         self._engine.apply(events.DrainForced())
 
     async def abort(self) -> None:
--- a/waxwingwalk/management/commands/entry.py
+++ b/waxwingwalk/management/commands/entry.py
@@ -1,5 +1,6 @@
 """``waxwingwalk entry``: the entry daemon."""
 
+import asyncio
 import pathlib
 
 import aiomisc
@@ -11,6 +12,7 @@
 from waxwingwalk.entry import config
 from waxwingwalk.entry import logs
 from waxwingwalk.entry import server
+from waxwingwalk.host import termination
 from waxwingwalk.management import base
 import waxwingwalk.wiring as wiring
 
@@ -47,7 +49,7 @@
             daemon,
             loop_factory=uvloop.new_event_loop,
             log_config=False,
-            shutdown_timeout=SHUTDOWN_TIMEOUT_SECONDS,
+            catch_signals=(),
         ) as loop:
             loop.run_forever()
         return base.EXIT_OK
@@ -70,6 +72,7 @@
 
     async def start(self) -> None:
         """Build the entry process and start its service."""
+        termination.Termination(self._end_drain).catch_signals()
         entry = wiring.build_entry(self._settings, self._secrets, self._logger)
         self._service = entry.service
         self._logger.info(
@@ -84,4 +87,9 @@
     async def stop(self, exception: Exception | None = None) -> None:
         """Drain and stop the service."""
         if self._service is not None:
-            await self._service.stop(exception)
+            async with asyncio.timeout(SHUTDOWN_TIMEOUT_SECONDS):
+                await self._service.stop(exception)
+
+    def _end_drain(self) -> None:
+        if self._service is not None:
+            self._service.end_drain()
--- a/waxwingwalk/platform/daemon.py
+++ b/waxwingwalk/platform/daemon.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import logging
-import signal
 import sys
 
 import aiomisc
@@ -13,12 +12,12 @@
 from waxwingwalk.host import config as host_config
 from waxwingwalk.host import logs
 from waxwingwalk.host import service
+from waxwingwalk.host import termination
 from waxwingwalk.platform import boot
 from waxwingwalk.platform import wiring
 
 # The drain has its own time limit; this one applies only if the drain hangs.
 SHUTDOWN_TIMEOUT_SECONDS = 60
-TERMINATION_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
 
 class Daemon(aiomisc.Service):
@@ -31,13 +30,10 @@
         self._config = config
         self._settings = settings
         self._host: service.HostService | None = None
-        self._is_stopping = False
 
     async def start(self) -> None:
         """Build the host and start it."""
-        loop = asyncio.get_running_loop()
-        for number in TERMINATION_SIGNALS:
-            loop.add_signal_handler(number, self._terminate)
+        termination.Termination(self._end_drain).catch_signals()
         time = clock.SystemClock()
         log = logs.HostLog(
             time, logs.NonBlockingWriter(), self._config.log_level
@@ -46,12 +42,8 @@
         self._host = wiring.build(self._config, time, log, self._settings.load)
         await self._host.start()
 
-    def _terminate(self) -> None:
-        """Stop on the first signal; end the drain on a second one."""
-        if not self._is_stopping:
-            self._is_stopping = True
-            asyncio.get_running_loop().stop()
-        elif self._host is not None:
+    def _end_drain(self) -> None:
+        if self._host is not None:
             self._host.end_drain()
 
     async def stop(self, exception: Exception | None = None) -> None:
@@ -62,11 +54,7 @@
 
 
 def main() -> int:
-    """Run until SIGTERM; return the exit status.
-
-    The entrypoint catches no signals: it would restore their default handlers
-    before the host drains, so that a second signal would kill the process.
-    """
+    """Run until SIGTERM; return the exit status."""
     settings = boot.SettingsFile()
     match settings.load():
         case result.Success(config):
