Dispatch: answered callers once at the end of a drain, and always with a Retry-After

Jobs that a draining host schedules itself expired at the limit of the drain, in the tick in which it answers all callers: two answers, of which the second said less, and drain.ended counted callers as unanswered who were answered in that tick. They now expire 200 ms before it, like those at other hosts, which also leaves their answers the time to arrive.

A refusal by a scheduler that is leaving has no Retry-After, as the host of the caller routes the job again. In the last 200 ms of its own drain it does not, and passed the refusal on without one. It now says when to return.

--- a/waxwingwalk/dispatch/front.py
+++ b/waxwingwalk/dispatch/front.py
@@ -29,8 +29,6 @@
 # A caller that is refused because there is no scheduler is asked to retry
 # after this time, by when one has probably been found.
 NO_SCHEDULER_RETRY = datetime.timedelta(seconds=1)
-# Part of a drain that is reserved for the answers of schedulers to arrive.
-DRAIN_ANSWER_TIME = datetime.timedelta(milliseconds=200)
 # Bounds of the same for a job that is refused because all zones are evacuated,
 # which lasts. Within them it is spread, so that callers do not all return at
 # once.
@@ -83,7 +81,8 @@
         self._unrouted: dict[str, None] = {}
         self._is_held = False
         self._requests = 0
-        self._drain_deadline: datetime.datetime | None = None
+        # When all jobs expire, as this host shuts down.
+        self._latest_expiry: datetime.datetime | None = None
 
     @property
     def pending(self) -> dict[str, PendingJob]:
@@ -138,19 +137,19 @@
         """Route a caller's job to a scheduler."""
         self._requests += 1
         pending = PendingJob(self._limit_expiry(job), self._requests)
-        if self._drain_deadline is not None and now >= pending.job.expires:
+        if self._latest_expiry is not None and now >= self._latest_expiry:
             return [_refuse_leaving(job.job_id)]
         self._pending[job.job_id] = pending
         return self._route(pending, now)
 
-    def start_drain(
-        self, deadline: datetime.datetime, now: datetime.datetime
+    def limit_jobs(
+        self, latest: datetime.datetime, now: datetime.datetime
     ) -> effects.Effects:
-        """Limit all jobs, present and later ones, to the time until then.
+        """Let all jobs, present and later ones, expire at a time.
 
         A scheduler refuses at once what it cannot complete in this time.
         """
-        self._drain_deadline = deadline
+        self._latest_expiry = latest
         done: effects.Effects = []
         for pending in self._pending.values():
             limited = self._limit_expiry(pending.job)
@@ -167,16 +166,17 @@
         return done
 
     def _limit_expiry(self, job: model.Job) -> model.Job:
-        """Return the job, which expires before the host's drain ends."""
-        if self._drain_deadline is None:
-            return job
-        latest = self._drain_deadline - DRAIN_ANSWER_TIME
-        if job.expires <= latest:
+        """Return the job, which expires before this host exits."""
+        latest = self._latest_expiry
+        if latest is None or job.expires <= latest:
             return job
         return dataclasses.replace(job, expires=latest)
 
-    def end_drain(self, now: datetime.datetime) -> effects.Effects:
-        """Answer all callers that still wait, as the host is about to exit."""
+    def answer_all(self, now: datetime.datetime) -> effects.Effects:
+        """Answer all callers that still wait, as this host is about to exit.
+
+        Nothing of a job has run that no scheduler has.
+        """
         done: effects.Effects = []
         for job_id, pending in list(self._pending.items()):
             if job_id in self._unrouted:
@@ -448,6 +448,8 @@
             rerouted = self._reroute(pending, now)
             if rerouted is not None:
                 return rerouted
+        if outcome is model.JobOutcome.NOT_RUN and retry_after is None:
+            retry_after = NO_SCHEDULER_RETRY
         return self._answer(job_id, outcome, reason, retry_after)
 
     def _address_of(self, link: int | None) -> str:
--- a/waxwingwalk/dispatch/reducer.py
+++ b/waxwingwalk/dispatch/reducer.py
@@ -54,6 +54,8 @@
 BACKEND_LIST_AGE_MAX = datetime.timedelta(seconds=1)
 # It does not wait longer than this for the list, as the store may be down.
 BACKEND_LIST_WAIT_MAX = datetime.timedelta(milliseconds=300)
+# Part of a drain that is reserved for the answers of schedulers to arrive.
+DRAIN_ANSWER_TIME = datetime.timedelta(milliseconds=200)
 # Links are checked at each tick, and before any other event if the last check
 # is older than this. Ticks are at most half as far apart, and a link expires
 # after three times as long.
@@ -1090,8 +1092,9 @@
         """Let all jobs end before the drain does."""
         if self.drain_deadline is None:
             return []
-        self.scheduler.limit_jobs(self.drain_deadline)
-        return self.front.start_drain(self.drain_deadline, now)
+        latest = self.drain_deadline - DRAIN_ANSWER_TIME
+        self.scheduler.limit_jobs(latest)
+        return self.front.limit_jobs(latest, now)
 
     def _check_drain(self, now: datetime.datetime) -> effects.Effects:
         """Exit when no work is left or the time limit has passed.
@@ -1106,7 +1109,7 @@
         backends_left = len(list(self.run_tracker))
         is_idle = not (jobs or scheduled or backends_left)
         if now >= self.drain_deadline:
-            done += self.front.end_drain(now)
+            done += self.front.answer_all(now)
         elif not is_idle:
             return done
         if self._is_exiting:
--- a/waxwingwalk/dispatch/scheduler.py
+++ b/waxwingwalk/dispatch/scheduler.py
@@ -74,8 +74,10 @@
     )
 )
 
-# The reason of an answer that makes the host to which the caller is connected
-# route the job to another scheduler.
+# The reason of an answer for which a scheduler that shuts down or has lost its
+# pools is the cause. If the job has not run, the host to which the caller is
+# connected routes it to another scheduler. The same reason is given to callers
+# whose own host shuts down.
 REASON_LEAVING = "leaving"
 # The same for a scheduler all of whose pools are in evacuated zones. The job
 # is routed to another scheduler once; after that this is the reason of a
