Dispatch: returned the jobs that a scheduler without pools cannot start

What callers saw: jobs that were held until the end of a drain, up to 4.9 s, and refused or given up as too late: after a start that was refused or failed, or with a step or a task left to start. The same without a drain on a host that lost its only pool, until the job was too late.

Cause: unstarted jobs were returned once, when the drain started. After that a scheduler has no usable server, and other schedulers advertise no capacity to a host without a pool, but nothing looked at the jobs that came to wait then.

Change: a scheduler without pools returns unstarted jobs at each tick, and other hosts schedule them. A started job of which a task waits that can start nowhere is answered as lost at once, so that its caller can return; it could not have completed. Offering such tasks to other schedulers would complete it, and is left for later.

--- a/tests/dispatch/test_drains.py
+++ b/tests/dispatch/test_drains.py
@@ -6,16 +6,22 @@
 from tests.dispatch import reducer_case
 from waxwingwalk.dispatch import effects
 from waxwingwalk.dispatch import events
-from waxwingwalk.dispatch import front
 from waxwingwalk.dispatch import messages
 from waxwingwalk.dispatch import model
+from waxwingwalk.dispatch import pool_rows
+from waxwingwalk.dispatch import reducer
 from waxwingwalk.dispatch import scheduler
 
 LIMIT_MS = 5000
 # The time by which jobs at other hosts have to end, after the drain's start.
-EXPIRY_MS = LIMIT_MS - model.milliseconds(front.DRAIN_ANSWER_TIME)
+EXPIRY_MS = LIMIT_MS - model.milliseconds(reducer.DRAIN_ANSWER_TIME)
 DRAIN_AT = 10
 CALLER_WAIT_MS = 8000
+# A caller that waits for longer than a drain lasts.
+PATIENT = {"due": builders.at(15_000), "expires": builders.at(20_000)}
+# The time in which a job is answered that cannot be served.
+PROMPT_MS = 500
+ESTIMATE_MS = 100
 NOT_RUN, LOST = model.JobOutcome.NOT_RUN, model.JobOutcome.LOST
 LEAVING = scheduler.REASON_LEAVING
 
@@ -218,7 +224,141 @@
         self.submit_for_peer(2)
         self.drain()
         (record,) = self.reducer.scheduler.jobs.values()
-        self.assertEqual(record.job.expires, builders.at(DRAIN_AT + LIMIT_MS))
+        self.assertEqual(record.job.expires, builders.at(DRAIN_AT + EXPIRY_MS))
+
+
+class ReturnedJobTests(reducer_case.ReducerTestCase):
+    """Jobs that a draining host cannot serve any more."""
+
+    def drain(self, at):
+        limit = builders.milliseconds(LIMIT_MS)
+        return self.apply(events.DrainRequested(limit), at)
+
+    def let_peer_schedule(self, at):
+        """Receive what the peer sends while it schedules the pool."""
+        fence = pool_rows.fence(reducer_case.ROW_VERSION + 1, 0)
+        load = messages.PoolLoad(
+            reducer_case.ZONE, fence, builders.SERVICE, [], 0.0
+        )
+        done = self.receive(messages.HostStatus([load], False, 0), at)
+        return done + self.receive(
+            messages.KeepAlive(0), at, reducer_case.INBOUND
+        )
+
+    def run_until(self, end, start):
+        """Tick, with the peer as the scheduler of the pool."""
+        done = []
+        for at in range(start, end, reducer_case.TICK):
+            done += self.let_peer_schedule(at)
+            done += self.apply(events.Ticked(), at)
+        return done
+
+    def submitted(self, done):
+        """Return the ids of jobs that were passed to the peer."""
+        return [
+            each.message.job_id
+            for each in builders.of_type(done, effects.Send)
+            if isinstance(each.message, messages.SubmitJob)
+        ]
+
+    def test_refusal_by_a_leaving_scheduler_late_in_a_drain_has_retry_after(
+        self,
+    ):
+        # A scheduler without a pool names no time to retry, as the host of
+        # the caller routes the job again, which it does not do any more in
+        # the last 200 ms of its drain.
+        self.schedule_at_peer()
+        self.apply(events.JobSubmitted(builders.job(**PATIENT)), 2)
+        self.drain(3)
+        late = LIMIT_MS - 100
+        self.run_until(late, 25)
+        done = self.receive(
+            messages.JobEnded(
+                "j", model.JobOutcome.NOT_RUN, "leaving", None, 1
+            ),
+            late,
+        )
+        (answer,) = builders.of_type(done, effects.AnswerJob)
+        self.assertIs(answer.outcome, model.JobOutcome.NOT_RUN)
+        self.assertIsNotNone(answer.retry_after)
+
+    def test_job_whose_start_is_refused_in_a_drain_is_routed_again(self):
+        # A draining host starts no task on its servers. A job that is
+        # unstarted again would wait there until the end of the drain.
+        self.schedule_here()
+        done = self.apply(events.JobSubmitted(builders.job(**PATIENT)), 2)
+        (start,) = builders.of_type(done, effects.StartRun)
+        self.drain(3)
+        self.apply(
+            events.RunStarted(
+                self.report.incarnation,
+                start.run,
+                model.CallOutcome.NO_ROOM,
+                1003,
+            ),
+            4,
+        )
+        done = self.run_until(PROMPT_MS, 25)
+        self.assertEqual(self.submitted(done), ["j"])
+
+    def end_run(self, run, end, at):
+        """Let the server list the end of the only run."""
+        ended = model.EndedRun(1, run.task, run.run, end)
+        self.apply(builders.polled(self.report, 1000 + at, ended=(ended,)), at)
+
+    def assert_answered_promptly(self):
+        done = self.run_until(PROMPT_MS, 125)
+        self.assertEqual(len(self.answers(done)), 1)
+
+    def test_job_with_a_step_that_a_draining_host_cannot_run_is_answered(self):
+        # Without a server and without an offer, its second step cannot start.
+        self.schedule_here()
+        estimate = builders.milliseconds(ESTIMATE_MS)
+        steps = (
+            model.Step(1, builders.TASK_RESOURCES, estimate),
+            model.Step(1, builders.TASK_RESOURCES, estimate, (0,)),
+        )
+        job = builders.job(steps=steps, **PATIENT)
+        done = self.apply(events.JobSubmitted(job), 2)
+        (start,) = builders.of_type(done, effects.StartRun)
+        self.apply(
+            events.RunStarted(
+                self.report.incarnation,
+                start.run,
+                model.CallOutcome.ACCEPTED,
+                1003,
+            ),
+            3,
+        )
+        self.drain(4)
+        self.end_run(start.run, model.RunEnd.DONE, 100)
+        self.assert_answered_promptly()
+
+    def test_job_that_a_draining_host_cannot_retry_is_answered(self):
+        self.schedule_here()
+        done = self.apply(events.JobSubmitted(builders.job(**PATIENT)), 2)
+        (start,) = builders.of_type(done, effects.StartRun)
+        self.apply(
+            events.RunStarted(
+                self.report.incarnation,
+                start.run,
+                model.CallOutcome.ACCEPTED,
+                1003,
+            ),
+            3,
+        )
+        self.drain(4)
+        self.end_run(start.run, model.RunEnd.FAILED, 100)
+        self.assert_answered_promptly()
+
+    def test_caller_is_answered_once_at_the_end_of_a_drain(self):
+        # Its job expires at the tick at which the remaining callers are
+        # answered. Of two answers the first would have to be the right one.
+        self.schedule_here()
+        self.apply(events.JobSubmitted(builders.job(**PATIENT)), 2)
+        self.drain(3)
+        done = self.run_until(LIMIT_MS + 100, 25)
+        self.assertEqual(len(self.answers(done)), 1)
 
 
 if __name__ == "__main__":
--- a/waxwingwalk/dispatch/reducer.py
+++ b/waxwingwalk/dispatch/reducer.py
@@ -897,6 +897,8 @@
         done += self.catalog_sharing.tick(self._observed.at(now))
         done += self.run_tracker.tick(now)
         done += self.scheduler.tick(now)
+        if not self.ownership.claims:
+            done += self.scheduler.return_jobs(now)
         if now - self._ownership_evaluated_at < OWNERSHIP_INTERVAL:
             return [*done, *self._check_drain(now)]
         self._ownership_evaluated_at = now
--- a/waxwingwalk/dispatch/scheduler.py
+++ b/waxwingwalk/dispatch/scheduler.py
@@ -415,6 +415,25 @@
                 )
         return done
 
+    def return_jobs(self, now: datetime.datetime) -> effects.Effects:
+        """Give up the jobs that wait here, as this host has lost its pools.
+
+        Other hosts schedule those that have not started. A started job ends
+        with the runs that it has, so it is answered as soon as a task of it
+        waits that can start nowhere.
+        """
+        done = self.reject_unstarted_jobs(now)
+        if self._run_tracker.usable(now) or any(
+            pool.free for pools in self._peers.values() for pool in pools
+        ):
+            return done
+        for record in list(self._jobs.values()):
+            if record.due_tasks():
+                done += self._end_job(
+                    record, model.JobOutcome.LOST, REASON_LEAVING, now
+                )
+        return done
+
     def limit_jobs(self, expires: datetime.datetime) -> None:
         """Let all jobs expire at a time, unless they expire earlier."""
         for record in self._jobs.values():
