Platform: a SIGHUP during a start does not end the process

A change of the settings file while hosts restart cost a host. The signal is ignored until the settings have been read, which is after it.

--- a/tests/platform/test_signals.py
+++ b/tests/platform/test_signals.py
@@ -20,6 +20,8 @@
 LONG_RUN_SECONDS = 30
 TRIES = 100
 PAUSE_SECONDS = 0.1
+# The process still imports its modules this long after its start.
+START_SECONDS = 0.1
 # Signals that arrive while the process begins to drain.
 SIGNALS = 3000
 # The process has this long to exit after the second signal, which is less
@@ -79,3 +81,14 @@
 
     async def test_signals_in_quick_succession_cut_off_no_caller(self):
         await self.check_signals(0.0, process_hosts.GRACE_SECONDS, SIGNALS)
+
+    async def test_sighup_during_a_start_does_not_end_the_process(self):
+        await self.host.kill()
+        await self.host.start([])
+        await asyncio.sleep(START_SECONDS)
+        self.host.signal(signal.SIGHUP)
+        for attempt in range(TRIES):
+            if await self.submit(TRIES + attempt) == 200:
+                break
+            await asyncio.sleep(PAUSE_SECONDS)
+        self.assertTrue(self.host.is_running)
--- a/waxwingwalk/platform/__main__.py
+++ b/waxwingwalk/platform/__main__.py
@@ -2,10 +2,14 @@
 
 import gc
 import os
+import signal
 import sys
 
 # Imports leave no garbage, and collections take a tenth of their time.
 gc.disable()
+# The settings are read after this, so a signal that they have changed needs no
+# handling before the host has started.
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
 # The HTTP library reads all certificates of the system when it is imported,
 # which takes a sixth of the processor time of a start. No call uses TLS.
 os.environ.setdefault("SSL_CERT_FILE", os.devnull)
