Host: bounded a drain by the clock, and refused requests whose body is late

A drain ended only with a tick of the reducer. If ticks failed, neither the callers' answers nor the end of the process came, until SIGKILL. The wait for the reducer now ends 100 ms after the limit, and callers that it has left without an answer get one before their connections are closed.

A request whose body had not arrived when the listener closed was cut off, and held the process until the limit of the drain, as the HTTP library discards what arrives from then on. It is now refused as not run, with a Retry-After, when the listener closes.

--- a/tests/platform/test_drains.py
+++ b/tests/platform/test_drains.py
@@ -8,6 +8,7 @@
 
 from tests.platform import hosts
 from tests.platform import stand_in
+from waxwingwalk.dispatch import run_tracker
 
 STEP = {"count": 1, "cpu": 500, "mem_mb": 64, "est_ms": 50}
 JOB = {"spec": "text", "best_effort": True, "steps": [STEP]}
@@ -20,6 +21,20 @@
 PAUSE_SECONDS = 0.1
 # The drain of a host lasts for a second less than its grace.
 DRAIN_SECONDS = GRACE_SECONDS - 1
+# By now a host without work has closed its idle connections.
+CLOSING_SECONDS = 0.5
+RESPONSE = b"HTTP/1.1 "
+
+
+def to_request(job_number):
+    """Return the bytes of the head and of the body of a submission."""
+    body = orjson.dumps(JOB)
+    head = (
+        f"POST /refund/{job_number:016x} HTTP/1.1\r\n"
+        "Host: shop.example\r\n"
+        f"Content-Length: {len(body)}\r\n\r\n"
+    )
+    return head.encode(), body
 
 
 class DrainTests(unittest.IsolatedAsyncioTestCase):
@@ -95,3 +110,50 @@
             answered, DRAIN_SECONDS / REQUEST_INTERVAL_SECONDS / 2
         )
         self.assertNotIn("drain.cut_off", log)
+
+    async def connect(self, number):
+        """Open a connection to a host; return its reader and its writer."""
+        address = self.deployment.configs[number].callers
+        host, _, port = address.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        self.addCleanup(writer.close)
+        return reader, writer
+
+    async def test_body_that_arrives_after_the_drain_has_ended_is_answered(
+        self,
+    ):
+        # A connection whose request waits for its body is held until the
+        # limit, and what arrives over it is discarded.
+        _, other = await self.start()
+        head, body = to_request(TRIES)
+        reader, writer = await self.connect(other)
+        writer.write(head)
+        await asyncio.sleep(PAUSE_SECONDS)
+        stopping = asyncio.create_task(self.deployment.stop_host(other))
+        await asyncio.sleep(CLOSING_SECONDS)
+        writer.write(body)
+        received = await reader.read()
+        await stopping
+        self.assertEqual(received.count(RESPONSE), 1)
+
+    async def test_drain_ends_at_its_limit_even_if_ticks_fail(self):
+        # What is left is answered at a tick, after all that may fail in one.
+        scheduler, _ = await self.start()
+        with (
+            mock.patch.object(stand_in, "RUN_SECONDS", LONG_RUN_SECONDS),
+            mock.patch.object(
+                run_tracker.RunTracker, "tick", side_effect=RuntimeError
+            ),
+        ):
+            waiting = asyncio.create_task(self.submit(TRIES, scheduler))
+            while not self.deployment.workers[0].running:
+                await asyncio.sleep(0.01)
+            stopping = asyncio.create_task(
+                self.deployment.stop_host(scheduler)
+            )
+            await asyncio.wait([stopping], timeout=GRACE_SECONDS)
+            is_stopped, is_answered = stopping.done(), waiting.done()
+        await stopping
+        await asyncio.wait([waiting])
+        self.assertTrue(is_answered)
+        self.assertTrue(is_stopped)
--- a/waxwingwalk/host/engine.py
+++ b/waxwingwalk/host/engine.py
@@ -18,6 +18,8 @@
 
 # The outcome of a call that raised an exception: it may have been sent.
 UNKNOWN = model.CallOutcome.UNKNOWN
+# The reducer ends a drain at the first tick after its limit.
+EXIT_SLACK = datetime.timedelta(milliseconds=100)
 # Iterations of the event loop within which the request and the end of an
 # accepted connection are read, and the request's handler is cancelled.
 READ_ITERATIONS = 10
@@ -93,6 +95,9 @@
         self._waiters: dict[str, asyncio.Future[effects.AnswerJob]] = {}
         self.adapters: Adapters | None = None
         self.exited = asyncio.Event()
+        # Set when the listeners close, and requests without a complete body
+        # are refused.
+        self.closing = asyncio.Event()
 
     @property
     def reducer(self) -> dispatch_reducer.Reducer:
@@ -309,8 +314,23 @@
 
     async def drain(self, limit: datetime.timedelta) -> None:
         """Shut down; return when no work is left or the limit has passed."""
-        self.apply(events.DrainRequested(limit))
-        await self.exited.wait()
+        try:
+            async with asyncio.timeout((limit + EXIT_SLACK).total_seconds()):
+                self.apply(events.DrainRequested(limit))
+                await self.exited.wait()
+        except Exception as error:
+            # The listeners have to be closed in any case.
+            self.report_failure("drain", error)
+
+    def answer_remaining(self) -> None:
+        """Answer the callers that the reducer has left without an answer."""
+        for job_id, waiter in self._waiters.items():
+            if not waiter.done():
+                waiter.set_result(
+                    effects.AnswerJob(
+                        job_id, model.JobOutcome.LOST, "leaving", None
+                    )
+                )
 
     async def close(self) -> None:
         """Cancel the running tasks."""
--- a/waxwingwalk/host/listeners.py
+++ b/waxwingwalk/host/listeners.py
@@ -14,7 +14,8 @@
 # An event loop needs fewer iterations than this from accepting a connection
 # until its handler waits for a request.
 ACCEPT_ITERATIONS = 8
-# The same from the answer of a job until its response is written.
+# An event loop needs fewer iterations than this from the answer of a job until
+# its response is written.
 ANSWER_ITERATIONS = 8
 
 
@@ -47,13 +48,13 @@
     async def close(
         self,
         limit: datetime.timedelta,
-        before_cut_off: Callable[[], None] | None = None,
+        at_limit: Callable[[], None] | None = None,
     ) -> bool:
         """Stop accepting connections, and answer the requests that were read.
 
         Return whether all of them were answered within the limit. If not,
-        ``before_cut_off`` is called before their connections are closed. No
-        connection is open afterwards.
+        ``at_limit`` is called, which may answer the others. No connection is
+        open afterwards.
         """
         await self._stop_accepting()
         await asyncio.sleep(FIRST_REQUEST_TIME.total_seconds())
@@ -66,13 +67,14 @@
         cleanup = asyncio.create_task(self._runner.cleanup())
         try:
             await asyncio.wait([cleanup], timeout=limit.total_seconds())
-            # If the event loop was delayed, answers may not be sent yet.
+            # If the event loop was delayed, answers may not be written yet.
             await _run_iterations(ANSWER_ITERATIONS)
             if cleanup.done():
                 await cleanup
                 return True
-            if before_cut_off is not None:
-                before_cut_off()
+            if at_limit is not None:
+                at_limit()
+                await _run_iterations(ANSWER_ITERATIONS)
         finally:
             cleanup.cancel()
         await asyncio.gather(cleanup, return_exceptions=True)
--- a/waxwingwalk/host/log_catalogue.py
+++ b/waxwingwalk/host/log_catalogue.py
@@ -48,8 +48,9 @@
         ("is_idle", "jobs", "scheduled", "backends"),
     ),
     "drain.cut_off": LogEvent(
-        "the connections of callers were closed at the time limit, `jobs` of "
-        "them without an answer; the first 20 of these are listed",
+        "the connections of callers were closed after the time limit; `jobs` "
+        "had no answer and got one that tells of the shutdown, if their "
+        "callers could still be reached; the first 20 of these are listed",
         ("jobs", "unanswered"),
     ),
     "settings.reloaded": LogEvent(
--- a/waxwingwalk/host/service.py
+++ b/waxwingwalk/host/service.py
@@ -250,20 +250,22 @@
         The links stay open for this, as the requests may have been forwarded
         to other hosts.
         """
+        self._engine.closing.set()
         await asyncio.gather(
             *(
-                each.close(limit, self._report_cut_off)
+                each.close(limit, self._answer_remaining)
                 for each in self._callers_listeners
             )
         )
 
-    def _report_cut_off(self) -> None:
+    def _answer_remaining(self) -> None:
         waiting = self._engine.waiting_jobs
         self._engine.log.info(
             "drain.cut_off",
             jobs=len(waiting),
             unanswered=waiting[:REPORTED_JOBS_MAX],
         )
+        self._engine.answer_remaining()
 
     async def _close(self) -> None:
         for task in self._tasks:
--- a/waxwingwalk/platform/callers.py
+++ b/waxwingwalk/platform/callers.py
@@ -145,7 +145,12 @@
         self, request: web.Request, queue: model.Queue, job_id: str
     ) -> web.Response:
         arrived_at = self._engine.clock.now()
-        decoded = decode_job(await request.read())
+        content = await self._read_body(request)
+        if content is None:
+            return _error_response(
+                ResultCode.DRAINING, retry_after=NOT_READY_RETRY
+            )
+        decoded = decode_job(content)
         if not isinstance(decoded, result.Success):
             code, detail = decoded.failure()
             self._engine.log.info(
@@ -177,6 +182,24 @@
         )
         return _to_response(answer)
 
+    async def _read_body(self, request: web.Request) -> bytes | None:
+        """Return the body, None if the listener closes before it arrives.
+
+        What arrives later than that is discarded.
+        """
+        if request.content.is_eof():
+            return await request.read()
+        reading = asyncio.ensure_future(request.read())
+        closing = asyncio.ensure_future(self._engine.closing.wait())
+        try:
+            await asyncio.wait(
+                [reading, closing], return_when=asyncio.FIRST_COMPLETED
+            )
+            return reading.result() if reading.done() else None
+        finally:
+            reading.cancel()
+            closing.cancel()
+
     @property
     def _catalog_version(self) -> int:
         catalog = self._engine.reducer.catalog
