--- a/tests/dispatch/test_drains.py
+++ b/tests/dispatch/test_drains.py
@@ -301,6 +301,22 @@
         done = self.run_until(PROMPT_MS, 25)
         self.assertEqual(self.submitted(done), ["j"])
 
+    def start_before_drain(self, job):
+        """Start the first task of a job, then drain; return its run."""
+        done = self.apply(events.JobSubmitted(job), 2)
+        (start,) = builders.of_type(done, effects.StartRun)
+        self.apply(
+            events.RunStarted(
+                self.report.incarnation,
+                start.run,
+                model.CallOutcome.ACCEPTED,
+                1003,
+            ),
+            3,
+        )
+        self.drain(4)
+        return start.run
+
     def end_run(self, run, end, at):
         """Let the server list the end of the only run."""
         ended = model.EndedRun(1, run.task, run.run, end)
@@ -318,37 +334,14 @@
             model.Step(1, builders.TASK_RESOURCES, estimate),
             model.Step(1, builders.TASK_RESOURCES, estimate, (0,)),
         )
-        job = builders.job(steps=steps, **PATIENT)
-        done = self.apply(events.JobSubmitted(job), 2)
-        (start,) = builders.of_type(done, effects.StartRun)
-        self.apply(
-            events.RunStarted(
-                self.report.incarnation,
-                start.run,
-                model.CallOutcome.ACCEPTED,
-                1003,
-            ),
-            3,
-        )
-        self.drain(4)
-        self.end_run(start.run, model.RunEnd.DONE, 100)
+        run = self.start_before_drain(builders.job(steps=steps, **PATIENT))
+        self.end_run(run, model.RunEnd.DONE, 100)
         self.assert_answered_promptly()
 
     def test_job_that_a_draining_host_cannot_retry_is_answered(self):
         self.schedule_here()
-        done = self.apply(events.JobSubmitted(builders.job(**PATIENT)), 2)
-        (start,) = builders.of_type(done, effects.StartRun)
-        self.apply(
-            events.RunStarted(
-                self.report.incarnation,
-                start.run,
-                model.CallOutcome.ACCEPTED,
-                1003,
-            ),
-            3,
-        )
-        self.drain(4)
-        self.end_run(start.run, model.RunEnd.FAILED, 100)
+        run = self.start_before_drain(builders.job(**PATIENT))
+        self.end_run(run, model.RunEnd.FAILED, 100)
         self.assert_answered_promptly()
 
     def test_caller_is_answered_once_at_the_end_of_a_drain(self):
--- a/tests/entry/test_drains.py
+++ b/tests/entry/test_drains.py
@@ -108,15 +108,19 @@
             self.assertEqual([code for _, code in waiting], codes)
             await stopping
 
+    async def start_change_and_drain(self, started):
+        """Return tasks of a change that waits for the store, and a drain."""
+        started.platform.latency = 1.5
+        change = asyncio.create_task(
+            started.change_settings({"defaults.drain_timeout": "30 s"})
+        )
+        await asyncio.sleep(0.1)
+        return change, self.start_drain(started)
+
     async def test_change_that_waits_for_the_store_is_answered(self):
         async with fleet.Fleet() as started:
             await started.wait_until_ready()
-            started.platform.latency = 1.5
-            change = asyncio.create_task(
-                started.change_settings({"defaults.drain_timeout": "30 s"})
-            )
-            await asyncio.sleep(0.1)
-            stopping = self.start_drain(started)
+            change, stopping = await self.start_change_and_drain(started)
             reply = await change
             self.assertEqual(Code.OK, reply["code"], reply)
             await stopping
@@ -124,12 +128,7 @@
     async def test_change_is_unsettled_if_a_drain_is_forced(self):
         async with fleet.Fleet() as started:
             await started.wait_until_ready()
-            started.platform.latency = 1.5
-            change = asyncio.create_task(
-                started.change_settings({"defaults.drain_timeout": "30 s"})
-            )
-            await asyncio.sleep(0.1)
-            stopping = self.start_drain(started)
+            change, stopping = await self.start_change_and_drain(started)
             await asyncio.sleep(0.05)
             self.force_drain(started)
             reply = await change
