--- a/tests/dispatch/test_messages.py
+++ b/tests/dispatch/test_messages.py
@@ -97,3 +97,10 @@
             '"catalog_version":2,"load":{"a":[1]}}]}'
         )
         self.assertEqual(frame.messages, [messages.KeepAlive(2)])
+
+
+class DelayTests(unittest.TestCase):
+    def test_limit_of_a_job_is_not_extended_by_a_delay_of_its_message(self):
+        message = messages.LimitJob("j", 500, 1)
+        messages.deduct_delay(message, 120)
+        self.assertEqual(message.expires_in_ms, 380)
--- a/tests/emulator/mutations.py
+++ b/tests/emulator/mutations.py
@@ -4,6 +4,7 @@
 
 from waxwingwalk.dispatch import backend as backends
 from waxwingwalk.dispatch import evacuation
+from waxwingwalk.dispatch import front
 from waxwingwalk.dispatch import job_record
 from waxwingwalk.dispatch import model
 from waxwingwalk.dispatch import ownership
@@ -109,6 +110,17 @@
     )
 
 
+def callers_not_answered_at_exit():
+    """Let jobs and callers outlast the host that the callers are at."""
+
+    def no_effects(self, *times):
+        return []
+
+    return mock.patch.multiple(
+        front.Front, limit_jobs=no_effects, answer_all=no_effects
+    )
+
+
 ALL = (
     resources_freed_on_stop,
     foreign_runs_ignored,
@@ -118,6 +130,7 @@
     capacity_not_checked,
     job_done_too_early,
     fence_not_increased,
+    callers_not_answered_at_exit,
 )
 
 
