--- a/waxwingwalk/dispatch/scheduler.py
+++ b/waxwingwalk/dispatch/scheduler.py
@@ -422,6 +422,8 @@
         with the runs that it has, so it is answered as soon as a task of it
         waits that can start nowhere.
         """
+        if not self._jobs:
+            return []
         done = self.reject_unstarted_jobs(now)
         if self._run_tracker.usable(now) or any(
             pool.free for pools in self._peers.values() for pool in pools
--- a/waxwingwalk/host/engine.py
+++ b/waxwingwalk/host/engine.py
@@ -13,6 +13,7 @@
 from waxwingwalk.dispatch import messages
 from waxwingwalk.dispatch import model
 from waxwingwalk.dispatch import reducer as dispatch_reducer
+from waxwingwalk.dispatch import scheduler
 from waxwingwalk.host import logs
 from waxwingwalk.host import metrics
 
@@ -328,7 +329,10 @@
             if not waiter.done():
                 waiter.set_result(
                     effects.AnswerJob(
-                        job_id, model.JobOutcome.LOST, "leaving", None
+                        job_id,
+                        model.JobOutcome.LOST,
+                        scheduler.REASON_LEAVING,
+                        None,
                     )
                 )
 
--- a/waxwingwalk/host/service.py
+++ b/waxwingwalk/host/service.py
@@ -94,7 +94,7 @@
         self._closables = closables
         self._reload = reload
         self._tasks: list[asyncio.Task[None]] = []
-        self._drain_ended = asyncio.Event()
+        self._drain_forced = asyncio.Event()
 
     async def start(self) -> None:
         """Open the listeners and start the loops."""
@@ -217,7 +217,7 @@
         unregister = asyncio.create_task(self._registry.unregister())
         await asyncio.gather(self._engine.drain(limit), self._linger())
         remaining = limit - (self._engine.clock.now() - started_at)
-        if self._drain_ended.is_set():
+        if self._drain_forced.is_set():
             remaining = datetime.timedelta()
         await self._close_callers_listeners(
             max(remaining, datetime.timedelta()) + ANSWER_TIME
@@ -228,9 +228,9 @@
 
     def end_drain(self) -> None:
         """End the drain now, with an answer to every caller that waits."""
-        if self._drain_ended.is_set():
+        if self._drain_forced.is_set():
             return
-        self._drain_ended.set()
+        self._drain_forced.set()
         self._engine.log.info(
             "drain.forced", jobs=len(self._engine.waiting_jobs)
         )
@@ -240,7 +240,7 @@
         """Wait until new connections go to other hosts."""
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(self._config.linger.total_seconds()):
-                await self._drain_ended.wait()
+                await self._drain_forced.wait()
 
     async def _close_callers_listeners(
         self, limit: datetime.timedelta
--- a/waxwingwalk/platform/daemon.py
+++ b/waxwingwalk/platform/daemon.py
@@ -1,6 +1,7 @@
 """The dispatch daemon on the users' platform."""
 
 import asyncio
+import datetime
 import logging
 import sys
 
@@ -16,8 +17,8 @@
 from waxwingwalk.platform import boot
 from waxwingwalk.platform import wiring
 
-# The drain has its own time limit; this one applies only if the drain hangs.
-SHUTDOWN_TIMEOUT_SECONDS = 60
+# The drain ends within the grace; a shutdown that takes this much longer hangs.
+SHUTDOWN_MARGIN = datetime.timedelta(seconds=60)
 
 
 class Daemon(aiomisc.Service):
@@ -49,7 +50,8 @@
     async def stop(self, exception: Exception | None = None) -> None:
         """Drain the host and stop it."""
         if self._host is not None:
-            async with asyncio.timeout(SHUTDOWN_TIMEOUT_SECONDS):
+            limit = self._config.grace + SHUTDOWN_MARGIN
+            async with asyncio.timeout(limit.total_seconds()):
                 await self._host.stop(exception)
 
 
