--- a/waxwingwalk/platform/daemon.py
+++ b/waxwingwalk/platform/daemon.py
@@ -17,7 +17,7 @@
 from waxwingwalk.platform import boot
 from waxwingwalk.platform import wiring
 
-# The drain ends within the grace; a shutdown that takes this much longer hangs.
+# A drain ends within the grace. A shutdown that takes this much longer hangs.
 SHUTDOWN_MARGIN = datetime.timedelta(seconds=60)
 
 
