--- a/review/1/play.py
+++ b/review/1/play.py
@@ -84,9 +84,7 @@
     await asyncio.gather(*(each.kill() for each in others))
     await asyncio.sleep(FREEZE_SECONDS - POWER_OFF_AFTER)
     leader.signal(signal.SIGCONT)
-    await asyncio.sleep(
-        POWER_OFF_AFTER + POWER_OFF_SECONDS - FREEZE_SECONDS
-    )
+    await asyncio.sleep(POWER_OFF_AFTER + POWER_OFF_SECONDS - FREEZE_SECONDS)
     for each in others:
         await each.start(deployment.seeds, deployment.zones)
 
--- a/review/harness.py
+++ b/review/harness.py
@@ -806,9 +806,7 @@
 
     def add_worker(self, worker_id, zone, labels, cpu=16000):
         """Add a worker, which is not started yet."""
-        worker = Worker(
-            self.record, self.store, worker_id, zone, labels, cpu
-        )
+        worker = Worker(self.record, self.store, worker_id, zone, labels, cpu)
         self.workers.append(worker)
         return worker
 
