--- a/review/harness.py
+++ b/review/harness.py
@@ -181,7 +181,10 @@
         return row | {"value": base64.b64encode(content).decode()}
 
     async def _transact(self, name, request):
-        body = await request.json()
+        try:
+            body = await request.json()
+        except ConnectionResetError:
+            return web.Response(status=503)
         for each in body.get("expected", []):
             key = (each["table"], each["key"])
             version, content = self._rows.get(key, (0, None))
