--- a/review/harness.py
+++ b/review/harness.py
@@ -785,7 +785,9 @@
             host.proxy = Proxy(f"{host.ip}:{CONTROL_PORT}")
             await host.proxy.start()
         for host in self.hosts:
-            host.proxy.sources = [each.control for each in self.hosts]
+            host.proxy.sources = [
+                each.control for each in self.hosts if each is not host
+            ]
 
     def cut_off(self, host):
         """Partition a machine from all other machines, but not from the rest.
