Dispatch: logged why no host schedules a pool

Cause: a pool without a scheduler left no line.

Change: a pool for which no host is known that schedules it is logged after 3 s as pool.unscheduled, with the reason, the host that is expected to take it over, and the version of the row; again when the reason changes.

Result: the test fails without the change, as there is no such line.

--- /dev/null
+++ b/tests/dispatch/test_unscheduled_pools.py
@@ -0,0 +1,85 @@
+"""Pools that no host schedules, though hosts could."""
+
+import unittest
+
+from tests.dispatch import builders
+from waxwingwalk.dispatch import effects
+from waxwingwalk.dispatch import hosts as dispatch_hosts
+from waxwingwalk.dispatch import model
+from waxwingwalk.dispatch import ownership as dispatch_ownership
+from waxwingwalk.dispatch import pool_rows
+
+POOL = "north"
+ROW_VERSION = 10
+TICK = 100
+
+
+def host(name, zone=POOL, incarnation="1", processors=1.0):
+    """Return a host's record."""
+    return model.HostRecord(name, incarnation, zone, processors)
+
+
+class UnscheduledPoolTestCase(unittest.TestCase):
+    """A host that has restarted with its fleet; its pool has an old row."""
+
+    def setUp(self):
+        self.build(host("b", incarnation="2"))
+
+    def build(self, local_host):
+        self.local_host = local_host
+        self.hosts = dispatch_hosts.Hosts(local_host)
+        self.ownership = dispatch_ownership.Ownership(self.hosts)
+        self.ownership.add_pool(POOL)
+
+    def know(self, *records):
+        """Learn of hosts from the store."""
+        for record in records:
+            self.hosts.update_record(record, builders.START)
+
+    def list_row(self, *order, version=ROW_VERSION, at=0):
+        rows = {POOL: (version, pool_rows.PoolRow(order))}
+        return self.ownership.rows_listed(rows, builders.at(at))
+
+    def decide_until(self, end, start, targets=None):
+        """Evaluate the ownership at ticks; return the effects.
+
+        Links are opened to the hosts that ``targets`` names, if they are
+        needed; all others that are needed do not answer.
+        """
+        done = []
+        for at in range(start, end, TICK):
+            now = builders.at(at)
+            needed = self.ownership.needed_hosts(now)
+            needed.discard(self.local_host.address)
+            self.hosts.set_link_targets(needed, now)
+            for link, record in enumerate(targets or ()):
+                peer = self.hosts.get(record.address)
+                if record.address in needed and peer.link is None:
+                    self.hosts.link_opened(link, record, now)
+            done += self.ownership.decide(now)
+        return done
+
+    def writes(self, done):
+        return builders.of_type(done, effects.WritePool)
+
+    def logged(self, done):
+        return [
+            each.fields
+            for each in builders.of_type(done, effects.Log)
+            if each.event == "pool.unscheduled"
+        ]
+
+
+class UnscheduledLogTests(UnscheduledPoolTestCase):
+    def test_reason_why_no_host_takes_the_pool_over_is_logged_once(self):
+        linked = host("a", processors=2.0)
+        self.hosts.link_opened(1, linked, builders.START)
+        self.list_row(linked)
+        self.assertEqual(self.logged(self.decide_until(2900, 0)), [])
+        (fields,) = self.logged(self.decide_until(9000, 2900))
+        self.assertEqual(fields["reason"], "another host precedes")
+        self.assertEqual(fields["waits_for"], "a")
+
+    def test_scheduled_pool_is_not_logged(self):
+        self.list_row(self.local_host)
+        self.assertEqual(self.logged(self.decide_until(9000, 0)), [])
--- a/waxwingwalk/dispatch/ownership.py
+++ b/waxwingwalk/dispatch/ownership.py
@@ -15,6 +15,7 @@
 import datetime
 import functools
 
+import msgspec
 import xxhash
 
 from waxwingwalk.dispatch import effects
@@ -32,6 +33,9 @@
 RECLAIM_DELAY = datetime.timedelta(milliseconds=500)
 # A live former owner is given this long to let its runs end.
 HANDOVER_TIME = datetime.timedelta(milliseconds=2500)
+# A pool for which no host is known that schedules it is logged after this time.
+# It is longer than the take-over of a pool takes.
+UNSCHEDULED_LOG_DELAY = datetime.timedelta(seconds=3)
 # Number of hosts at the start of a row that are the owner of the pool and its
 # standby, which is the first successor.
 OWNER_AND_STANDBY = 2
@@ -63,6 +67,24 @@
         return pool_rows.order_fence(self.fence, incarnation)
 
 
+class Obstacle(msgspec.Struct, frozen=True):
+    """Why this host does not take over a pool that no host schedules.
+
+    ``host`` is the address of the host that is expected to take it over.
+    """
+
+    reason: str
+    host: str | None = None
+
+
+# The rows of pools have not been read yet.
+ROWS_UNKNOWN = Obstacle("rows unknown")
+# Other hosts are known, and this one has no link to any.
+ISOLATED = Obstacle("isolated")
+# The backend servers of the pool cannot be reached, or not for long enough.
+NOT_REACHED = Obstacle("not reached")
+
+
 @dataclasses.dataclass(slots=True)
 class _PoolState:
     version: int = 0
@@ -75,6 +97,11 @@
     is_reachable: bool = False
     # The latest claim of this host, which may have been given up since.
     latest_claim: Claim | None = None
+    # Since when no host is known that schedules the pool, why this one does
+    # not take it over, and the reason that was logged last.
+    unscheduled_since: datetime.datetime | None = None
+    obstacle: Obstacle | None = None
+    logged_obstacle: Obstacle | None = None
 
 
 class Ownership:
@@ -217,9 +244,44 @@
         """Claim and give up pools, and write the rows that are due."""
         done: effects.Effects = []
         for pool, state in self._pools.items():
+            state.obstacle = None
             done += self._decide_pool(pool, state, now)
+            done += self._watch_pool(pool, state, now)
         return done
 
+    def _watch_pool(
+        self, pool: str, state: _PoolState, now: datetime.datetime
+    ) -> effects.Effects:
+        """Record whether a host is known that schedules a pool.
+
+        If none is for a while, log why this one does not.
+        """
+        if self.is_leaving or self.owner_address(pool) is not None:
+            state.unscheduled_since = state.logged_obstacle = None
+            return []
+        if state.unscheduled_since is None:
+            state.unscheduled_since = now
+        duration = now - state.unscheduled_since
+        if (
+            duration < UNSCHEDULED_LOG_DELAY
+            or state.obstacle == state.logged_obstacle
+            or state.obstacle is None
+        ):
+            return []
+        state.logged_obstacle = state.obstacle
+        return [
+            effects.Log(
+                "pool.unscheduled",
+                {
+                    "pool": pool,
+                    "duration_ms": model.milliseconds(duration),
+                    "reason": state.obstacle.reason,
+                    "waits_for": state.obstacle.host,
+                    "row_version": state.version,
+                },
+            )
+        ]
+
     def _decide_pool(
         self, pool: str, state: _PoolState, now: datetime.datetime
     ) -> effects.Effects:
@@ -229,7 +291,10 @@
             return [
                 effects.Log("pool.lost", {"pool": pool, "fence": claim.fence})
             ]
-        if self.is_leaving or not self._are_rows_known:
+        if not self._are_rows_known:
+            state.obstacle = ROWS_UNKNOWN
+            return []
+        if self.is_leaving:
             return []
         if claim is not None:
             return self._refresh_row(pool, state, now)
@@ -257,7 +322,8 @@
     ) -> effects.Effects:
         """Write the first row of a pool."""
         order = self._preferred_order(pool, now)
-        if not order or order[0] != self._hosts.local_host:
+        if order[0] != self._hosts.local_host:
+            state.obstacle = _awaits(order[0])
             return []
         if (
             self._hosts.local_host.zone != pool
@@ -285,10 +351,15 @@
                 return self._claim_pool(pool, state, rank, now)
             if self._is_eligible(record, now):
                 state.unowned_since = None
+                state.obstacle = _awaits(record)
                 return self._reclaim(pool, state, record, now)
         # None of the hosts in the row is left.
         order = self._preferred_order(pool, now)
-        if not order or order[0] != local_host or self._hosts.is_isolated():
+        if order[0] != local_host:
+            state.obstacle = _awaits(order[0])
+            return []
+        if self._hosts.is_isolated():
+            state.obstacle = ISOLATED
             return []
         if local_host.zone != pool and not self._may_take_over_other_zone(
             pool, state, now
@@ -336,7 +407,10 @@
         just be partitioned from this host.
         """
         is_reachable = self._is_pool_reachable(state, now)
-        return is_reachable and not self._hosts.is_isolated()
+        if self._hosts.is_isolated():
+            state.obstacle = ISOLATED
+            return False
+        return is_reachable
 
     def _is_pool_reachable(
         self, state: _PoolState, now: datetime.datetime
@@ -349,9 +423,13 @@
         if state.unowned_since is None:
             state.unowned_since = now
             state.is_reachable = False
-        if now - state.unowned_since < FOREIGN_ZONE_DELAY:
+        if (
+            now - state.unowned_since < FOREIGN_ZONE_DELAY
+            or not state.is_reachable
+        ):
+            state.obstacle = NOT_REACHED
             return False
-        return state.is_reachable
+        return True
 
     def pools_to_probe(self, now: datetime.datetime) -> list[str]:
         """Return the pools to probe now, and record that they are probed."""
@@ -506,6 +584,10 @@
         return now - claim.since > HANDOVER_TIME
 
 
+def _awaits(host: model.HostRecord) -> Obstacle:
+    return Obstacle("another host precedes", host.address)
+
+
 def _preference_key(
     pool: str, record: model.HostRecord
 ) -> tuple[bool, float, int]:
--- a/waxwingwalk/host/history.py
+++ b/waxwingwalk/host/history.py
@@ -26,6 +26,7 @@
         "evacuation.ended",
         "pool.claimed",
         "pool.lost",
+        "pool.unscheduled",
         "backend.suspect",
         "backend.fenced",
         "backend.gone",
--- a/waxwingwalk/host/log_catalogue.py
+++ b/waxwingwalk/host/log_catalogue.py
@@ -131,6 +131,12 @@
     "pool.lost": LogEvent(
         "another host now schedules the pool", ("pool", "fence")
     ),
+    "pool.unscheduled": LogEvent(
+        "no host is known that schedules a pool, for this long; `reason` is "
+        "why this host does not take it over, `waits_for` the host that is "
+        "expected to",
+        ("pool", "duration_ms", "reason", "waits_for", "row_version"),
+    ),
     "pool.write_failed": LogEvent(
         "a pool's row could not be written", ("pool", "reason")
     ),
