Dispatch: hosts that are gone for good do not keep a pool from being taken over

Cause: the row of a host that is gone for good stays in the table of hosts. With 13 known hosts or more a host is linked only to those that pools need, and one that is no link target counts as alive, as the table lists it. Once all hosts of a pool's row have restarted, the first host of the preferred order writes the next row. If a lost host came first, each host left the pool to it, and none ever opened the link that would have shown that it is gone: pool.unscheduled says 'another host precedes' with its address. The same happened with lost hosts that the row names after the former incarnation of this host, as the search for links ended at its address.

Change: if no host of the row is left, links are opened to the first eight of the hosts that precede this one; those that cannot be reached are replaced by the next. The search in the row ends only at this incarnation.

--- a/tests/dispatch/test_unscheduled_pools.py
+++ b/tests/dispatch/test_unscheduled_pools.py
@@ -83,3 +83,35 @@
     def test_scheduled_pool_is_not_logged(self):
         self.list_row(self.local_host)
         self.assertEqual(self.logged(self.decide_until(9000, 0)), [])
+
+
+class LostHostTests(UnscheduledPoolTestCase):
+    def setUp(self):
+        super().setUp()
+        # So many hosts are known that not all are linked to each other.
+        self.lost = [
+            host(f"lost-{number}", processors=2.0) for number in range(20)
+        ]
+        self.linked = host("c", incarnation="2", processors=0.5)
+        self.know(*self.lost, self.linked)
+
+    def test_hosts_that_are_gone_for_good_do_not_keep_the_pool(self):
+        # All hosts of the row have restarted since.
+        self.list_row(host("b"), host("c"))
+        done = self.decide_until(2500, 0, targets=[self.linked])
+        (write,) = self.writes(done)
+        self.assertEqual(write.row.owner, self.local_host)
+
+    def test_lost_hosts_after_this_one_in_the_row_do_not_keep_the_pool(self):
+        self.know(host("a", incarnation="2", processors=0.2))
+        self.list_row(host("a"), host("c"), host("b"), *self.lost)
+        done = self.decide_until(2500, 0, targets=[self.linked])
+        (write,) = self.writes(done)
+        self.assertEqual(write.row.owner, self.local_host)
+
+    def test_links_to_few_hosts_are_tried_at_a_time(self):
+        self.list_row(host("b"), host("c"))
+        needed = self.ownership.needed_hosts(builders.START)
+        self.assertLessEqual(
+            len(needed), 2 + dispatch_ownership.LINKED_CANDIDATES_MAX
+        )
--- a/waxwingwalk/dispatch/ownership.py
+++ b/waxwingwalk/dispatch/ownership.py
@@ -14,6 +14,7 @@
 import dataclasses
 import datetime
 import functools
+import itertools
 
 import msgspec
 import xxhash
@@ -33,12 +34,15 @@
 RECLAIM_DELAY = datetime.timedelta(milliseconds=500)
 # A live former owner is given this long to let its runs end.
 HANDOVER_TIME = datetime.timedelta(milliseconds=2500)
-# A pool for which no host is known that schedules it is logged after this time.
-# It is longer than the take-over of a pool takes.
+# A pool for which no host is known that schedules it is logged after this
+# time, which is longer than the take-over of a pool takes.
 UNSCHEDULED_LOG_DELAY = datetime.timedelta(seconds=3)
 # Number of hosts at the start of a row that are the owner of the pool and its
 # standby, which is the first successor.
 OWNER_AND_STANDBY = 2
+# Number of hosts to which a host is linked at a time, to learn whether they
+# are left, because they precede it as the owner of a pool.
+LINKED_CANDIDATES_MAX = 8
 # Pairs of a pool and a host whose place in the order is kept. The owner of a
 # pool sorts all hosts ten times a second.
 SPREAD_CACHE_SIZE = 4096
@@ -142,11 +146,12 @@
 
         They are the owner and the standby of each pool. Once both are gone,
         they include all hosts that precede this one in the row, so that this
-        host knows which of them are left. If a pool has no row yet, they are
+        host knows which of them are left. If none of them is, they include
+        those that may write the next row. If a pool has no row yet, they are
         all hosts.
         """
         needed: set[str] = set()
-        for state in self._pools.values():
+        for pool, state in self._pools.items():
             if state.row is None:
                 needed |= {peer.record.address for peer in self._hosts.all()}
                 continue
@@ -156,11 +161,28 @@
             if any(self._is_eligible(record, now) for record in first):
                 continue
             for record in order[OWNER_AND_STANDBY:]:
-                if record.address == self._hosts.local_host.address:
+                if record == self._hosts.local_host:
                     break
                 needed.add(record.address)
+            else:
+                needed |= self._next_candidates(pool, now)
         return needed
 
+    def _next_candidates(self, pool: str, now: datetime.datetime) -> set[str]:
+        """Return the addresses of the first hosts that precede this one.
+
+        The store also lists hosts that are gone for good. Those that cannot
+        be reached are replaced by the next ones.
+        """
+        preceding = itertools.takewhile(
+            lambda record: record != self._hosts.local_host,
+            self._preferred_order(pool, now),
+        )
+        return {
+            record.address
+            for record in itertools.islice(preceding, LINKED_CANDIDATES_MAX)
+        }
+
     def watched_hosts(self) -> set[str]:
         """Return the owners and standbys of pools where this host is either.
 
