Dispatch: a pool that no host schedules is taken over, whatever led to it

Cause: once all hosts of a pool's row have restarted, a new row is written only by a host that is not isolated, which means that it has a link to another host if it knows of any. The rows of hosts stay in the store after a loss of power, so the only host that is left counts as isolated for ever: pool.unscheduled says 'isolated'. The condition is there for a host that is cut off from the others, which looks the same over links.

Change: links do not tell a lost scheduler from an unreachable one, but the pool's row does. A host that has seen no scheduler of a pool for 2.5 s (4 s in another zone), and reaches its servers, writes its name into the row as the inquirer, under the condition of the row's version. A scheduler follows the row and answers by writing it without that name. Without an answer within 2 s the inquirer writes a row with itself as the owner, again conditionally, and so claims the pool under a higher fence. This also ends the state if a host that precedes in the row is linked but claims nothing, as the store turns it away or it does not reach the servers, and if lost hosts are still thought to be alive. At most one host acts: of several inquirers one write succeeds, an answer makes the take-over fail, and a scheduler that does not answer is fenced off. Ruled out: dropping the condition, as a host that is cut off from the others would take its pool from a working scheduler; heartbeats of schedulers in the store, as each of N hosts would read them.

--- a/tests/dispatch/test_unscheduled_pools.py
+++ b/tests/dispatch/test_unscheduled_pools.py
@@ -115,3 +115,101 @@
         self.assertLessEqual(
             len(needed), 2 + dispatch_ownership.LINKED_CANDIDATES_MAX
         )
+
+
+class InquiryTests(UnscheduledPoolTestCase):
+    """A host that knows no scheduler of a pool and reaches its servers."""
+
+    def setUp(self):
+        super().setUp()
+        self.other = host("a", processors=2.0)
+        self.version = ROW_VERSION
+
+    def reach_until(self, end, start):
+        """Evaluate the ownership, with probes that succeed."""
+        done = []
+        for at in range(start, end, TICK):
+            now = builders.at(at)
+            for pool in self.ownership.pools_to_probe(now):
+                self.ownership.probed(pool, True)
+            done += self.ownership.decide(now)
+        return self.writes(done)
+
+    def store(self, write, at):
+        """Store a row that this host has written."""
+        self.assertEqual(write.if_version, self.version)
+        self.version += 1
+        self.ownership.written(POOL, self.version, write.row, builders.at(at))
+
+    def inquire(self):
+        """Let this host inquire about the pool, which it does at 3 s."""
+        (inquiry,) = self.reach_until(3000, 0)
+        self.assertEqual(inquiry.row.inquirer, self.local_host)
+        self.store(inquiry, 3000)
+        return inquiry
+
+    def test_only_host_that_is_left_of_a_fleet_takes_its_pool_over(self):
+        self.know(self.other, host("c"))
+        self.list_row(host("a", incarnation="0"), host("b"))
+        inquiry = self.inquire()
+        self.assertEqual(inquiry.row.owner, host("a", incarnation="0"))
+        (write,) = self.reach_until(5500, 3000)
+        self.assertEqual(write.row.owner, self.local_host)
+        self.assertIsNone(write.row.inquirer)
+        self.store(write, 5500)
+        claim = self.ownership.claims[POOL]
+        self.assertEqual(claim.fence, pool_rows.fence(self.version, 0))
+
+    def test_pool_whose_scheduler_answers_is_not_taken_over(self):
+        self.know(self.other)
+        self.list_row(self.other)
+        self.inquire()
+        answered = self.version + 1
+        self.list_row(self.other, version=answered, at=4000)
+        self.assertEqual(self.reach_until(6500, 4000), [])
+        (again,) = self.reach_until(7000, 6500)
+        self.assertEqual(again.row.inquirer, self.local_host)
+        self.assertEqual(again.if_version, answered)
+        self.assertEqual(self.ownership.claims, {})
+
+    def test_scheduler_without_a_link_answers_an_inquiry_once(self):
+        self.list_row(self.local_host)
+        row = pool_rows.PoolRow((self.local_host,), self.other)
+        self.version += 1
+        done = self.ownership.rows_listed(
+            {POOL: (self.version, row)}, builders.at(20)
+        )
+        (answer,) = self.writes(done)
+        self.assertIsNone(answer.row.inquirer)
+        self.assertEqual(answer.row.owner, self.local_host)
+        self.store(answer, 30)
+        self.assertEqual(self.reach_until(9000, 40), [])
+
+    def test_linked_host_that_precedes_and_claims_nothing_is_passed_over(
+        self,
+    ):
+        # It reaches no server of the pool, or the store turns it away.
+        self.hosts.link_opened(1, self.other, builders.START)
+        self.list_row(self.other, self.local_host)
+        self.inquire()
+        (write,) = self.reach_until(5500, 3000)
+        self.assertEqual(write.row.owner, self.local_host)
+
+    def test_pool_that_is_not_reached_is_left_alone(self):
+        self.know(self.other)
+        self.list_row(self.other)
+        self.assertEqual(self.writes(self.decide_until(9000, 0)), [])
+
+    def test_inquiry_of_another_host_is_waited_for(self):
+        self.know(self.other)
+        self.list_row(host("a", incarnation="0"))
+        row = pool_rows.PoolRow(
+            (host("a", incarnation="0"),), host("c", incarnation="2")
+        )
+        self.version += 1
+        self.ownership.rows_listed(
+            {POOL: (self.version, row)}, builders.at(2000)
+        )
+        self.assertEqual(self.reach_until(4500, 0), [])
+        (inquiry,) = self.reach_until(5000, 4500)
+        self.assertEqual(inquiry.row.inquirer, self.local_host)
--- a/waxwingwalk/dispatch/ownership.py
+++ b/waxwingwalk/dispatch/ownership.py
@@ -4,7 +4,9 @@
 store names an owner and successors, each with a higher fence than all hosts
 before it. A successor takes over as soon as all hosts before it are dead or
 leaving, without asking the store, which may be down. It then writes a new row
-with itself as the owner.
+with itself as the owner. If no host is seen to schedule a pool for a while,
+whatever the reason, one that reaches the store and the pool's backend servers
+inquires about it and takes it over (``inquiries``).
 
 Safety does not depend on ownership: a backend server obeys the highest fence
 that it has seen, and a scheduler stops the runs that others left there. Two
@@ -21,6 +23,7 @@
 
 from waxwingwalk.dispatch import effects
 from waxwingwalk.dispatch import hosts as dispatch_hosts
+from waxwingwalk.dispatch import inquiries
 from waxwingwalk.dispatch import model
 from waxwingwalk.dispatch import pool_rows
 
@@ -43,6 +46,9 @@
 # Number of hosts to which a host is linked at a time, to learn whether they
 # are left, because they precede it as the owner of a pool.
 LINKED_CANDIDATES_MAX = 8
+# The servers of a pool are probed once no scheduler has been known for this
+# time, as each probe opens connections.
+PROBE_DELAY = datetime.timedelta(milliseconds=1500)
 # Pairs of a pool and a host whose place in the order is kept. The owner of a
 # pool sorts all hosts ten times a second.
 SPREAD_CACHE_SIZE = 4096
@@ -106,6 +112,9 @@
     unscheduled_since: datetime.datetime | None = None
     obstacle: Obstacle | None = None
     logged_obstacle: Obstacle | None = None
+    inquiry: inquiries.Inquiry = dataclasses.field(
+        default_factory=inquiries.Inquiry
+    )
 
 
 class Ownership:
@@ -251,6 +260,7 @@
         if version > state.version:
             state.version = version
             state.row = row
+            state.inquiry.row_changed_at = now
             state.unowned_since = None
             for record in row.order:
                 self._hosts.update_record(record, now)
@@ -283,6 +293,8 @@
             return []
         if state.unscheduled_since is None:
             state.unscheduled_since = now
+            if state.unowned_since is None:
+                state.is_reachable = False
         duration = now - state.unscheduled_since
         if (
             duration < UNSCHEDULED_LOG_DELAY
@@ -321,8 +333,60 @@
         if claim is not None:
             return self._refresh_row(pool, state, now)
         if state.row is None:
-            return self._create_row(pool, state, now)
-        return self._take_over(pool, state, now)
+            done = self._create_row(pool, state, now)
+        else:
+            done = self._take_over(pool, state, now)
+        if done or state.unscheduled_since is None:
+            return done
+        return self._inquire(pool, state, state.unscheduled_since, now)
+
+    def _inquire(
+        self,
+        pool: str,
+        state: _PoolState,
+        unscheduled_since: datetime.datetime,
+        now: datetime.datetime,
+    ) -> effects.Effects:
+        """Take over a pool that no host schedules, whatever the reason.
+
+        The row shows whether one does that this host has no link to.
+        """
+        if not state.is_reachable:
+            return []
+        local_host = self._hosts.local_host
+        delay = inquiries.INQUIRY_DELAY
+        if local_host.zone != pool:
+            delay = inquiries.FOREIGN_INQUIRY_DELAY
+        order = self._preferred_order(pool, now, first=local_host)
+        if state.row is None:
+            # No host can have claimed the pool.
+            if now - unscheduled_since < delay:
+                return []
+            return self._write_row(pool, state, order, now)
+        step = state.inquiry.next_step(
+            state.row, local_host, unscheduled_since, now, delay
+        )
+        match step:
+            case inquiries.Step.INQUIRE:
+                done = self._write_row(
+                    pool, state, state.row.order, now, inquirer=local_host
+                )
+            case inquiries.Step.TAKE_OVER:
+                done = self._write_row(pool, state, order, now)
+            case _:
+                return []
+        if not done:
+            return []
+        log = effects.Log(
+            "pool.inquired",
+            {
+                "pool": pool,
+                "step": step.value,
+                "row_version": state.version,
+                "unscheduled_ms": model.milliseconds(now - unscheduled_since),
+            },
+        )
+        return [log, *done]
 
     def _is_superseded(self, claim: Claim, state: _PoolState) -> bool:
         """Return whether a linked host has a better claim."""
@@ -457,7 +521,7 @@
         """Return the pools to probe now, and record that they are probed."""
         due = []
         for pool, state in self._pools.items():
-            if state.unowned_since is None or pool in self.claims:
+            if pool in self.claims or not self._is_probe_wanted(state, now):
                 continue
             if (
                 state.probed_at is None
@@ -467,6 +531,14 @@
                 due.append(pool)
         return due
 
+    def _is_probe_wanted(
+        self, state: _PoolState, now: datetime.datetime
+    ) -> bool:
+        if state.unowned_since is not None:
+            return True
+        since = state.unscheduled_since
+        return since is not None and now - since >= PROBE_DELAY
+
     def _claim_pool(
         self,
         pool: str,
@@ -534,9 +606,17 @@
     def _refresh_row(
         self, pool: str, state: _PoolState, now: datetime.datetime
     ) -> effects.Effects:
-        """Write a pool's row again if it does not name the right hosts."""
-        order = self._preferred_order(pool, now, first=self._hosts.local_host)
-        if state.row is not None and state.row.order == order:
+        """Write a pool's row again if it does not name the right hosts.
+
+        This also answers an inquiry.
+        """
+        local_host = self._hosts.local_host
+        order = self._preferred_order(pool, now, first=local_host)
+        if (
+            state.row is not None
+            and state.row.order == order
+            and state.row.inquirer in (None, local_host)
+        ):
             return []
         return self._write_row(pool, state, order, now)
 
@@ -546,6 +626,7 @@
         state: _PoolState,
         order: tuple[model.HostRecord, ...],
         now: datetime.datetime,
+        inquirer: model.HostRecord | None = None,
     ) -> effects.Effects:
         if state.is_writing:
             return []
@@ -556,7 +637,7 @@
             return []
         state.is_writing = True
         state.written_at = now
-        row = pool_rows.PoolRow(order)
+        row = pool_rows.PoolRow(order, inquirer)
         return [effects.WritePool(pool, row, state.version)]
 
     def _preferred_order(
--- a/waxwingwalk/dispatch/pool_rows.py
+++ b/waxwingwalk/dispatch/pool_rows.py
@@ -16,10 +16,12 @@
 
     The first one is the owner. Each later one may take over, without asking
     the store, once all hosts before it are dead or leaving: its fence is
-    already higher than theirs.
+    already higher than theirs. ``inquirer`` asks whether any host schedules
+    the pool; the one that does writes the row again without it.
     """
 
     order: tuple[model.HostRecord, ...]
+    inquirer: model.HostRecord | None = None
 
     @property
     def owner(self) -> model.HostRecord:
--- a/waxwingwalk/host/history.py
+++ b/waxwingwalk/host/history.py
@@ -25,6 +25,7 @@
         "evacuation.started",
         "evacuation.ended",
         "pool.claimed",
+        "pool.inquired",
         "pool.lost",
         "pool.unscheduled",
         "backend.suspect",
--- a/waxwingwalk/host/log_catalogue.py
+++ b/waxwingwalk/host/log_catalogue.py
@@ -137,6 +137,12 @@
         "expected to",
         ("pool", "duration_ms", "reason", "waits_for", "row_version"),
     ),
+    "pool.inquired": LogEvent(
+        "this host, which knows of no scheduler of a pool, asks in the pool's "
+        "row for one (`step` is `inquire`), or writes a row with itself as "
+        "the owner as there was no answer (`take over`)",
+        ("pool", "step", "row_version", "unscheduled_ms"),
+    ),
     "pool.write_failed": LogEvent(
         "a pool's row could not be written", ("pool", "reason")
     ),
