Dispatch: observed time does not run slow on a host without work

Cause: a tick announces to ObservedTime when the next one is due, with the tick interval at its start. A tick that ends the last job, as one that refuses a job for want of a scheduler does, is followed by one of an idle host, 100 ms later instead of 25 ms. The difference counted as a delay of this host, in which observed time stands still; delays and limits measured in it took twice as long.

Change: the interval is announced again after the tick has been applied.

--- a/tests/dispatch/test_observed_time.py
+++ b/tests/dispatch/test_observed_time.py
@@ -56,6 +56,24 @@
             last = self.observed.at(builders.at(at))
 
 
+class IdleHostTests(reducer_case.ReducerTestCase):
+    def test_time_does_not_stand_still_when_a_tick_ends_the_last_job(self):
+        # Without a scheduler, a tick refuses the job. The next tick is that
+        # of an idle host.
+        start = self.reducer._observed.at(builders.START)
+        at = 0
+        for number in range(40):
+            self.apply(events.Ticked(), at)
+            if self.reducer.is_idle:
+                job = builders.job(f"j-{number}", now=builders.at(at))
+                self.apply(events.JobSubmitted(job), at + 1)
+                at += 100
+            else:
+                at += TICK
+        elapsed = self.reducer._observed.at(builders.at(at)) - start
+        self.assertEqual(elapsed / model.MILLISECOND, at)
+
+
 class LateHostTests(reducer_case.ReducerTestCase):
     """A host that stalls for longer than its limits on others."""
 
--- a/waxwingwalk/dispatch/observed_time.py
+++ b/waxwingwalk/dispatch/observed_time.py
@@ -49,6 +49,12 @@
         )
         if self._next_tick_at is not None and now > self._next_tick_at:
             self._delay += now - self._next_tick_at
+        self.expect_tick(now, interval)
+
+    def expect_tick(
+        self, now: datetime.datetime, interval: datetime.timedelta
+    ) -> None:
+        """Correct the interval until the next tick."""
         self._next_tick_at = now + interval + TIMER_TOLERANCE
 
     def at(self, now: datetime.datetime) -> datetime.datetime:
--- a/waxwingwalk/dispatch/reducer.py
+++ b/waxwingwalk/dispatch/reducer.py
@@ -228,6 +228,9 @@
         done += self._answer_local(done, now)
         done += self._announce_claims(now)
         done += self._announce_load(now)
+        if isinstance(event, events.Ticked):
+            # The tick may have ended the work of this host.
+            self._observed.expect_tick(now, self.tick_interval)
         return done
 
     def _report_crashes(self, now: datetime.datetime) -> effects.Effects:
