Dispatch: a claim that the servers refuse is given up, and claimed anew after an inquiry

Cause: the leader kept its claim. Its log has 'pool.claimed' with fence 1216, that of its successor 2113, and after the wake 'backend.fenced' for each server under 4980736 (1216 * 4096); no claim follows. A fenced server is acquired again only under a newer claim, a claim was never renewed, and nothing ended it, as the host with the higher fence was gone. All other hosts saw a live owner. The rule that takes over pools without a scheduler did not apply for the same reason.

Change: a host gives its claim up once all servers of the pool refuse it (pool.lost with is_fenced_off). As it may be cut off from the host that has them, it claims the pool again only if that host does not answer an inquiry, or is seen over a link. If only some servers refuse, which happens if the successor is lost before it has reached the others, the claim is kept and renewed in the same way, at most every 5 s.

All six tests of FencedOwnerTests and FencedServerTests fail without the change; only the last one uses nothing that the change adds.

--- a/tests/dispatch/test_unscheduled_pools.py
+++ b/tests/dispatch/test_unscheduled_pools.py
@@ -3,8 +3,12 @@
 import unittest
 
 from tests.dispatch import builders
+from tests.dispatch import reducer_case
+from waxwingwalk.dispatch import backend as backends
 from waxwingwalk.dispatch import effects
+from waxwingwalk.dispatch import events
 from waxwingwalk.dispatch import hosts as dispatch_hosts
+from waxwingwalk.dispatch import messages
 from waxwingwalk.dispatch import model
 from waxwingwalk.dispatch import ownership as dispatch_ownership
 from waxwingwalk.dispatch import pool_rows
@@ -117,8 +121,8 @@
         )
 
 
-class InquiryTests(UnscheduledPoolTestCase):
-    """A host that knows no scheduler of a pool and reaches its servers."""
+class InquiryTestCase(UnscheduledPoolTestCase):
+    """A host that reaches the servers of its pool, and the store."""
 
     def setUp(self):
         super().setUp()
@@ -148,6 +152,10 @@
         self.store(inquiry, 3000)
         return inquiry
 
+
+class InquiryTests(InquiryTestCase):
+    """No scheduler of the pool is known."""
+
     def test_only_host_that_is_left_of_a_fleet_takes_its_pool_over(self):
         self.know(self.other, host("c"))
         self.list_row(host("a", incarnation="0"), host("b"))
@@ -213,3 +221,99 @@
         self.assertEqual(self.reach_until(4500, 0), [])
         (inquiry,) = self.reach_until(5000, 4500)
         self.assertEqual(inquiry.row.inquirer, self.local_host)
+
+
+class FencedOwnerTests(InquiryTestCase):
+    """An owner whose servers have seen the fence of another host."""
+
+    def setUp(self):
+        super().setUp()
+        self.list_row(self.local_host)
+        self.first_fence = self.ownership.claims[POOL].fence
+
+    def record_fencing(self, fenced, servers, at):
+        self.ownership.record_fencing(POOL, fenced, servers, builders.at(at))
+
+    def test_owner_that_all_servers_refuse_claims_under_a_newer_fence(self):
+        # Its successor took over while it was paused, and is gone since.
+        self.record_fencing(4, 4, 0)
+        (inquiry,) = self.reach_until(3000, 0)
+        self.assertEqual(inquiry.row.inquirer, self.local_host)
+        self.assertEqual(self.ownership.claims, {})
+        self.store(inquiry, 3000)
+        (write,) = self.reach_until(5500, 3000)
+        self.store(write, 5500)
+        self.assertGreater(self.ownership.claims[POOL].fence, self.first_fence)
+
+    def test_fenced_owner_leaves_the_pool_to_a_host_that_answers(self):
+        self.record_fencing(4, 4, 0)
+        (inquiry,) = self.reach_until(3000, 0)
+        self.store(inquiry, 3000)
+        self.list_row(self.other, version=self.version + 1, at=3500)
+        self.assertEqual(self.reach_until(5500, 3000), [])
+        self.assertEqual(self.ownership.claims, {})
+
+    def test_fenced_owner_does_not_answer_an_inquiry(self):
+        self.record_fencing(4, 4, 0)
+        row = pool_rows.PoolRow((self.local_host,), self.other)
+        done = self.ownership.rows_listed(
+            {POOL: (self.version + 1, row)}, builders.at(100)
+        )
+        self.assertEqual(self.writes(done), [])
+
+    def test_successor_of_a_linked_scheduler_needs_no_inquiry(self):
+        self.record_fencing(4, 4, 0)
+        self.hosts.link_opened(1, self.other, builders.START)
+        load = messages.PoolLoad(POOL, self.first_fence + 1, "s", [], 0.0)
+        status = messages.HostStatus([load], False, 1)
+        self.hosts.by_link(1).update_status(status)
+        self.list_row(self.other, self.local_host, version=11, at=200)
+        self.hosts.update_record(host("c"), builders.START)
+        self.hosts.link_opened(2, host("c"), builders.START)
+        self.hosts.link_closed(1, builders.at(300))
+        self.hosts.link_failed("a", True, builders.at(310))
+        self.ownership.decide(builders.at(320))
+        self.assertIn(POOL, self.ownership.claims)
+
+    def test_claim_that_one_server_refuses_is_renewed_and_kept(self):
+        self.record_fencing(1, 4, 0)
+        (inquiry,) = self.reach_until(5500, 0)
+        self.assertEqual(inquiry.row.inquirer, self.local_host)
+        self.store(inquiry, 5500)
+        self.assertIn(POOL, self.ownership.claims)
+        (write,) = self.reach_until(8000, 5500)
+        self.store(write, 8000)
+        self.assertGreater(self.ownership.claims[POOL].fence, self.first_fence)
+
+
+class FencedServerTests(reducer_case.ReducerTestCase):
+    def fence_off(self, at):
+        self.apply(
+            events.BackendPolled(
+                self.report.incarnation, model.CallOutcome.FENCED
+            ),
+            at,
+        )
+
+    def test_servers_that_a_lost_successor_fenced_are_acquired_again(self):
+        self.schedule_here()
+        first = self.reducer.run_tracker.get(self.report.incarnation).fence
+        self.fence_off(10)
+        done = self.tick_until(3000, 25)
+        (probe, *_) = builders.of_type(done, effects.ProbeBackends)
+        self.assertEqual(probe.pool, reducer_case.ZONE)
+        self.apply(events.BackendsProbed(probe.pool, True), 3000)
+        version = reducer_case.ROW_VERSION
+        for start in (3000, 6000):
+            done = self.tick_until(start + 2500, start)
+            (write,) = builders.of_type(done, effects.WritePool)
+            self.assertEqual(write.if_version, version)
+            version += 1
+            self.apply(
+                events.PoolWritten(write.pool, version, write.row),
+                start + 2500,
+            )
+        self.tick_until(9000, 8500)
+        server = self.reducer.run_tracker.get(self.report.incarnation)
+        self.assertGreater(server.fence, first)
+        self.assertIs(server.state, backends.BackendState.UNVERIFIED)
--- a/waxwingwalk/dispatch/ownership.py
+++ b/waxwingwalk/dispatch/ownership.py
@@ -46,6 +46,8 @@
 # Number of hosts to which a host is linked at a time, to learn whether they
 # are left, because they precede it as the owner of a pool.
 LINKED_CANDIDATES_MAX = 8
+# A claim that some servers refuse is not renewed before this time.
+RENEWAL_INTERVAL = datetime.timedelta(seconds=5)
 # The servers of a pool are probed once no scheduler has been known for this
 # time, as each probe opens connections.
 PROBE_DELAY = datetime.timedelta(milliseconds=1500)
@@ -61,13 +63,17 @@
     ``former_owner`` is the address of the former owner if that one was linked
     when the claim was made; it may still be letting its runs end.
     ``incarnations`` counts the incarnations of each backend server that were
-    acquired within the claim.
+    acquired within the claim. ``fenced_since`` is since when servers refuse
+    its fence, as they have seen a higher one; ``is_fenced_off`` is set if all
+    of them do.
     """
 
     pool: str
     fence: int
     since: datetime.datetime
     former_owner: str | None
+    fenced_since: datetime.datetime | None = None
+    is_fenced_off: bool = False
     incarnations: dict[str, int] = dataclasses.field(default_factory=dict)
 
     def next_order_fence(self, backend_id: str) -> int:
@@ -93,6 +99,9 @@
 ISOLATED = Obstacle("isolated")
 # The backend servers of the pool cannot be reached, or not for long enough.
 NOT_REACHED = Obstacle("not reached")
+# The servers refused the last claim of this host, so that another host may
+# schedule them that this one has no link to.
+FENCED_OFF = Obstacle("fenced off")
 
 
 @dataclasses.dataclass(slots=True)
@@ -115,6 +124,11 @@
     inquiry: inquiries.Inquiry = dataclasses.field(
         default_factory=inquiries.Inquiry
     )
+    # The version that a take-over after an inquiry replaces.
+    replaced_version: int | None = None
+    # Whether the last claim was refused by all servers. The pool is claimed
+    # again only after an inquiry.
+    is_fenced_off: bool = False
 
 
 class Ownership:
@@ -258,13 +272,45 @@
     ) -> None:
         state = self._pools.setdefault(pool, _PoolState())
         if version > state.version:
+            has_taken_over = (
+                state.replaced_version is not None
+                and row.owner == self._hosts.local_host
+            )
+            state.replaced_version = None
             state.version = version
             state.row = row
             state.inquiry.row_changed_at = now
+            if has_taken_over:
+                self._confirm_take_over(pool, state, now)
             state.unowned_since = None
             for record in row.order:
                 self._hosts.update_record(record, now)
 
+    def _confirm_take_over(
+        self, pool: str, state: _PoolState, now: datetime.datetime
+    ) -> None:
+        """Record that the inquiry about a pool has made this host its owner.
+
+        A present claim is renewed under the fence of the new row. Servers
+        that obey the former fence are kept.
+        """
+        state.is_fenced_off = False
+        if pool in self.claims:
+            fence = pool_rows.fence(state.version, 0)
+            claim = Claim(pool, fence, now, former_owner=None)
+            self.claims[pool] = state.latest_claim = claim
+
+    def record_fencing(
+        self, pool: str, fenced: int, servers: int, now: datetime.datetime
+    ) -> None:
+        """Record how many of the servers of a claim refuse its fence."""
+        claim = self.claims[pool]
+        if not fenced:
+            claim.fenced_since = None
+        elif claim.fenced_since is None:
+            claim.fenced_since = now
+        claim.is_fenced_off = 0 < fenced == servers
+
     def probed(self, pool: str, is_reachable: bool) -> None:
         """Record whether a pool's backend servers can be reached from here."""
         state = self._pools.setdefault(pool, _PoolState())
@@ -290,6 +336,7 @@
         """
         if self.is_leaving or self.owner_address(pool) is not None:
             state.unscheduled_since = state.logged_obstacle = None
+            state.is_fenced_off = False
             return []
         if state.unscheduled_since is None:
             state.unscheduled_since = now
@@ -321,24 +368,45 @@
     ) -> effects.Effects:
         claim = self.claims.get(pool)
         if claim is not None and self._is_superseded(claim, state):
-            del self.claims[pool]
-            return [
-                effects.Log("pool.lost", {"pool": pool, "fence": claim.fence})
-            ]
+            return self._lose_claim(claim)
         if not self._are_rows_known:
             state.obstacle = ROWS_UNKNOWN
             return []
         if self.is_leaving:
             return []
+        if claim is not None and claim.is_fenced_off:
+            state.is_fenced_off = True
+            return self._lose_claim(claim)
+        done: effects.Effects = []
+        inquire_since = state.unscheduled_since
         if claim is not None:
-            return self._refresh_row(pool, state, now)
-        if state.row is None:
+            done = self._refresh_row(pool, state, now)
+            inquire_since = None
+            if now - claim.since >= RENEWAL_INTERVAL:
+                inquire_since = claim.fenced_since
+        elif state.row is None:
             done = self._create_row(pool, state, now)
+        elif state.is_fenced_off:
+            state.obstacle = FENCED_OFF
         else:
             done = self._take_over(pool, state, now)
-        if done or state.unscheduled_since is None:
+        if done or inquire_since is None:
             return done
-        return self._inquire(pool, state, state.unscheduled_since, now)
+        return self._inquire(pool, state, inquire_since, now)
+
+    def _lose_claim(self, claim: Claim) -> effects.Effects:
+        """Give a pool up that another host schedules."""
+        del self.claims[claim.pool]
+        return [
+            effects.Log(
+                "pool.lost",
+                {
+                    "pool": claim.pool,
+                    "fence": claim.fence,
+                    "is_fenced_off": claim.is_fenced_off,
+                },
+            )
+        ]
 
     def _inquire(
         self,
@@ -349,9 +417,10 @@
     ) -> effects.Effects:
         """Take over a pool that no host schedules, whatever the reason.
 
-        The row shows whether one does that this host has no link to.
+        The row shows whether one does that this host has no link to. A claim
+        is renewed in the same way if some of its servers refuse it.
         """
-        if not state.is_reachable:
+        if not state.is_reachable and pool not in self.claims:
             return []
         local_host = self._hosts.local_host
         delay = inquiries.INQUIRY_DELAY
@@ -373,6 +442,8 @@
                 )
             case inquiries.Step.TAKE_OVER:
                 done = self._write_row(pool, state, order, now)
+                if done:
+                    state.replaced_version = state.version
             case _:
                 return []
         if not done:
--- a/waxwingwalk/dispatch/reducer.py
+++ b/waxwingwalk/dispatch/reducer.py
@@ -649,9 +649,29 @@
         return [*done, *self._reevaluate_ownership(now)]
 
     def _reevaluate_ownership(self, now: datetime.datetime) -> effects.Effects:
+        self._record_fencing(now)
         done = self.ownership.decide(self._observed.at(now))
         return [*done, *self._reconcile_backends(now)]
 
+    def _record_fencing(self, now: datetime.datetime) -> None:
+        """Record which servers refuse the present claims."""
+        for pool, claim in self.ownership.claims.items():
+            servers = [
+                backend
+                for backend in self.run_tracker
+                if backend.report.zone == pool
+            ]
+            # Those that refused an earlier claim are acquired again.
+            fenced = [
+                backend
+                for backend in servers
+                if backend.state is backends.BackendState.FENCED
+                and pool_rows.claim_fence(backend.fence) >= claim.fence
+            ]
+            self.ownership.record_fencing(
+                pool, len(fenced), len(servers), self._observed.at(now)
+            )
+
     def _receive(
         self, event: events.MessageReceived, now: datetime.datetime
     ) -> effects.Effects:
--- a/waxwingwalk/host/log_catalogue.py
+++ b/waxwingwalk/host/log_catalogue.py
@@ -129,7 +129,9 @@
         ("pool", "fence", "row_version", "rank", "former"),
     ),
     "pool.lost": LogEvent(
-        "another host now schedules the pool", ("pool", "fence")
+        "another host now schedules the pool; `is_fenced_off` says that all "
+        "its servers refused the fence of this one",
+        ("pool", "fence", "is_fenced_off"),
     ),
     "pool.unscheduled": LogEvent(
         "no host is known that schedules a pool, for this long; `reason` is "
