Dispatch: a scheduler that the store turns away learns of its servers from other hosts

Cause: a scheduler that cannot read the table of servers (store.lost, table servers) goes on with its last list, however old that is. It has to while nobody reaches the store, but here linked hosts had the new room, and nothing passes it on as the configuration and evacuations are.

Change: BackendListSharing. A scheduler to which the store has delivered no list for 2 s asks a linked host, schedulers first; one that does not answer within 0.5 s is replaced by the next. The host that is asked reads the list as often as a scheduler for 2 s, and sends each newer one; lists are ordered by the version of the store. Without a linked host that reaches the store all is as before. Ruled out: handing the pool over, as each partition of a machine from the store would then cost a take-over.

The emulator's check of capacities excused every start while any host was without the store. It now excuses them only while hosts do not reach each other or nobody reaches the store.

--- a/tests/emulator/test_capacity.py
+++ b/tests/emulator/test_capacity.py
@@ -120,6 +120,25 @@
                 self.assertEqual(self.fleet.checker.violations, [])
                 self.assertGreater(self.fleet.checker.starts, 50)
 
+    def test_shrunk_capacity_is_observed_by_a_scheduler_without_the_store(
+        self,
+    ):
+        self.build(hosts=3)
+        for host in self.owners():
+            self.fleet.cut_store_of(host)
+        self.fleet.run(milliseconds(500))
+        self.assertEqual(self.play(), [])
+        self.assertGreater(self.fleet.checker.starts, 50)
+
+    def test_shrunk_capacity_is_observed_while_few_hosts_reach_the_store(
+        self,
+    ):
+        self.build(hosts=3)
+        for host in list(self.fleet.hosts.values())[:-1]:
+            self.fleet.cut_store_of(host)
+        self.assertEqual(self.play(), [])
+        self.assertGreater(self.fleet.checker.starts, 50)
+
     def test_shrunk_capacity_is_observed_for_offered_tasks(self):
         self.build()
         self.submit_jobs(seconds=14)
--- a/waxwingwalk/dispatch/events.py
+++ b/waxwingwalk/dispatch/events.py
@@ -49,9 +49,13 @@
 
 
 class BackendsListed(msgspec.Struct):
-    """All registered backend servers were listed."""
+    """All registered backend servers were listed.
+
+    ``version`` is that of the store, 0 if it is not known.
+    """
 
     reports: tuple[model.BackendReport, ...]
+    version: int = 0
 
 
 class HostsListed(msgspec.Struct):
--- a/waxwingwalk/dispatch/messages.py
+++ b/waxwingwalk/dispatch/messages.py
@@ -214,6 +214,25 @@
     started_ms: int
 
 
+class RequestBackends(_Tagged, tag="request_backends"):
+    """Asks for the list of the backend servers of pools.
+
+    ShareBackends follows if the receiver has a newer list than ``version``,
+    which is a version of the store, and whenever it gets one within 2 s.
+    """
+
+    pools: list[str]
+    version: int
+
+
+class ShareBackends(_Tagged, tag="share_backends"):
+    """All backend servers of pools at a version of the store."""
+
+    version: int
+    pools: list[str]
+    reports: list[model.BackendReport]
+
+
 class ReportCrashes(_Tagged, tag="report_crashes"):
     """What the sender knows of servers that did not list the end of runs."""
 
@@ -234,6 +253,8 @@
     | CatalogPart
     | ShareCatalog
     | ReleaseBackend
+    | RequestBackends
+    | ShareBackends
     | ReportCrashes
 )
 
--- a/waxwingwalk/dispatch/reducer.py
+++ b/waxwingwalk/dispatch/reducer.py
@@ -12,12 +12,14 @@
 """
 
 from collections.abc import Callable
+from collections.abc import Iterable
 import dataclasses
 import datetime
 from typing import Any
 
 from waxwingwalk.core import clock
 from waxwingwalk.dispatch import backend as backends
+from waxwingwalk.dispatch import backend_list_sharing
 from waxwingwalk.dispatch import catalog_sharing
 from waxwingwalk.dispatch import crashes
 from waxwingwalk.dispatch import effects
@@ -129,6 +131,7 @@
             model.BackendIncarnation, model.BackendReport
         ] = {}
         self._backends_listed_at = clock.DISTANT_PAST
+        self._backend_list_sharing = backend_list_sharing.BackendListSharing()
         self._announced_claims: dict[str, int] = {}
         self._announced_changes = 0
         self._load_announced_at = now
@@ -176,6 +179,8 @@
             messages.CatalogPart: self._handle_catalog_part,
             messages.ShareCatalog: self._decode_peer_catalog,
             messages.ReleaseBackend: self._record_backend_release,
+            messages.RequestBackends: self._subscribe_to_backends,
+            messages.ShareBackends: self._update_shared_backends,
             messages.ReportCrashes: self._record_reported_crashes,
         }
 
@@ -199,6 +204,16 @@
         """Whether the host can accept jobs of callers."""
         return self.catalog is not None and self.drain_deadline is None
 
+    def needs_recent_backends(self, now: datetime.datetime) -> bool:
+        """Return whether the list of backend servers is to be read often.
+
+        A linked host that schedules pools may depend on it.
+        """
+        return (
+            self.ownership.may_schedule
+            or self._backend_list_sharing.has_subscribers(now)
+        )
+
     def apply(
         self, event: events.Event, now: datetime.datetime
     ) -> effects.Effects:
@@ -399,16 +414,69 @@
 
     def _update_backends(
         self, event: events.BackendsListed, now: datetime.datetime
+    ) -> effects.Effects:
+        if self._backend_list_sharing.is_outdated(event.version, now):
+            return []
+        done = self._backend_list_sharing.record_list(
+            event.version, event.reports, now
+        )
+        return [*done, *self._replace_backends(event.reports, now)]
+
+    def _subscribe_to_backends(
+        self,
+        message: messages.RequestBackends,
+        link: int,
+        now: datetime.datetime,
+    ) -> effects.Effects:
+        return self._backend_list_sharing.handle_request(message, link, now)
+
+    def _update_shared_backends(
+        self,
+        message: messages.ShareBackends,
+        link: int,
+        now: datetime.datetime,
+    ) -> effects.Effects:
+        """Replace the servers of the pools that another host has listed."""
+        if not self._backend_list_sharing.handle_list(message, link, now):
+            return []
+        pools = set(message.pools)
+        others = (
+            each
+            for each in self._backend_reports.values()
+            if each.zone not in pools
+        )
+        shared = (each for each in message.reports if each.zone in pools)
+        return self._replace_backends((*others, *shared), now)
+
+    def _replace_backends(
+        self, reports: Iterable[model.BackendReport], now: datetime.datetime
     ) -> effects.Effects:
         self._backend_reports = {
-            report.incarnation: report for report in event.reports
+            report.incarnation: report for report in reports
         }
         self._backends_listed_at = now
         self.run_tracker.forget_unlisted(self._backend_reports)
-        for report in event.reports:
+        for report in self._backend_reports.values():
             self.ownership.add_pool(report.zone)
         return self._reconcile_backends(now)
 
+    def _request_backends(self, now: datetime.datetime) -> effects.Effects:
+        """Ask linked hosts for the list of servers if this one's is old.
+
+        Hosts that schedule pools come first, as they read it often.
+        """
+        hosts: dict[str, int] = {}
+        for number, link in self._links.items():
+            hosts.setdefault(link.host.address, number)
+        ordered = sorted(
+            hosts, key=lambda address: not self._is_scheduler(address)
+        )
+        return self._backend_list_sharing.request_if_old(
+            set(self.ownership.claims),
+            {hosts[address]: address for address in ordered},
+            now,
+        )
+
     def _reconcile_backends(self, now: datetime.datetime) -> effects.Effects:
         """Acquire the servers of claimed pools; release all others."""
         done: effects.Effects = []
@@ -626,6 +694,7 @@
         if link is None:
             return []
         self.hosts.link_closed(event.link, self._observed.at(now))
+        self._backend_list_sharing.close_link(event.link)
         done: effects.Effects = [
             effects.Log(
                 "link.closed",
@@ -918,6 +987,7 @@
         ):
             done += self._resume(now)
         done += self.catalog_sharing.tick(self._observed.at(now))
+        done += self._request_backends(now)
         done += self.run_tracker.tick(now)
         done += self.scheduler.tick(now)
         if not self.ownership.claims:
@@ -994,7 +1064,11 @@
 
         Only such hosts offer tasks.
         """
-        peer = self.hosts.get(link.host.address)
+        return self._is_scheduler(link.host.address)
+
+    def _is_scheduler(self, address: str) -> bool:
+        """Return whether the host at an address says that it schedules."""
+        peer = self.hosts.get(address)
         return (
             peer is not None
             and peer.status is not None
--- a/waxwingwalk/emulator/fleet.py
+++ b/waxwingwalk/emulator/fleet.py
@@ -168,6 +168,8 @@
         self._isolated_hosts: set[str] = set()
         self._is_store_down = False
         self.hosts_without_store: set[str] = set()
+        # Rises with each listing, though the list may not have changed.
+        self._list_version = 0
         self.late_share = 0.0
         # The kinds of orders that may be carried out late.
         self.late_orders: tuple[type, ...] = (
@@ -369,12 +371,12 @@
     def cut_store_of(self, host: Host) -> None:
         """Partition a host from the store only."""
         self.hosts_without_store.add(host.address)
-        self.checker.record_contact_lost(f"store of {host.address}")
+        self.checker.record_store_lost(host.address)
 
     def reconnect_store_of(self, host: Host) -> None:
         """End the partition of a host from the store."""
         self.hosts_without_store.discard(host.address)
-        self.checker.record_contact_regained(f"store of {host.address}")
+        self.checker.record_store_regained(host.address)
 
     def _reaches_store(self, host: Host) -> bool:
         return not (
@@ -739,7 +741,9 @@
         reports = self.listed_backends_snapshot
         if reports is None:
             reports = tuple(self.listed_backends.values())
-        self._apply(host, events.BackendsListed(reports))
+        self._list_version += 1
+        version = self._list_version
+        self._apply(host, events.BackendsListed(reports, version))
 
     def _apply_evacuations(self, host: Host) -> None:
         listed = events.EvacuationsListed(
@@ -751,7 +755,7 @@
         """Return whether a host reads the list of backend servers now."""
         if host.list_read_at is None or host.reducer is None:
             return True
-        if host.reducer.ownership.may_schedule:
+        if host.reducer.needs_recent_backends(self.timeline.now()):
             return True
         elapsed = self.timeline.now() - host.list_read_at
         return elapsed >= self.idle_list_interval
--- a/waxwingwalk/emulator/guarantees.py
+++ b/waxwingwalk/emulator/guarantees.py
@@ -78,6 +78,8 @@
         self._done_tasks: set[str] = set()
         self._unreachable: set[str] = set()
         self._contact_regained_at: datetime.datetime | None = None
+        self._hosts_without_store: set[str] = set()
+        self._store_regained_at: datetime.datetime | None = None
         self._crashes: collections.Counter[str] = collections.Counter()
         self._later_starts: collections.Counter[str] = collections.Counter()
         self._failed_jobs: set[str] = set()
@@ -108,11 +110,31 @@
         self._unreachable.discard(name)
         self._contact_regained_at = self._timeline.now()
 
+    def record_store_lost(self, host: str) -> None:
+        """Record that a host does not reach the store, though others do."""
+        self._hosts_without_store.add(host)
+
+    def record_store_regained(self, host: str) -> None:
+        """Record that a host reaches the store again."""
+        self._hosts_without_store.discard(host)
+        self._store_regained_at = self._timeline.now()
+
+    @property
+    def _are_hosts_in_contact(self) -> bool:
+        """Whether each host reaches the others, one of which the store."""
+        return not self._unreachable and self._is_past_grace(
+            self._contact_regained_at
+        )
+
     @property
     def _has_contact(self) -> bool:
-        if self._unreachable:
-            return False
-        regained_at = self._contact_regained_at
+        return (
+            self._are_hosts_in_contact
+            and not self._hosts_without_store
+            and self._is_past_grace(self._store_regained_at)
+        )
+
+    def _is_past_grace(self, regained_at: datetime.datetime | None) -> bool:
         return (
             regained_at is None
             or self._timeline.now() - regained_at > CONTACT_GRACE
@@ -178,7 +200,8 @@
     ) -> bool:
         """Return whether resources in use are within the server's capacity.
 
-        The capacity before it shrank counts as well for a while.
+        The capacity before it shrank counts as well for a while. Hosts that
+        the store turns away can learn of it from the others.
         """
         report = backend.report
         if report.capacity.holds(used):
@@ -188,7 +211,7 @@
             return False
         shrunk_at, capacity = former
         elapsed = self._timeline.now() - shrunk_at
-        is_recent = elapsed <= SHRINK_GRACE or not self._has_contact
+        is_recent = elapsed <= SHRINK_GRACE or not self._are_hosts_in_contact
         return is_recent and capacity.holds(used)
 
     def run_started(
--- a/waxwingwalk/host/log_catalogue.py
+++ b/waxwingwalk/host/log_catalogue.py
@@ -148,6 +148,11 @@
     "pool.write_failed": LogEvent(
         "a pool's row could not be written", ("pool", "reason")
     ),
+    "backends.requested": LogEvent(
+        "the list of backend servers is requested from another host, as the "
+        "store has not delivered one for `age_ms`",
+        ("host", "version", "age_ms"),
+    ),
     "backend.taken": LogEvent(
         "this host acquired a backend server",
         ("backend", "life", "fence"),
--- a/waxwingwalk/platform/wiring.py
+++ b/waxwingwalk/platform/wiring.py
@@ -45,16 +45,25 @@
         engine.read_catalog(row.value.decode(errors="replace"))
 
     def apply_backend_rows(rows: follower.TableRows) -> None:
-        engine.apply(events.BackendsListed(backend_decoder.decode(rows)))
+        reports = backend_decoder.decode(rows)
+        version = backends_follower.version
+        engine.apply(events.BackendsListed(reports, version))
 
     def backends_interval() -> datetime.timedelta:
-        if engine.reducer.ownership.may_schedule:
+        if engine.reducer.needs_recent_backends(engine.clock.now()):
             return catalog.BACKENDS_INTERVAL
         return catalog.BACKENDS_INTERVAL_IDLE
 
     operators_follower = follower.TableFollower(
         store, catalog.OPERATORS_TABLE, apply_operators_rows, log
     )
+    backends_follower = follower.TableFollower(
+        store,
+        catalog.BACKENDS_TABLE,
+        apply_backend_rows,
+        log,
+        interval=backends_interval,
+    )
     api = callers.CallersApi(engine)
     return wiring.build_service(
         config,
@@ -67,14 +76,5 @@
             (config.readiness, api.readiness()),
         ],
         reload=reload,
-        followers=[
-            operators_follower,
-            follower.TableFollower(
-                store,
-                catalog.BACKENDS_TABLE,
-                apply_backend_rows,
-                log,
-                interval=backends_interval,
-            ),
-        ],
+        followers=[operators_follower, backends_follower],
     )
