Host: an effect, a log line or a message that fails costs only itself

Cause: the host acquires the odd server first and logs its start, 'life'. The log's encoder raises TypeError for such an integer (internal.error, 'rows of waxwingwalk_pools: Integer exceeds 64-bit range'), and the loop that executes effects ended there. The effects after it were lost, among them the first polls of the other servers. The reducer considers these polls to be under way, so that the servers were never polled again. Sending over a link had the same weakness: one message that cannot be encoded closed the link, and with it all its jobs; a frame with a time too large for a duration did so, too.

Change: each effect is executed on its own, and a failure is reported as internal.error with the name of the effect. A log line that the fast encoder refuses is encoded by the standard library. A message that cannot be encoded is dropped and reported. A frame's time has a bound.

Result: without the change the tests of the engine and of the log fail, and the two of test_links wait for a message that never arrives (ended after 20 s each).

--- a/tests/host/test_engine.py
+++ b/tests/host/test_engine.py
@@ -87,6 +87,28 @@
         )
         self.assertIn("internal.error", writer)
 
+    async def test_effect_that_fails_costs_no_other_effect(self):
+        # A number that no log line can hold, before the poll of a server.
+        done = [
+            effects.Log("backend.taken", {"life": 10**30}),
+            effects.PollBackend(INCARNATION, "s:80", 1, 0, None, model.ZERO),
+        ]
+        reducer = RecordingReducer(done)
+        writer = hosts.MemoryWriter()
+        time = clock.ManualClock()
+        engine = host_engine.Engine(
+            reducer, time, logs.HostLog(time, writer), metrics.HostMetrics()
+        )
+        engine.adapters = host_engine.Adapters(
+            FailingAdapter(), None, None, None
+        )
+        engine.apply(events.Ticked())
+        async with asyncio.timeout(1):
+            while len(reducer.events) < 2:
+                await asyncio.sleep(0)
+        self.assertIsInstance(reducer.events[1], events.BackendPolled)
+        self.assertIn("internal.error", writer)
+
     async def test_document_that_is_decoded_late_does_not_revert_a_newer(self):
         # A document from the store and one from a host may be decoded at the
         # same time.
--- a/tests/host/test_links.py
+++ b/tests/host/test_links.py
@@ -244,7 +244,10 @@
 
     async def test_malformed_frame_leaves_the_link_open(self):
         good = '{"sent_ms":2,"messages":[{"kind":"abandon_job","job_id":"j"}]}'
-        bad = ("", "[", "[]", '{"messages":[]}', '{"sent_ms":1,"messages":1}')
+        bad = (
+            *("", "[", "[]", '{"messages":[]}', '{"sent_ms":1,"messages":1}'),
+            '{"sent_ms":1e300,"messages":[]}',
+        )
         await self.send_raw(*bad, good)
         self.assertEqual(await self.received_kinds(1), ["abandon_job"])
 
@@ -257,6 +260,13 @@
         self.assertEqual(received.message.job_id, "good")
         self.assertIn("internal.error", self.far.log.content)
 
+    async def test_message_that_cannot_be_encoded_costs_only_itself(self):
+        for job_id in ("\ud800", "good"):
+            self.near.links.send(self.ours.link, messages.AbandonJob(job_id))
+        (received,) = await self.far.wait_for(events.MessageReceived)
+        self.assertEqual(received.message.job_id, "good")
+        self.assertIn("internal.error", self.near.log.content)
+
     async def test_closed_link_is_reported_at_both_ends_and_reopened(self):
         self.far.links.close_link(self.theirs.link)
         await self.far.wait_for(events.LinkClosed)
--- a/tests/host/test_logs.py
+++ b/tests/host/test_logs.py
@@ -1,4 +1,5 @@
 import datetime
+import json
 import logging
 import os
 import unittest
@@ -31,6 +32,13 @@
         self.assertEqual(line["job"], "j")
         self.assertEqual(line["level"], "info")
 
+    def test_line_with_values_that_the_fast_encoder_refuses_is_written(self):
+        self.log.info("backend.taken", life=10**30, backend="\ud800")
+        self.log.flush()
+        line = json.loads(os.read(self.reader, 10**7))
+        self.assertEqual(line["life"], 10**30)
+        self.assertEqual(line["event"], "backend.taken")
+
     def test_lines_over_the_rate_limit_are_counted_and_reported(self):
         for _ in range(logs.EVENT_LINES_PER_SECOND + 7):
             self.log.info("task.placed")
--- a/waxwingwalk/dispatch/messages.py
+++ b/waxwingwalk/dispatch/messages.py
@@ -5,6 +5,8 @@
 requested over it ends, whichever side notices first.
 """
 
+from typing import Annotated
+
 import msgspec
 
 from waxwingwalk.core import decoding
@@ -274,6 +276,11 @@
         message.due_in_ms -= delay_ms
 
 
+# Three centuries. Larger numbers do not fit into the types for times.
+SENT_MS_MAX = 10**13
+_SentMs = Annotated[float, msgspec.Meta(ge=0, le=SENT_MS_MAX)]
+
+
 class Frame(msgspec.Struct):
     """Messages that were sent together.
 
@@ -281,14 +288,14 @@
     of the link was opened.
     """
 
-    sent_ms: float
+    sent_ms: _SentMs
     messages: list[Message]
 
 
 class _RawFrame(msgspec.Struct):
     """A frame whose messages are not decoded."""
 
-    sent_ms: float
+    sent_ms: _SentMs
     messages: list[msgspec.Raw]
 
 
--- a/waxwingwalk/host/engine.py
+++ b/waxwingwalk/host/engine.py
@@ -168,9 +168,16 @@
         return True
 
     def apply(self, event: events.Event) -> None:
-        """Apply an event and execute its effects."""
+        """Apply an event and execute its effects.
+
+        An effect that fails does not keep the others from being executed, as
+        the reducer counts on all of them.
+        """
         for effect in self._reducer.apply(event, self._clock.now()):
-            self._execute(effect)
+            try:
+                self._execute(effect)
+            except Exception as error:
+                self.report_failure(type(effect).__name__, error)
 
     def _execute(self, effect: effects.Effect) -> None:
         adapters = self.adapters
--- a/waxwingwalk/host/links.py
+++ b/waxwingwalk/host/links.py
@@ -76,9 +76,11 @@
         socket: Socket,
         time: clock.Clock,
         traffic: TrafficRecorder | None,
+        log: logs.HostLog,
     ) -> None:
         self.socket = socket
         self._traffic = traffic
+        self._log = log
         self._clock = time
         self._opened_at = time.now()
         self._drift = datetime.timedelta()
@@ -120,13 +122,19 @@
 
     async def _send(self, batch: list[messages.Message]) -> None:
         age = self._clock.now() - self._opened_at
-        contents = [messages.encode(each) for each in batch]
+        kinds, contents = [], []
+        for message in batch:
+            try:
+                contents.append(messages.encode(message))
+            except Exception as error:
+                # Other messages of the link are not affected.
+                _report_failure(self._log, message, error)
+            else:
+                kinds.append(message.kind)
         if self._traffic is not None:
+            sizes = [len(content) for content in contents]
             self._traffic.record_frame_sent(
-                [
-                    (message.kind, len(content))
-                    for message, content in zip(batch, contents, strict=True)
-                ]
+                list(zip(kinds, sizes, strict=True))
             )
         frame = messages.encode_frame(age / model.MILLISECOND, contents)
         await self.socket.send_str(frame.decode())
@@ -284,7 +292,7 @@
         is_outbound: bool,
     ) -> None:
         number = next(self._numbers)
-        link = _Link(socket, self._clock, self._traffic)
+        link = _Link(socket, self._clock, self._traffic, self._log)
         self._links[number] = link
         self._notify(events.LinkOpened(number, host, is_outbound))
         tasks = [
@@ -331,17 +339,12 @@
             return
         late_ms = link.excess_delay(delay) / model.MILLISECOND
         for message in received.messages:
-            messages.deduct_delay(message, late_ms)
             try:
+                messages.deduct_delay(message, late_ms)
                 self._notify(events.MessageReceived(number, message))
             except Exception as error:
                 # Other messages of the link are not affected.
-                self._log.error(
-                    "internal.error",
-                    where=f"message {message.kind}",
-                    error=f"{type(error).__name__}: {error}",
-                    exc_info=error,
-                )
+                _report_failure(self._log, message, error)
 
     def _decode(self, content: str) -> messages.Frame | None:
         """Return a frame without its malformed messages, if it is one.
@@ -364,6 +367,17 @@
         return frame
 
 
+def _report_failure(
+    log: logs.HostLog, message: messages.Message, error: Exception
+) -> None:
+    log.error(
+        "internal.error",
+        where=f"message {message.kind}",
+        error=f"{type(error).__name__}: {error}",
+        exc_info=error,
+    )
+
+
 def _decode_greeting(frame: aiohttp.WSMessage) -> model.HostRecord | None:
     if frame.type is not aiohttp.WSMsgType.TEXT:
         return None
--- a/waxwingwalk/host/logs.py
+++ b/waxwingwalk/host/logs.py
@@ -8,9 +8,11 @@
 
 import collections
 import datetime
+import json
 import logging
 import os
 import select
+from typing import Any
 
 import orjson
 import structlog
@@ -125,7 +127,7 @@
                     structlog.processors.add_log_level,
                     structlog.processors.TimeStamper(fmt="iso", utc=True),
                     structlog.processors.format_exc_info,
-                    structlog.processors.JSONRenderer(serializer=orjson.dumps),
+                    structlog.processors.JSONRenderer(serializer=_serialize),
                 ],
                 wrapper_class=structlog.make_filtering_bound_logger(
                     logging.getLevelNamesMapping()[level.upper()]
@@ -160,6 +162,17 @@
         self._writer.flush()
 
 
+def _serialize(line: dict[str, Any], **options: Any) -> bytes:
+    """Return a line as JSON, also with values that the fast encoder refuses.
+
+    Such are integers of more than 64 bits and unpaired surrogates.
+    """
+    try:
+        return orjson.dumps(line, **options)
+    except TypeError:
+        return json.dumps(line, default=repr).encode()
+
+
 class LibraryHandler(logging.Handler):
     """Writes warnings of libraries to the host's log.
 
