Platform: rows and answers of workers with values out of range are refused one by one

A row with a born beyond 64 bits hid all servers after it.

Cause: integers in rows and answers had no bounds. A serial or a run beyond 64 bits makes each order that repeats it fail when it is encoded. A port beyond 65535 raises OverflowError when the server is probed, so that the probe of its pool never ends. An id with a line break cannot be sent in a header.

Change: numbers from workers have bounds that fit 64 bits and durations (Count, ClockMs in core/decoding). A row is refused if its address is no host and port, or its id or zone is no printable name of at most 200 characters; an answer with such a value is ignored, and logged as backend.malformed. The reason of a refused start is read without the clock beside it.

--- a/tests/platform/test_clients.py
+++ b/tests/platform/test_clients.py
@@ -215,6 +215,28 @@
                 polled = await self.poll()
                 self.assertEqual(polled.outcome, Outcome.UNKNOWN)
 
+    async def test_lists_with_numbers_out_of_range_have_an_unknown_outcome(
+        self,
+    ):
+        order = effects.PollBackend(INCARNATION, "w:1", 7, 0, None, model.ZERO)
+        for content in (
+            b'{"clock_ms":1000000000000000000}',
+            b'{"clock_ms":-1}',
+            b'{"clock_ms":1,"born":1000000000000000000000000}',
+            b'{"clock_ms":1,"running":[["j.0.0.0",99999999999999999999]]}',
+            b'{"clock_ms":1,"ended":[[99999999999999999999,"j",1,"done"]]}',
+            b'{"clock_ms":1,"ended":[[1,"j",99999999999999999999,"done"]]}',
+        ):
+            with self.subTest(content=content):
+                polled = backends.decode_lists(order, content)
+                self.assertEqual(polled.outcome, Outcome.UNKNOWN)
+
+    async def test_clock_out_of_range_of_a_start_is_ignored(self):
+        content = b'{"clock_ms":1000000000000000000,"reason":"fence"}'
+        self.assertIsNone(backends.decode_clock(content))
+        outcome = backends.decode_outcome(409, content)
+        self.assertEqual(outcome, Outcome.FENCED)
+
     async def test_refused_connection_is_reported_as_not_sent(self):
         await self.server.close()
         started = await self.start()
--- a/waxwingwalk/core/decoding.py
+++ b/waxwingwalk/core/decoding.py
@@ -1,6 +1,7 @@
 """Decodes and validates JSON from outside the process."""
 
 import re
+from typing import Annotated
 from typing import Any
 from typing import Generic
 from typing import TypeVar
@@ -8,6 +9,22 @@
 import msgspec
 
 T = TypeVar("T")
+# Bounds of numbers from outside. They fit into 64 bits, as encoders require,
+# and into the types of the standard library for times, also in sums.
+COUNT_MAX = 2**53
+# Durations in milliseconds: eleven days.
+MILLISECONDS_MAX = 10**9
+# Times since 1970, or readings of a clock, in milliseconds: three centuries.
+CLOCK_MS_MAX = 10**13
+# Versions of the store, from which fences are computed.
+VERSION_MAX = 2**44
+Count = Annotated[int, msgspec.Meta(ge=0, le=COUNT_MAX)]
+Integer = Annotated[int, msgspec.Meta(ge=-COUNT_MAX, le=COUNT_MAX)]
+Milliseconds = Annotated[
+    float, msgspec.Meta(ge=-MILLISECONDS_MAX, le=MILLISECONDS_MAX)
+]
+ClockMs = Annotated[int, msgspec.Meta(ge=0, le=CLOCK_MS_MAX)]
+Version = Annotated[int, msgspec.Meta(ge=0, le=VERSION_MAX)]
 # ``msgspec`` ends a message with the place of the value: "- at `$.steps[0]`".
 _PLACE = re.compile(r"(?P<reason>.*) - at `(?:key in )?\$(?P<path>.*)`", re.S)
 _INDEX = re.compile(r"\[([^\]]*)\]")
--- a/waxwingwalk/host/log_catalogue.py
+++ b/waxwingwalk/host/log_catalogue.py
@@ -161,6 +161,11 @@
         "the server answers and has no unknown runs; it may get work",
         ("backend", "was", "fence", "running"),
     ),
+    "backend.malformed": LogEvent(
+        "a server's answer to a call is malformed, or has values out of "
+        "range, and is ignored",
+        ("backend", "call"),
+    ),
     "backend.suspect": LogEvent(
         "the server did not answer a request, or answered with an error; it "
         "gets no new work",
--- a/waxwingwalk/platform/backends.py
+++ b/waxwingwalk/platform/backends.py
@@ -17,6 +17,7 @@
 from waxwingwalk.dispatch import model
 from waxwingwalk.host import metrics
 from waxwingwalk.host import timeouts
+from waxwingwalk.store import follower
 
 # Within a zone a call is answered in a few milliseconds. The rest allows for a
 # pause of this process or of the server.
@@ -53,7 +54,10 @@
 
 
 class _Reply(msgspec.Struct):
-    clock_ms: int
+    clock_ms: decoding.ClockMs
+
+
+class _Refusal(msgspec.Struct):
     reason: str = ""
 
 
@@ -64,7 +68,7 @@
     """
 
     task: str
-    run: int
+    run: decoding.Count
     checkpoint: Any = None
     percent: Any = 0
 
@@ -79,20 +83,21 @@
 class _EndedRow(msgspec.Struct, array_like=True):
     """A row of ended runs; a checkpoint follows."""
 
-    serial: int
+    serial: decoding.Count
     task: str
-    run: int
+    run: decoding.Count
     end: str
 
 
 class _RunLists(msgspec.Struct):
-    clock_ms: int
-    born: int | None = None
+    clock_ms: decoding.ClockMs
+    born: decoding.ClockMs | None = None
     running: list[_RunningRow] = []
     ended: list[_EndedRow] = []
 
 
 _reply_decoder: decoding.Decoder[_Reply] = decoding.Decoder(_Reply)
+_refusal_decoder: decoding.Decoder[_Refusal] = decoding.Decoder(_Refusal)
 _lists_decoder: decoding.Decoder[_RunLists] = decoding.Decoder(_RunLists)
 
 
@@ -103,8 +108,10 @@
         self,
         host_metrics: metrics.HostMetrics,
         time_source: clock.Clock | None = None,
+        log: follower.FollowerLog | None = None,
     ) -> None:
         self._metrics = host_metrics
+        self._log = log
         self._clock = time_source or clock.SystemClock()
         connector = aiohttp.TCPConnector(
             limit=0,
@@ -149,12 +156,8 @@
             body,
             send_by=order.send_by,
         )
-        reply = _parse(_reply_decoder, content)
         return events.RunStarted(
-            order.incarnation,
-            order.run,
-            outcome,
-            None if reply is None else reply.clock_ms,
+            order.incarnation, order.run, outcome, decode_clock(content)
         )
 
     async def stop(self, order: effects.StopRun) -> events.RunStopped:
@@ -196,7 +199,20 @@
                 fence=order.fence,
                 number=order.number,
             )
-        return _to_polled_event(order, _parse(_lists_decoder, content))
+        polled = decode_lists(order, content)
+        if polled.outcome is Outcome.UNKNOWN:
+            self._log_malformed("hold", order.incarnation)
+        return polled
+
+    def _log_malformed(
+        self, call: str, incarnation: model.BackendIncarnation
+    ) -> None:
+        if self._log is not None:
+            self._log.info(
+                "backend.malformed",
+                backend=incarnation.backend_id,
+                call=call,
+            )
 
     async def accepts_connections(self, address: str) -> bool:
         """Return whether a worker accepts a connection."""
@@ -204,7 +220,7 @@
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT.total_seconds()):
                 _, writer = await asyncio.open_connection(host, int(port))
-        except (OSError, TimeoutError, ValueError):
+        except (OSError, OverflowError, TimeoutError, ValueError):
             return False
         writer.close()
         return True
@@ -249,7 +265,7 @@
                 ) as response,
             ):
                 content = await response.read()
-                return _outcome(response.status, content), content
+                return decode_outcome(response.status, content), content
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
             return Outcome.NOT_SENT, b""
         except StartDroppedError:
@@ -269,13 +285,14 @@
     )
 
 
-def _outcome(status: int, content: bytes) -> Outcome:
+def decode_outcome(status: int, content: bytes) -> Outcome:
+    """Return what the status of an answer, and its reason, mean."""
     match status:
         case 200:
             return Outcome.ACCEPTED
         case 409:
-            reply = _parse(_reply_decoder, content)
-            reason = "" if reply is None else reply.reason
+            refusal = _parse(_refusal_decoder, content)
+            reason = "" if refusal is None else refusal.reason
             return REFUSAL_OUTCOMES.get(reason, Outcome.INVALID)
         case 400 | 404:
             return Outcome.INVALID
@@ -287,10 +304,18 @@
             return Outcome.UNKNOWN
 
 
-def _to_polled_event(
-    order: effects.PollBackend, lists: _RunLists | None
+def decode_clock(content: bytes) -> int | None:
+    """Return the worker's clock in an answer, None if it has none."""
+    reply = _parse(_reply_decoder, content)
+    return None if reply is None else reply.clock_ms
+
+
+def decode_lists(
+    order: effects.PollBackend, content: bytes
 ) -> events.BackendPolled:
+    """Return what a worker's lists of runs say, UNKNOWN if malformed."""
     incarnation = order.incarnation
+    lists = _parse(_lists_decoder, content)
     if lists is None:
         return events.BackendPolled(
             incarnation,
--- a/waxwingwalk/platform/callers.py
+++ b/waxwingwalk/platform/callers.py
@@ -17,7 +17,6 @@
 from waxwingwalk.dispatch import effects
 from waxwingwalk.dispatch import model
 from waxwingwalk.host import engine as host_engine
-from waxwingwalk.platform import catalog
 
 # Header with the time that the caller waits for the response, in milliseconds.
 DEADLINE_HEADER = "Deadline-Ms"
@@ -39,7 +38,7 @@
     mem_mb: _Count = 0
     gpu: _Count = 0
     est_ms: Annotated[
-        float, msgspec.Meta(ge=0, le=catalog.MILLISECONDS_MAX)
+        float, msgspec.Meta(ge=0, le=decoding.MILLISECONDS_MAX)
     ] = 0.0
     after: list[int] = []
     requires: str | None = None
@@ -259,7 +258,7 @@
     if milliseconds <= 0:
         return queue.timeout
     return datetime.timedelta(
-        milliseconds=min(milliseconds, catalog.MILLISECONDS_MAX)
+        milliseconds=min(milliseconds, decoding.MILLISECONDS_MAX)
     )
 
 
--- a/waxwingwalk/platform/catalog.py
+++ b/waxwingwalk/platform/catalog.py
@@ -10,6 +10,7 @@
 
 import msgspec
 from returns import result
+import yarl
 
 from waxwingwalk.core import decoding
 from waxwingwalk.dispatch import model
@@ -34,20 +35,12 @@
 BACKENDS_INTERVAL_IDLE = datetime.timedelta(seconds=5)
 # Maximum length of a validation error in a log line, in characters.
 ERROR_MAX = 300
+# Maximum length of the names of servers and zones, in characters.
+NAME_MAX = 200
 # Queues that are decoded before the event loop runs again.
 QUEUES_PER_STEP = 100
 
 
-# Bound of durations in milliseconds, eleven days. Far longer ones do not fit
-# into the types of the standard library.
-MILLISECONDS_MAX = 10**9
-# Bound of readings of a clock in milliseconds, three centuries.
-CLOCK_MS_MAX = 10**13
-Milliseconds = Annotated[
-    float, msgspec.Meta(ge=-MILLISECONDS_MAX, le=MILLISECONDS_MAX)
-]
-
-
 class _Route(msgspec.Struct):
     name: str
     host: str
@@ -59,8 +52,8 @@
     stretch: float = 1.6
     # A job's target response time is ``stretch`` times the duration of its
     # critical path, plus this time.
-    slo_ms: Milliseconds = 60.0
-    timeout_ms: Milliseconds = 1500.0
+    slo_ms: decoding.Milliseconds = 60.0
+    timeout_ms: decoding.Milliseconds = 1500.0
 
 
 class _Service(msgspec.Struct):
@@ -70,7 +63,7 @@
 class _RequestLimits(msgspec.Struct):
     max_header_bytes: int = 16384
     max_body_bytes: int = 262144
-    idle_timeout_ms: Milliseconds = 15000.0
+    idle_timeout_ms: decoding.Milliseconds = 15000.0
 
 
 class _Config(msgspec.Struct):
@@ -86,9 +79,9 @@
 
 class _Room(msgspec.Struct):
     # Thousandths of a core.
-    cpu: int = 0
-    mem_mb: int = 0
-    gpu: int = 0
+    cpu: decoding.Count = 0
+    mem_mb: decoding.Count = 0
+    gpu: decoding.Count = 0
 
 
 class _Worker(msgspec.Struct):
@@ -99,7 +92,7 @@
     room: _Room
     labels: list[str] = []
     # Start of this incarnation, in Unix milliseconds.
-    born: int = 0
+    born: decoding.ClockMs = 0
     # The worker's clock when it wrote the row, and how much longer it is slow.
     # A worker is usable whatever is written there.
     clock_ms: Any = 0
@@ -196,11 +189,20 @@
 def decode_backend(
     key: str, value: bytes
 ) -> result.Result[model.BackendReport, str]:
-    """Return the report in a backend server's row, or an error message."""
+    """Return the report in a backend server's row, or an error message.
+
+    The server's id, which is the key, is sent in a header of each call.
+    """
     try:
         worker = _worker_decoder.decode(value)
     except decoding.MalformedError as error:
         return result.Failure(str(error))
+    if not _is_name(key):
+        return result.Failure("the key is not a printable name")
+    if not _is_name(worker.zone):
+        return result.Failure("zone: not a printable name")
+    if not _is_address(worker.address):
+        return result.Failure("address: not a host and a port")
     room = worker.room
     return result.Success(
         model.BackendReport(
@@ -216,6 +218,28 @@
     )
 
 
+def _is_name(text: str) -> bool:
+    return 0 < len(text) <= NAME_MAX and text.isprintable()
+
+
+def _is_address(text: str) -> bool:
+    """Return whether a URL can be formed from a server's address."""
+    host, _, port = text.rpartition(":")
+    try:
+        url = yarl.URL(f"http://{text}/")
+    except ValueError:
+        return False
+    return (
+        bool(host)
+        and port.isascii()
+        and port.isdigit()
+        and url.explicit_port == int(port)
+        and int(port) > 0
+        and url.host == host
+        and url.user is None
+    )
+
+
 def _warm_at_ms(worker: _Worker) -> int:
     """Return when a worker is warm on its own clock, 0 if it is now.
 
@@ -224,7 +248,10 @@
     """
     total = 0.0
     for time in (worker.clock_ms, worker.cold_left_ms):
-        if not isinstance(time, int | float) or not 0 <= time <= CLOCK_MS_MAX:
+        if (
+            not isinstance(time, int | float)
+            or not 0 <= time <= decoding.CLOCK_MS_MAX
+        ):
             return 0
         total += time
     return math.ceil(total) if worker.cold_left_ms else 0
--- a/waxwingwalk/platform/wiring.py
+++ b/waxwingwalk/platform/wiring.py
@@ -69,7 +69,7 @@
         config,
         engine,
         store=store,
-        backends=backends.PlatformBackends(host_metrics, time),
+        backends=backends.PlatformBackends(host_metrics, time, log),
         catalogs=catalog_decoder,
         applications=[
             (config.callers, api.application()),
