Dispatch: an unexpected error costs one step of a tick, one server, job or message

Cause: an exception ended the whole event. The steps of a tick after the one that failed were left out, in each tick; effects that earlier steps had returned were lost, while the state said that their calls were under way, so that a server was never polled again and a row never written again. A submission that failed was an error 500, one of a peer had no answer.

Change: failures.confine catches the error of a step, and returns a report in place of its effects. It is used for each step of an event and of a tick, each server that is reconciled, acquired or ticked, each job that is ticked or started, and each pool. A job whose submission failed is answered as lost. A poll without an outcome after 5 s, and a write after 6 s, is sent again. Loops that read the store, send ticks, probe servers or keep links open go on after an error. Servers that are probed are taken in turn, as the first three that are listed may not be there. Tests and the emulator raise the errors reported.

--- a/tests/dispatch/reducer_case.py
+++ b/tests/dispatch/reducer_case.py
@@ -34,7 +34,11 @@
         self.apply(events.BackendsListed((self.report,)), 0)
 
     def apply(self, event, at):
-        return self.reducer.apply(event, builders.at(at))
+        """Apply an event; raise the error if a step of that has failed."""
+        done = self.reducer.apply(event, builders.at(at))
+        for failure in builders.of_type(done, effects.ReportFailure):
+            raise failure.error
+        return done
 
     def receive(self, message, at, link=OUTBOUND):
         return self.apply(events.MessageReceived(link, message), at)
--- a/tests/platform/test_odd_backends.py
+++ b/tests/platform/test_odd_backends.py
@@ -106,6 +106,8 @@
     def check(self, effect):
         """Raise an exception if an effect cannot be executed."""
         match effect:
+            case effects.ReportFailure():
+                raise effect.error
             case effects.Send():
                 content = messages.encode(effect.message)
                 messages.decoder.validate_json(
--- a/waxwingwalk/dispatch/effects.py
+++ b/waxwingwalk/dispatch/effects.py
@@ -126,6 +126,13 @@
     pause: int
 
 
+class ReportFailure(msgspec.Struct):
+    """Report an unexpected error, which cost only the step named."""
+
+    where: str
+    error: Any
+
+
 class Exit(msgspec.Struct):
     """End the process: the drain has ended, or its time is over."""
 
@@ -143,6 +150,7 @@
     | DecodeCatalog
     | Log
     | ReadConnections
+    | ReportFailure
     | Exit
 )
 Effects = list[Effect]
--- a/waxwingwalk/dispatch/ownership.py
+++ b/waxwingwalk/dispatch/ownership.py
@@ -22,6 +22,7 @@
 import xxhash
 
 from waxwingwalk.dispatch import effects
+from waxwingwalk.dispatch import failures
 from waxwingwalk.dispatch import hosts as dispatch_hosts
 from waxwingwalk.dispatch import inquiries
 from waxwingwalk.dispatch import model
@@ -29,6 +30,9 @@
 
 # Minimum time between two writes of a row, and between two probes of a pool.
 WRITE_INTERVAL = datetime.timedelta(milliseconds=700)
+# A write without an outcome after this time is repeated. With the read that
+# follows, it takes up to 3 s.
+WRITE_LIMIT = datetime.timedelta(seconds=6)
 # A host of another zone waits this long before it takes over a pool, so that a
 # restarted host of the pool's zone, which needs about a second to start, still
 # finds its pool unclaimed.
@@ -323,8 +327,8 @@
         done: effects.Effects = []
         for pool, state in self._pools.items():
             state.obstacle = None
-            done += self._decide_pool(pool, state, now)
-            done += self._watch_pool(pool, state, now)
+            for step in (self._decide_pool, self._watch_pool):
+                done += failures.confine(pool, step, pool, state, now)
         return done
 
     def _watch_pool(
@@ -699,13 +703,10 @@
         now: datetime.datetime,
         inquirer: model.HostRecord | None = None,
     ) -> effects.Effects:
-        if state.is_writing:
-            return []
-        if (
-            state.written_at is not None
-            and now - state.written_at < WRITE_INTERVAL
-        ):
-            return []
+        if state.written_at is not None:
+            limit = WRITE_LIMIT if state.is_writing else WRITE_INTERVAL
+            if now - state.written_at < limit:
+                return []
         state.is_writing = True
         state.written_at = now
         row = pool_rows.PoolRow(order, inquirer)
--- a/waxwingwalk/dispatch/reducer.py
+++ b/waxwingwalk/dispatch/reducer.py
@@ -25,6 +25,7 @@
 from waxwingwalk.dispatch import effects
 from waxwingwalk.dispatch import evacuation
 from waxwingwalk.dispatch import events
+from waxwingwalk.dispatch import failures
 from waxwingwalk.dispatch import front as dispatch_front
 from waxwingwalk.dispatch import hosts as dispatch_hosts
 from waxwingwalk.dispatch import links
@@ -76,6 +77,12 @@
 FULL_MESH_MAX_HOSTS = 12
 
 
+# Number of servers of a pool that are probed at a time.
+PROBED_SERVERS = 3
+# The reason of the answer to a job that could not be handled.
+REASON_INTERNAL_ERROR = "internal error"
+
+
 class Reducer:
     """Applies events to the state of one dispatch host."""
 
@@ -141,6 +148,7 @@
         self._ownership_evaluated_at = now
         self._link_targets: frozenset[str] = frozenset()
         self._is_exiting = False
+        self._probe_count = 0
         self._handlers: dict[type, Callable[..., effects.Effects]] = {
             events.Ticked: self._tick,
             events.JobSubmitted: self._submit,
@@ -236,18 +244,51 @@
                 self.front.hold_jobs()
                 self.scheduler.hold_starts()
                 done.append(effects.ReadConnections(self._pauses))
-        done += self._handlers[type(event)](event, now)
-        done += self.front.route_waiting(now)
-        done += self._report_crashes(now)
-        done += self.scheduler.process_ended_runs(now)
-        done += self._answer_local(done, now)
-        done += self._announce_claims(now)
-        done += self._announce_load(now)
+        name = type(event).__name__
+        handled = failures.confine(
+            name, self._handlers[type(event)], event, now
+        )
+        done += handled
+        if any(isinstance(each, effects.ReportFailure) for each in handled):
+            done += self._answer_failed(event)
+        for step in (
+            self.front.route_waiting,
+            self._report_crashes,
+            self.scheduler.process_ended_runs,
+        ):
+            done += failures.confine(name, step, now)
+        done += failures.confine(name, self._answer_local, done, now)
+        for step in (self._announce_claims, self._announce_load):
+            done += failures.confine(name, step, now)
         if isinstance(event, events.Ticked):
             # The tick may have ended the work of this host.
             self._observed.expect_tick(now, self.tick_interval)
         return done
 
+    def _answer_failed(self, event: events.Event) -> effects.Effects:
+        """Answer whoever waits for the outcome of an event that failed."""
+        if isinstance(event, events.JobSubmitted):
+            return [
+                effects.AnswerJob(
+                    event.job.job_id,
+                    model.JobOutcome.LOST,
+                    REASON_INTERNAL_ERROR,
+                    None,
+                )
+            ]
+        if isinstance(event, events.MessageReceived) and isinstance(
+            event.message, messages.SubmitJob
+        ):
+            ended = messages.JobEnded(
+                event.message.job_id,
+                model.JobOutcome.LOST,
+                REASON_INTERNAL_ERROR,
+                None,
+                event.message.request,
+            )
+            return [effects.Send(event.link, ended)]
+        return []
+
     def _report_crashes(self, now: datetime.datetime) -> effects.Effects:
         """Record new evidence of crashes, and send it to linked hosts.
 
@@ -480,64 +521,97 @@
     def _reconcile_backends(self, now: datetime.datetime) -> effects.Effects:
         """Acquire the servers of claimed pools; release all others."""
         done: effects.Effects = []
-        claims = self.ownership.claims
-        incarnations = {
+        listed = {
             incarnation.backend_id: incarnation
             for incarnation in self._backend_reports
         }
         for backend in list(self.run_tracker):
-            incarnation = backend.incarnation
-            report = self._backend_reports.get(incarnation)
-            if backend.report.zone not in claims:
-                done += self._release_backend(backend, now)
-            elif backend.is_releasing and not backend.has_active_runs:
-                # It is acquired again below, under the new claim.
-                done += self.run_tracker.release(
-                    incarnation, now, "pool claimed again"
-                )
-            elif report is not None:
-                done += self.run_tracker.update_report(report)
-            elif incarnation.backend_id in incarnations:
-                newer = incarnations[incarnation.backend_id]
-                if (
-                    newer.started_ms > incarnation.started_ms
-                    and not self.run_tracker.is_over(newer)
-                ):
-                    done += self._follow_restart(backend, newer, now)
-            else:
-                done += self.run_tracker.record_missing(incarnation, now)
+            done += failures.confine(
+                backend, self._reconcile_backend, backend, listed, now
+            )
         scheduled = {
             backend.incarnation.backend_id: backend.incarnation
             for backend in self.run_tracker
         }
-        for incarnation, report in self._backend_reports.items():
-            claim = claims.get(report.zone)
-            acquired = self.run_tracker.get(incarnation)
-            if (
-                acquired is not None
-                and acquired.state is not backends.BackendState.FENCED
-            ):
-                continue
-            if claim is None or not self._is_list_recent(claim, now):
-                continue
-            # The list may lag behind a restart of the server. Acquiring the
-            # former incarnation would fence off the newer one.
-            known = scheduled.get(incarnation.backend_id, incarnation)
-            if known != incarnation or self.run_tracker.is_over(incarnation):
-                continue
-            # A fenced server is acquired again only under a newer claim.
-            if (
-                acquired is not None
-                and pool_rows.claim_fence(acquired.fence) >= claim.fence
-            ):
-                continue
-            if self.ownership.may_acquire(
-                report.zone, incarnation, self._observed.at(now)
-            ):
-                fence = claim.next_order_fence(incarnation.backend_id)
-                done += self.run_tracker.acquire(report, fence, now)
+        for report in self._backend_reports.values():
+            done += failures.confine(
+                report.incarnation,
+                self._acquire_backend,
+                report,
+                scheduled,
+                now,
+            )
         return done
 
+    def _reconcile_backend(
+        self,
+        backend: backends.Backend,
+        listed: dict[str, model.BackendIncarnation],
+        now: datetime.datetime,
+    ) -> effects.Effects:
+        """Update a scheduled server by its report; release or follow it.
+
+        ``listed`` are the listed incarnations by id.
+        """
+        incarnation = backend.incarnation
+        report = self._backend_reports.get(incarnation)
+        if backend.report.zone not in self.ownership.claims:
+            return self._release_backend(backend, now)
+        if backend.is_releasing and not backend.has_active_runs:
+            # It is acquired again under the new claim.
+            return self.run_tracker.release(
+                incarnation, now, "pool claimed again"
+            )
+        if report is not None:
+            return self.run_tracker.update_report(report)
+        newer = listed.get(incarnation.backend_id)
+        if newer is None:
+            return self.run_tracker.record_missing(incarnation, now)
+        if (
+            newer.started_ms > incarnation.started_ms
+            and not self.run_tracker.is_over(newer)
+        ):
+            return self._follow_restart(backend, newer, now)
+        return []
+
+    def _acquire_backend(
+        self,
+        report: model.BackendReport,
+        scheduled: dict[str, model.BackendIncarnation],
+        now: datetime.datetime,
+    ) -> effects.Effects:
+        """Acquire a listed server of a claimed pool if it is due.
+
+        ``scheduled`` are the incarnations that are scheduled here, by id.
+        """
+        incarnation = report.incarnation
+        claim = self.ownership.claims.get(report.zone)
+        acquired = self.run_tracker.get(incarnation)
+        if (
+            acquired is not None
+            and acquired.state is not backends.BackendState.FENCED
+        ):
+            return []
+        if claim is None or not self._is_list_recent(claim, now):
+            return []
+        # The list may lag behind a restart of the server. Acquiring the
+        # former incarnation would fence off the newer one.
+        known = scheduled.get(incarnation.backend_id, incarnation)
+        if known != incarnation or self.run_tracker.is_over(incarnation):
+            return []
+        # A fenced server is acquired again only under a newer claim.
+        if (
+            acquired is not None
+            and pool_rows.claim_fence(acquired.fence) >= claim.fence
+        ):
+            return []
+        if not self.ownership.may_acquire(
+            report.zone, incarnation, self._observed.at(now)
+        ):
+            return []
+        fence = claim.next_order_fence(incarnation.backend_id)
+        return self.run_tracker.acquire(report, fence, now)
+
     def _follow_restart(
         self,
         backend: backends.Backend,
@@ -980,31 +1054,62 @@
         self, event: events.Ticked, now: datetime.datetime
     ) -> effects.Effects:
         self._observed.ticked(now, self.tick_interval)
-        done = self._check_links(now)
-        if (
-            self._held_since is not None
-            and now - self._held_since > HOLD_LIMIT
+        done: effects.Effects = []
+        for step in (
+            self._check_links,
+            self._end_hold,
+            self._tick_catalog_sharing,
+            self._request_backends,
+            self.run_tracker.tick,
+            self.scheduler.tick,
+            self._return_jobs,
+            self._evaluate_ownership,
+            self._check_drain,
         ):
-            done += self._resume(now)
-        done += self.catalog_sharing.tick(self._observed.at(now))
-        done += self._request_backends(now)
-        done += self.run_tracker.tick(now)
-        done += self.scheduler.tick(now)
-        if not self.ownership.claims:
-            done += self.scheduler.return_jobs(now)
+            done += failures.confine(step.__qualname__, step, now)
+        return done
+
+    def _end_hold(self, now: datetime.datetime) -> effects.Effects:
+        if self._held_since is None or now - self._held_since <= HOLD_LIMIT:
+            return []
+        return self._resume(now)
+
+    def _tick_catalog_sharing(self, now: datetime.datetime) -> effects.Effects:
+        return self.catalog_sharing.tick(self._observed.at(now))
+
+    def _return_jobs(self, now: datetime.datetime) -> effects.Effects:
+        if self.ownership.claims:
+            return []
+        return self.scheduler.return_jobs(now)
+
+    def _evaluate_ownership(self, now: datetime.datetime) -> effects.Effects:
+        """Evaluate the ownership of pools, links and probes if it is time."""
         if now - self._ownership_evaluated_at < OWNERSHIP_INTERVAL:
-            return [*done, *self._check_drain(now)]
+            return []
         self._ownership_evaluated_at = now
-        done += self._reevaluate_ownership(now)
+        done = self._reevaluate_ownership(now)
         done += self._update_link_targets(now)
         for pool in self.ownership.pools_to_probe(self._observed.at(now)):
-            addresses = tuple(
-                report.address
-                for report in self._backend_reports.values()
-                if report.zone == pool
+            done.append(
+                effects.ProbeBackends(pool, self._addresses_to_probe(pool))
             )
-            done.append(effects.ProbeBackends(pool, addresses[:3]))
-        return [*done, *self._check_drain(now)]
+        return done
+
+    def _addresses_to_probe(self, pool: str) -> tuple[str, ...]:
+        """Return the addresses of some servers of a pool, in turn.
+
+        Some of those that are listed may not be there.
+        """
+        addresses = [
+            report.address
+            for report in self._backend_reports.values()
+            if report.zone == pool
+        ]
+        if not addresses:
+            return ()
+        self._probe_count += 1
+        first = self._probe_count * PROBED_SERVERS % len(addresses)
+        return tuple((addresses[first:] + addresses[:first])[:PROBED_SERVERS])
 
     def _check_links(self, now: datetime.datetime) -> effects.Effects:
         """Close the links that have been silent; send due keep-alives."""
--- a/waxwingwalk/dispatch/run_tracker.py
+++ b/waxwingwalk/dispatch/run_tracker.py
@@ -20,6 +20,7 @@
 from waxwingwalk.dispatch import backend as backends
 from waxwingwalk.dispatch import effects
 from waxwingwalk.dispatch import evacuation
+from waxwingwalk.dispatch import failures
 from waxwingwalk.dispatch import model
 from waxwingwalk.dispatch import observed_time
 from waxwingwalk.dispatch import settings as dispatch_settings
@@ -31,6 +32,9 @@
 # renewed at the same interval, which leaves time for two failed polls before
 # the lease expires.
 POLL_WAIT = datetime.timedelta(milliseconds=300)
+# A poll without an outcome after this time is sent again. Its call ends after
+# less than a second.
+POLL_LIMIT = datetime.timedelta(seconds=5)
 # A failed poll is repeated after this time, doubled up to the maximum unless
 # an order may be carried out late: a new incarnation has to see the higher
 # fence.
@@ -1432,16 +1436,26 @@
                 continue
             if backend.state is backends.BackendState.FENCED:
                 continue
-            for run in backend.runs.values():
-                if _is_stop_due(run, now):
-                    done += self._send_stop(backend, run, now)
-            if self._settings.fast_settlement:
-                done += self._settle_overdue_calls(backend, now)
-            if backend.state is backends.BackendState.SUSPECT:
-                self._report_lapsed_runs(backend, now)
-            done += self._poll(backend, now)
+            done += failures.confine(backend, self._tick_backend, backend, now)
         return done
 
+    def _tick_backend(
+        self, backend: backends.Backend, now: datetime.datetime
+    ) -> effects.Effects:
+        done: effects.Effects = []
+        if backend.is_polling and (
+            self._observed.at(now) - backend.poll_sent_at > POLL_LIMIT
+        ):
+            backend.is_polling = False
+        for run in backend.runs.values():
+            if _is_stop_due(run, now):
+                done += self._send_stop(backend, run, now)
+        if self._settings.fast_settlement:
+            done += self._settle_overdue_calls(backend, now)
+        if backend.state is backends.BackendState.SUSPECT:
+            self._report_lapsed_runs(backend, now)
+        return done + self._poll(backend, now)
+
     def _forget_late_starts(self, now: datetime.datetime) -> None:
         """Forget the oldest starts that can no longer be carried out."""
         while self._late_starts:
--- a/waxwingwalk/dispatch/scheduler.py
+++ b/waxwingwalk/dispatch/scheduler.py
@@ -12,6 +12,7 @@
 from waxwingwalk.dispatch import crashes
 from waxwingwalk.dispatch import effects
 from waxwingwalk.dispatch import evacuation
+from waxwingwalk.dispatch import failures
 from waxwingwalk.dispatch import job_record
 from waxwingwalk.dispatch import lookahead
 from waxwingwalk.dispatch import messages
@@ -793,7 +794,12 @@
                 free_share = self._free_processor_share(now)
             if self._job_order.is_deferred(record, free_share, now):
                 continue
-            started = self._start_ready_tasks(record, now)
+            started = failures.confine(
+                record.job.job_id,
+                self._start_ready_tasks,
+                record,
+                now,
+            )
             if started:
                 done += started
                 free_share = None
@@ -1345,27 +1351,35 @@
         if self.is_evacuated:
             done += self.reject_unstarted_jobs(now, REASON_EVACUATED)
         for record in list(self._jobs.values()):
-            if now >= record.job.expires:
-                outcome = model.JobOutcome.LOST
-                if not record.has_started:
-                    outcome = model.JobOutcome.NOT_RUN
-                done += self._end_job(record, outcome, "expired", now)
-            elif not record.has_started and self._should_reject_unstarted(
-                record, now
-            ):
-                done += self._end_job(
-                    record, model.JobOutcome.NOT_RUN, "too late", now
-                )
-            elif self._cannot_finish_in_time(record, now):
-                done += self._end_job(
-                    record, model.JobOutcome.LOST, "too late", now
-                )
-            else:
-                done += self._stop_stuck_runs(record, now)
-                done += self._restart_tasks_of_lost_peers(record, now)
-                for task in record.tasks.values():
-                    task.refused_by.clear()
-        return done + self.dispatch(now)
+            done += failures.confine(
+                record.job.job_id, self._tick_job, record, now
+            )
+        return done + failures.confine("dispatch", self.dispatch, now)
+
+    def _tick_job(
+        self, record: job_record.JobRecord, now: datetime.datetime
+    ) -> effects.Effects:
+        """End a job that cannot be completed in time; stop its stuck runs."""
+        if now >= record.job.expires:
+            outcome = model.JobOutcome.LOST
+            if not record.has_started:
+                outcome = model.JobOutcome.NOT_RUN
+            return self._end_job(record, outcome, "expired", now)
+        if not record.has_started and self._should_reject_unstarted(
+            record, now
+        ):
+            return self._end_job(
+                record, model.JobOutcome.NOT_RUN, "too late", now
+            )
+        if self._cannot_finish_in_time(record, now):
+            return self._end_job(
+                record, model.JobOutcome.LOST, "too late", now
+            )
+        done = self._stop_stuck_runs(record, now)
+        done += self._restart_tasks_of_lost_peers(record, now)
+        for task in record.tasks.values():
+            task.refused_by.clear()
+        return done
 
     def _should_reject_unstarted(
         self, record: job_record.JobRecord, now: datetime.datetime
--- a/waxwingwalk/emulator/fleet.py
+++ b/waxwingwalk/emulator/fleet.py
@@ -845,6 +845,9 @@
                 self._apply_later(host, DECODE_DELAY, decoded)
             case effects.Exit():
                 host.has_exited = True
+            case effects.ReportFailure():
+                # The emulator shows errors of the program, and hides none.
+                raise effect.error
             case _:
                 return
 
--- a/waxwingwalk/host/engine.py
+++ b/waxwingwalk/host/engine.py
@@ -239,6 +239,8 @@
                 self.read_catalog(effect.document)
             case effects.ReadConnections():
                 self._spawn(self._read_connections(effect))
+            case effects.ReportFailure():
+                self.report_failure(effect.where, effect.error)
             case effects.Exit():
                 self.exited.set()
 
@@ -297,9 +299,11 @@
         self, effect: effects.ProbeBackends, backends: BackendClient
     ) -> None:
         accepted = await asyncio.gather(
-            *(backends.accepts_connections(each) for each in effect.addresses)
+            *(backends.accepts_connections(each) for each in effect.addresses),
+            return_exceptions=True,
         )
-        self.apply(events.BackendsProbed(effect.pool, any(accepted)))
+        is_reachable = any(each is True for each in accepted)
+        self.apply(events.BackendsProbed(effect.pool, is_reachable))
 
     def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
         task = asyncio.create_task(work)
--- a/waxwingwalk/host/links.py
+++ b/waxwingwalk/host/links.py
@@ -230,7 +230,8 @@
             except aiohttp.ClientConnectorError as error:
                 refused = isinstance(error.os_error, ConnectionRefusedError)
                 self._notify(events.LinkFailed(address, refused))
-            except (aiohttp.ClientError, TimeoutError, OSError):
+            except Exception:
+                # A record may also have an address that is no URL.
                 self._notify(events.LinkFailed(address, False))
             if opened is None:
                 delay = attempts.after_failure()
--- a/waxwingwalk/host/service.py
+++ b/waxwingwalk/host/service.py
@@ -170,14 +170,14 @@
             due = self._engine.clock.now() + interval
             await asyncio.sleep(interval.total_seconds())
             now = self._engine.clock.now()
-            self._engine.metrics.record_event_loop_lag(now - due)
             try:
+                self._engine.metrics.record_event_loop_lag(now - due)
                 self._engine.apply(events.Ticked())
+                if now - flushed_at >= LOG_FLUSH_INTERVAL:
+                    flushed_at = now
+                    self._engine.log.flush()
             except Exception as error:
                 self._engine.report_failure("tick", error)
-            if now - flushed_at >= LOG_FLUSH_INTERVAL:
-                flushed_at = now
-                self._engine.log.flush()
 
     async def _watch_settings(self) -> None:
         while True:
--- a/waxwingwalk/store/follower.py
+++ b/waxwingwalk/store/follower.py
@@ -79,10 +79,14 @@
         """Follow the table until cancelled."""
         pause = RETRY_DELAY
         while True:
-            if self._version is None:
-                outcome = await self._read_table()
-            else:
-                outcome = await self._read_changes(self._version)
+            try:
+                if self._version is None:
+                    outcome = await self._read_table()
+                else:
+                    outcome = await self._read_changes(self._version)
+            except Exception as error:
+                self._report_failure("reading", error)
+                outcome = store_rows.StoreFailure.MALFORMED
             if outcome is None:
                 pause = RETRY_DELAY
                 self._record_success()
@@ -139,12 +143,15 @@
         try:
             self._notify(self._rows)
         except Exception as error:
-            self._log.error(
-                "internal.error",
-                where=f"rows of {self._table}",
-                error=f"{type(error).__name__}: {error}",
-                exc_info=error,
-            )
+            self._report_failure("rows", error)
+
+    def _report_failure(self, step: str, error: Exception) -> None:
+        self._log.error(
+            "internal.error",
+            where=f"{step} of {self._table}",
+            error=f"{type(error).__name__}: {error}",
+            exc_info=error,
+        )
 
     def _record_failure(self, failure: store_rows.StoreFailure) -> None:
         if not self._is_failing:
