Hosts: values out of range in messages, rows, jobs and configurations are refused one by one

A duration or factor of any size, also 'nan' and 'inf' as texts, was taken from messages of hosts: one host_status with an infinite slowness of a free server made each later placement that considers the peer raise OverflowError. A store's version of any size becomes a fence that no order can carry. One malformed row refused the whole page of a table, and a malformed row of a pool could never be replaced, as its version was not known: no host could write the pool's row again. The same held for one that was removed. A caller's job of up to 100,000 tasks for each of any number of steps, or estimates that add up to more than a time can hold, was accepted or answered with an error 500.

Change: messages, rows and documents use the bounded types of core/decoding. Pages of the store are decoded row by row if the page has a malformed row. A malformed or removed row of a pool is replaced under the condition of its version.

Without the bounds the messages' test fails at loads.free.slowness. MalformedRowTests and test_malformed_row_costs_no_other_row fail without the change (the types of their input did not exist before).

--- a/tests/dispatch/test_unscheduled_pools.py
+++ b/tests/dispatch/test_unscheduled_pools.py
@@ -223,6 +223,32 @@
         self.assertEqual(inquiry.row.inquirer, self.local_host)
 
 
+class MalformedRowTests(InquiryTestCase):
+    def list_malformed(self, at=0):
+        return self.writes(
+            self.ownership.rows_listed(
+                {POOL: (self.version, None)}, builders.at(at)
+            )
+        )
+
+    def test_malformed_row_of_a_pool_is_replaced(self):
+        (write,) = self.list_malformed()
+        self.store(write, 10)
+        self.assertIn(POOL, self.ownership.claims)
+
+    def test_malformed_row_that_replaced_a_good_one_is_replaced(self):
+        self.list_row(self.local_host)
+        self.version += 1
+        (write,) = self.list_malformed(at=10)
+        self.assertEqual(write.if_version, self.version)
+
+    def test_row_that_was_removed_is_written_again(self):
+        self.list_row(self.local_host)
+        done = self.ownership.written(POOL, 0, None, builders.at(10))
+        (write,) = self.writes(done)
+        self.assertEqual(write.if_version, 0)
+
+
 class FencedOwnerTests(InquiryTestCase):
     """An owner whose servers have seen the fence of another host."""
 
--- a/tests/platform/test_clients.py
+++ b/tests/platform/test_clients.py
@@ -2,6 +2,7 @@
 from unittest import mock
 
 from aiohttp import test_utils
+import orjson
 from returns import result
 
 from tests.platform import stand_in
@@ -52,6 +53,17 @@
         )
         self.assertEqual(read.version, 5)
 
+    async def test_malformed_row_costs_no_other_row(self):
+        good = {"key": "k", "ver": 7, "value": "eA=="}
+        for odd in ({"key": 1}, {"key": "a", "ver": 2**60}, 7, None, []):
+            with self.subTest(odd=odd):
+                page = {"rows": [odd, good], "ver": 9, "has_more": False}
+                content = orjson.dumps(page)
+                rows = await platform_store._parse_rows(content)
+                self.assertEqual(rows.version, 9)
+                (row,) = rows.rows
+                self.assertEqual((row.key, row.value), ("k", b"x"))
+
     async def test_feed_returns_removed_rows(self):
         await self.write()
         await self.client.write([store_rows.RowWrite("t", "k", None, None)])
--- a/tests/platform/test_hostile_input.py
+++ b/tests/platform/test_hostile_input.py
@@ -1,6 +1,7 @@
 """Arbitrary input at the borders of a dispatch host is refused, not raised."""
 
 import copy
+import json
 import unittest
 
 import hypothesis
@@ -58,7 +59,7 @@
 
 HOSTILE_VALUES = (
     *(None, True, -1, 0, 2**62, 1e300, -1e300, 1e-300),
-    *("", "x" * 10, [], {}, [[]]),
+    *("", "x" * 10, [], {}, [[]], 10**30, "nan", "inf"),
 )
 HOST_RECORD = {
     "address": "a:1",
@@ -124,7 +125,7 @@
         for document, decode in cases:
             for variant in variants(document):
                 with self.subTest(variant=variant):
-                    decoded = decode(orjson.dumps(variant))
+                    decoded = decode(json.dumps(variant).encode())
                     self.assertIsInstance(decoded, result.Result)
 
     def test_settings_with_one_hostile_value_are_decoded_or_refused(self):
--- a/tests/platform/test_odd_backends.py
+++ b/tests/platform/test_odd_backends.py
@@ -1,38 +1,22 @@
 """Odd rows and answers of backend servers cost no other server anything."""
 
-import json
 import unittest
 
 import hypothesis
 from hypothesis import strategies
-import orjson
 from returns import result
 
-from tests.dispatch import builders
+from tests.platform import fuzzed_host
 from tests.platform import stand_in
-from tests.platform import test_hostile_input
-from waxwingwalk.dispatch import effects
-from waxwingwalk.dispatch import events
-from waxwingwalk.dispatch import messages
-from waxwingwalk.dispatch import model
-from waxwingwalk.dispatch import pool_rows
-from waxwingwalk.dispatch import reducer as dispatch_reducer
-from waxwingwalk.dispatch import settings as dispatch_settings
-from waxwingwalk.platform import backends
 from waxwingwalk.platform import catalog
 
-ZONE = "north"
-TICK_MS = 25
-SETTINGS = dispatch_settings.DispatchSettings(
-    job_admission=True, run_progress=True, fast_settlement=True
-)
-NUMBERS = strategies.sampled_from(
-    (
-        *(-1, 0, 1, 5, 2**31, 2**53, 2**53 + 1, 2**63 - 1, 2**63, 2**64),
-        *(10**13, 10**13 + 1, 10**15, 10**30, -(10**30)),
-        *(0.5, 1e15, 1e300, -1e300, "7", "nan", "inf", None, True, [], {}),
-    )
-)
+ZONE = fuzzed_host.ZONE
+NUMBERS = fuzzed_host.NUMBERS
+NAMES = fuzzed_host.NAMES
+FUZZ = fuzzed_host.FUZZ
+with_fields = fuzzed_host.with_fields
+encode = fuzzed_host.encode
+
 ADDRESSES = strategies.one_of(
     strategies.sampled_from(
         (
@@ -43,18 +27,6 @@
     ),
     strategies.text(max_size=12),
 )
-NAMES = strategies.one_of(
-    strategies.sampled_from(("", "a\r\nX: y", "\x00", "x" * 300, "a-odd")),
-    strategies.text(max_size=6),
-)
-FUZZ = hypothesis.settings(test_hostile_input.SETTINGS, max_examples=150)
-
-
-def with_fields(**fields):
-    """Return strategies of documents in which some fields are replaced."""
-    return strategies.fixed_dictionaries({}, optional=fields)
-
-
 ROWS = with_fields(
     born=NUMBERS,
     address=ADDRESSES,
@@ -77,103 +49,16 @@
 )
 
 
-def encode(content):
-    """Return a document as JSON, also with large integers."""
-    return json.dumps(content).encode()
-
-
-class Host:
-    """A host that owns a pool; its effects have to be executable."""
-
-    def __init__(self):
-        local = model.HostRecord("local", "1", ZONE)
-        self.at = 0
-        self.reducer = dispatch_reducer.Reducer(
-            local, builders.START, settings=SETTINGS
-        )
-        row = pool_rows.PoolRow((local,))
-        self.reports = {}
-        self.done = []
-        self.apply(events.PoolsListed({ZONE: (10, row)}))
-
-    def apply(self, event):
-        """Apply an event; check and record the effects."""
-        done = self.reducer.apply(event, builders.at(self.at))
-        for effect in done:
-            self.check(effect)
-        self.done += done
-
-    def check(self, effect):
-        """Raise an exception if an effect cannot be executed."""
-        match effect:
-            case effects.ReportFailure():
-                raise effect.error
-            case effects.Send():
-                content = messages.encode(effect.message)
-                messages.decoder.validate_json(
-                    messages.encode_frame(1, [content])
-                )
-            case effects.Log():
-                assert effect.event != "internal.error", effect.fields
-                json.dumps(effect.fields)
-            case effects.StartRun():
-                orjson.dumps([effect.fence, effect.lease_ends_ms])
-            case effects.StopRun():
-                orjson.dumps([effect.fence, effect.run.task, effect.run.run])
-            case effects.PollBackend():
-                orjson.dumps(
-                    [effect.fence, effect.acknowledged, effect.lease_ends_ms]
-                )
-
-    def list_rows(self, rows):
-        """List the rows of servers, as documents by key."""
-        for key, document in rows.items():
-            decoded = catalog.decode_backend(key, encode(document))
-            if isinstance(decoded, result.Success):
-                self.reports[key] = decoded.unwrap()
-            else:
-                self.reports.pop(key, None)
-        self.apply(events.BackendsListed(tuple(self.reports.values())))
-
-    def run(self, milliseconds, answer):
-        """Apply ticks; ``answer`` returns the answers to polls by server."""
-        for _ in range(0, milliseconds, TICK_MS):
-            self.at += TICK_MS
-            self.apply(events.Ticked())
-            polls = builders.of_type(self.done, effects.PollBackend)
-            self.done = [each for each in self.done if each not in polls]
-            for poll in polls:
-                content = answer(poll)
-                if content is not None:
-                    self.apply(backends.decode_lists(poll, content))
-
-
 class OddBackendTests(unittest.TestCase):
-    def start_job(self, host):
-        """Submit a job that the sound server alone can run."""
-        host.done = []
-        job = builders.job(now=builders.at(host.at), estimate=50)
-        host.apply(events.JobSubmitted(job))
-        starts = builders.of_type(host.done, effects.StartRun)
-        self.assertEqual(
-            [each.incarnation.backend_id for each in starts], ["sound"]
-        )
-
-    def sound_answer(self, poll):
-        """Return the answer of the sound server; others do not answer."""
-        if poll.incarnation.backend_id == "sound":
-            return encode({"clock_ms": 1000, "born": 1})
-        return None
-
     def serve(self, host, answer=None):
         """Check that the sound server is acquired, and gets a job."""
-        host.run(800, answer or self.sound_answer)
-        self.start_job(host)
+        host.run(800, answer or fuzzed_host.sound_answer)
+        self.assertEqual(host.start_job(), ["sound"])
 
     @FUZZ
     @hypothesis.given(strategies.lists(ROWS, max_size=3), NAMES)
     def test_odd_rows_hide_no_server(self, odd, name):
-        host = Host()
+        host = fuzzed_host.Host()
         rows = {
             f"a-{number}": stand_in.worker_row("a:1") | fields
             for number, fields in enumerate(odd)
@@ -186,7 +71,7 @@
     @FUZZ
     @hypothesis.given(strategies.lists(ANSWERS, min_size=1, max_size=4))
     def test_odd_answers_of_a_server_cost_no_other_server(self, odd):
-        host = Host()
+        host = fuzzed_host.Host()
         # The odd server is too small for the job.
         room = {"cpu": 1, "mem_mb": 1}
         host.list_rows(
@@ -202,7 +87,7 @@
         def answer(poll):
             if poll.incarnation.backend_id == "odd":
                 return answers[poll.number % len(answers)]
-            return self.sound_answer(poll)
+            return fuzzed_host.sound_answer(poll)
 
         self.serve(host, answer)
 
--- a/waxwingwalk/core/decoding.py
+++ b/waxwingwalk/core/decoding.py
@@ -18,11 +18,23 @@
 CLOCK_MS_MAX = 10**13
 # Versions of the store, from which fences are computed.
 VERSION_MAX = 2**44
+# An amount of a resource; the sum of many servers' is within COUNT_MAX.
+AMOUNT_MAX = 10**12
+Amount = Annotated[int, msgspec.Meta(ge=0, le=AMOUNT_MAX)]
 Count = Annotated[int, msgspec.Meta(ge=0, le=COUNT_MAX)]
 Integer = Annotated[int, msgspec.Meta(ge=-COUNT_MAX, le=COUNT_MAX)]
 Milliseconds = Annotated[
     float, msgspec.Meta(ge=-MILLISECONDS_MAX, le=MILLISECONDS_MAX)
 ]
+# Milliseconds that are not negative, up to three centuries.
+LongMilliseconds = Annotated[float, msgspec.Meta(ge=0, le=CLOCK_MS_MAX)]
+# Differences between times, which are as long at most.
+LongDifference = Annotated[
+    float, msgspec.Meta(ge=-CLOCK_MS_MAX, le=CLOCK_MS_MAX)
+]
+# Factors, such as how much slower a server is than expected.
+FACTOR_MAX = 10**6
+Factor = Annotated[float, msgspec.Meta(ge=0, le=FACTOR_MAX)]
 ClockMs = Annotated[int, msgspec.Meta(ge=0, le=CLOCK_MS_MAX)]
 Version = Annotated[int, msgspec.Meta(ge=0, le=VERSION_MAX)]
 # ``msgspec`` ends a message with the place of the value: "- at `$.steps[0]`".
--- a/waxwingwalk/dispatch/evacuation.py
+++ b/waxwingwalk/dispatch/evacuation.py
@@ -23,6 +23,7 @@
 import zlib
 
 from waxwingwalk.core import clock
+from waxwingwalk.core import decoding
 
 # A host that has just started orders nothing until it has read the operators'
 # rows or was told of evacuations by another host, or until this time has
@@ -43,7 +44,7 @@
     """Whether a zone was evacuated at a version of the store."""
 
     zone: str
-    version: int
+    version: decoding.Version
     is_evacuated: bool
 
 
--- a/waxwingwalk/dispatch/events.py
+++ b/waxwingwalk/dispatch/events.py
@@ -65,16 +65,20 @@
 
 
 class PoolsListed(msgspec.Struct):
-    """The rows of all pools were listed, each with its version."""
+    """The rows of all pools were listed, each with its version.
 
-    rows: dict[str, tuple[int, pool_rows.PoolRow]]
+    Malformed rows are None.
+    """
+
+    rows: dict[str, tuple[int, pool_rows.PoolRow | None]]
 
 
 class PoolWritten(msgspec.Struct):
     """The write of a pool's row ended.
 
     ``version`` and ``row`` are those in the store now; the version is 0 if
-    there is no row. Both are None if the store did not answer.
+    there is no row, and the row is None if it is malformed. Both are None if
+    the store did not answer.
     """
 
     pool: str
--- a/waxwingwalk/dispatch/messages.py
+++ b/waxwingwalk/dispatch/messages.py
@@ -5,8 +5,6 @@
 requested over it ends, whichever side notices first.
 """
 
-from typing import Annotated
-
 import msgspec
 
 from waxwingwalk.core import decoding
@@ -34,21 +32,21 @@
     job_id: str
     queue: str
     service: str
-    priority: int
-    attempts: int
+    priority: decoding.Integer
+    attempts: decoding.Integer
     spec: str
-    stretch: float
+    stretch: decoding.Factor
     steps: tuple[model.Step, ...]
-    due_in_ms: float
-    expires_in_ms: float
-    request: int = 0
+    due_in_ms: decoding.LongDifference
+    expires_in_ms: decoding.LongDifference
+    request: decoding.Count = 0
 
 
 class AbandonJob(_Tagged, tag="abandon_job"):
     """Stops a job whose answer is no longer awaited."""
 
     job_id: str
-    request: int = 0
+    request: decoding.Count = 0
 
 
 class LimitJob(_Tagged, tag="limit_job"):
@@ -58,8 +56,8 @@
     """
 
     job_id: str
-    expires_in_ms: float
-    request: int = 0
+    expires_in_ms: decoding.LongDifference
+    request: decoding.Count = 0
 
 
 class JobEnded(_Tagged, tag="job_ended"):
@@ -68,8 +66,8 @@
     job_id: str
     outcome: model.JobOutcome
     reason: str
-    return_in_ms: float | None
-    request: int = 0
+    return_in_ms: decoding.LongMilliseconds | None
+    request: decoding.Count = 0
 
 
 class OfferTask(_Tagged, tag="offer_task"):
@@ -79,17 +77,17 @@
     """
 
     job_id: str
-    step: int
-    index: int
-    run: int
+    step: decoding.Count
+    index: decoding.Count
+    run: decoding.Count
     queue: str
     service: str
     spec: str
     room: model.Resources
-    estimate_ms: float
-    due_in_ms: float
+    estimate_ms: decoding.LongMilliseconds
+    due_in_ms: decoding.LongDifference
     label: str | None
-    max_per_backend: int | None
+    max_per_backend: decoding.Integer | None
     must_run_alone: bool = False
 
 
@@ -97,18 +95,18 @@
     """Stops a task that was offered."""
 
     job_id: str
-    step: int
-    index: int
-    run: int
+    step: decoding.Count
+    index: decoding.Count
+    run: decoding.Count
 
 
 class TaskEnded(_Tagged, tag="task_ended"):
     """How an offered task ended, NOT_RUN if the offer was declined."""
 
     job_id: str
-    step: int
-    index: int
-    run: int
+    step: decoding.Count
+    index: decoding.Count
+    run: decoding.Count
     end: model.TaskEnd
 
 
@@ -116,7 +114,7 @@
     """Free capacity of a backend server, and how slow the server is."""
 
     room: model.Resources
-    slowness: float
+    slowness: decoding.Factor
 
 
 class PoolBalance(msgspec.Struct):
@@ -127,9 +125,9 @@
     what they can process.
     """
 
-    free: int
-    capacity: int
-    demand: float
+    free: decoding.Integer
+    capacity: decoding.Integer
+    demand: decoding.Factor
 
 
 class PoolLoad(msgspec.Struct):
@@ -141,10 +139,10 @@
     """
 
     pool: str
-    fence: int
+    fence: decoding.Count
     service: str
     free: list[FreeRoom]
-    backlog_ms: float
+    backlog_ms: decoding.LongMilliseconds
     # None if the sender does not balance the load between zones.
     balance: PoolBalance | None = None
 
@@ -159,7 +157,7 @@
 
     loads: list[PoolLoad]
     is_leaving: bool
-    catalog_version: int
+    catalog_version: decoding.Count
     releasing: list[str] | None = None
     evacuated: list[evacuation.Notice] | None = None
 
@@ -171,7 +169,7 @@
     it has just started, or if its version does not tell.
     """
 
-    catalog_version: int
+    catalog_version: decoding.Count
     evacuated: list[evacuation.Notice] | None = None
 
 
@@ -181,8 +179,8 @@
     ``offset`` counts characters.
     """
 
-    version: int
-    offset: int
+    version: decoding.Count
+    offset: decoding.Count
 
 
 class CatalogPart(_Tagged, tag="catalog_part"):
@@ -192,9 +190,9 @@
     ``total`` of 0 means that the sender does not send the document now.
     """
 
-    version: int
-    offset: int
-    total: int
+    version: decoding.Count
+    offset: decoding.Count
+    total: decoding.Count
     content: str
 
 
@@ -204,7 +202,7 @@
     Only hosts of the previous version send it.
     """
 
-    version: int
+    version: decoding.Count
     document: str
 
 
@@ -213,7 +211,7 @@
 
     pool: str
     backend_id: str
-    started_ms: int
+    started_ms: decoding.ClockMs
 
 
 class RequestBackends(_Tagged, tag="request_backends"):
@@ -224,13 +222,13 @@
     """
 
     pools: list[str]
-    version: int
+    version: decoding.Count
 
 
 class ShareBackends(_Tagged, tag="share_backends"):
     """All backend servers of pools at a version of the store."""
 
-    version: int
+    version: decoding.Count
     pools: list[str]
     reports: list[model.BackendReport]
 
@@ -276,11 +274,6 @@
         message.due_in_ms -= delay_ms
 
 
-# Three centuries. Larger numbers do not fit into the types for times.
-SENT_MS_MAX = 10**13
-_SentMs = Annotated[float, msgspec.Meta(ge=0, le=SENT_MS_MAX)]
-
-
 class Frame(msgspec.Struct):
     """Messages that were sent together.
 
@@ -288,14 +281,14 @@
     of the link was opened.
     """
 
-    sent_ms: _SentMs
+    sent_ms: decoding.LongMilliseconds
     messages: list[Message]
 
 
 class _RawFrame(msgspec.Struct):
     """A frame whose messages are not decoded."""
 
-    sent_ms: _SentMs
+    sent_ms: decoding.LongMilliseconds
     messages: list[msgspec.Raw]
 
 
--- a/waxwingwalk/dispatch/model.py
+++ b/waxwingwalk/dispatch/model.py
@@ -6,11 +6,16 @@
 import datetime
 import enum
 import operator
+from typing import Annotated
 
 import msgspec
 
+from waxwingwalk.core import decoding
+
 MILLISECOND = datetime.timedelta(milliseconds=1)
 ZERO = datetime.timedelta()
+# Maximum number of tasks of a job. The largest expected ones have 570.
+TASKS_MAX = 5000
 
 
 def milliseconds(duration: datetime.timedelta) -> float:
@@ -24,9 +29,9 @@
     ``processors`` counts thousandths of a core, ``memory`` mebibytes.
     """
 
-    processors: int = 0
-    memory: int = 0
-    accelerators: int = 0
+    processors: decoding.Integer = 0
+    memory: decoding.Integer = 0
+    accelerators: decoding.Integer = 0
 
     def __add__(self, other: "Resources") -> "Resources":
         return Resources(
@@ -168,7 +173,7 @@
     """
 
     backend_id: str
-    started_ms: int
+    started_ms: decoding.ClockMs
 
     def __str__(self) -> str:
         return f"{self.backend_id}@{self.started_ms}"
@@ -189,7 +194,7 @@
     advertised_state: AdvertisedState
     capacity: Resources
     labels: frozenset[str]
-    warm_at_ms: int = 0
+    warm_at_ms: decoding.Count = 0
 
 
 class Step(msgspec.Struct, frozen=True):
@@ -199,13 +204,13 @@
     they are lower than the number of this step.
     """
 
-    count: int
+    count: Annotated[int, msgspec.Meta(ge=1, le=TASKS_MAX)]
     room: Resources
     estimate: datetime.timedelta
-    after: tuple[int, ...] = ()
+    after: tuple[decoding.Count, ...] = ()
     label: str | None = None
     preferred_rack: str | None = None
-    max_per_backend: int | None = None
+    max_per_backend: decoding.Integer | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -282,7 +287,7 @@
     address: str
     incarnation: str
     zone: str
-    processors: float = 1.0
+    processors: decoding.Factor = 1.0
 
 
 class RunEnd(enum.Enum):
--- a/waxwingwalk/dispatch/ownership.py
+++ b/waxwingwalk/dispatch/ownership.py
@@ -242,7 +242,7 @@
 
     def rows_listed(
         self,
-        rows: dict[str, tuple[int, pool_rows.PoolRow]],
+        rows: dict[str, tuple[int, pool_rows.PoolRow | None]],
         now: datetime.datetime,
     ) -> effects.Effects:
         """Handle a listing of the rows of all pools."""
@@ -263,21 +263,28 @@
         state.is_writing = False
         if version is None:
             return []
-        if row is not None:
-            self._record_row(pool, version, row, now)
+        if not version:
+            # The row was removed.
+            state.version, state.row = 0, None
+        self._record_row(pool, version, row, now)
         return self.decide(now)
 
     def _record_row(
         self,
         pool: str,
         version: int,
-        row: pool_rows.PoolRow,
+        row: pool_rows.PoolRow | None,
         now: datetime.datetime,
     ) -> None:
+        """Record a pool's row if it is newer; a malformed one is None.
+
+        Such a row is replaced, under the condition of its version.
+        """
         state = self._pools.setdefault(pool, _PoolState())
         if version > state.version:
             has_taken_over = (
                 state.replaced_version is not None
+                and row is not None
                 and row.owner == self._hosts.local_host
             )
             state.replaced_version = None
@@ -287,7 +294,7 @@
             if has_taken_over:
                 self._confirm_take_over(pool, state, now)
             state.unowned_since = None
-            for record in row.order:
+            for record in () if row is None else row.order:
                 self._hosts.update_record(record, now)
 
     def _confirm_take_over(
--- a/waxwingwalk/dispatch/scheduler.py
+++ b/waxwingwalk/dispatch/scheduler.py
@@ -6,6 +6,7 @@
 import datetime
 
 from waxwingwalk.core import clock
+from waxwingwalk.core import decoding
 from waxwingwalk.dispatch import admission
 from waxwingwalk.dispatch import backend as backends
 from waxwingwalk.dispatch import balance
@@ -726,7 +727,7 @@
         return messages.PoolBalance(
             sum(each.free.processors for each in servers),
             sum(each.report.capacity.processors for each in servers),
-            round(demand, 2),
+            round(min(demand, decoding.FACTOR_MAX), 2),
         )
 
     def update_peer_status(
--- a/waxwingwalk/host/registry.py
+++ b/waxwingwalk/host/registry.py
@@ -91,14 +91,15 @@
 
     def decode_pools(
         self, rows: follower.TableRows
-    ) -> dict[str, tuple[int, pool_rows.PoolRow]]:
-        """Decode the rows of pools; malformed rows are logged and left out."""
-        decoded = {}
+    ) -> dict[str, tuple[int, pool_rows.PoolRow | None]]:
+        """Decode the rows of pools; malformed ones are logged, and None."""
+        decoded: dict[str, tuple[int, pool_rows.PoolRow | None]] = {}
         for key, row in rows.items():
             match records.decode_pool(row.value or b""):
                 case result.Success(pool):
                     decoded[key] = (row.version, pool)
                 case result.Failure(error):
+                    decoded[key] = (row.version, None)
                     self._log.info("row.malformed", key=key, error=error)
         return decoded
 
--- a/waxwingwalk/platform/callers.py
+++ b/waxwingwalk/platform/callers.py
@@ -28,22 +28,19 @@
 ResultCode = results.ResultCode
 
 
-_Count = Annotated[int, msgspec.Meta(ge=0)]
-
-
 class _Step(msgspec.Struct):
-    count: Annotated[int, msgspec.Meta(ge=1, le=100_000)] = 1
+    count: Annotated[int, msgspec.Meta(ge=1, le=model.TASKS_MAX)] = 1
     # Thousandths of a core.
-    cpu: _Count = 0
-    mem_mb: _Count = 0
-    gpu: _Count = 0
+    cpu: decoding.Amount = 0
+    mem_mb: decoding.Amount = 0
+    gpu: decoding.Amount = 0
     est_ms: Annotated[
         float, msgspec.Meta(ge=0, le=decoding.MILLISECONDS_MAX)
     ] = 0.0
     after: list[int] = []
     requires: str | None = None
     preferred_rack: str | None = None
-    max_per_server: int | None = None
+    max_per_server: decoding.Integer | None = None
     # The fields below are parsed, but jobs that use them are refused.
     gang: bool = False
     same_rack: bool = False
@@ -57,7 +54,7 @@
     # If true, the answer is only sent in the response and is not stored.
     best_effort: bool = False
     # Number of times that the steps run, for scheduled jobs.
-    times: int = 0
+    times: decoding.Integer = 0
 
 
 _job_decoder: decoding.Decoder[_Job] = decoding.Decoder(_Job)
@@ -165,7 +162,7 @@
                 left_ms=model.milliseconds(drain_deadline - arrived_at),
                 is_reused=request.task in self._used_connections,
             )
-        job = _build_job(decoded.unwrap(), queue, job_id, arrived_at, wait)
+        job = build_job(decoded.unwrap(), queue, job_id, arrived_at, wait)
         answer = await self._engine.run_job(job)
         self._engine.log.info(
             "job.answered",
@@ -221,6 +218,23 @@
                 f"spec has {size} bytes, at most {SPEC_MAX} are taken",
             )
         )
+    tasks = sum(step.count for step in job.steps)
+    if tasks > model.TASKS_MAX:
+        return result.Failure(
+            (
+                ResultCode.PAYLOAD_TOO_LARGE,
+                f"the job has {tasks} tasks, at most {model.TASKS_MAX} are "
+                "taken",
+            )
+        )
+    if sum(step.est_ms for step in job.steps) > decoding.MILLISECONDS_MAX:
+        return result.Failure(
+            (
+                ResultCode.INVALID_REQUEST,
+                "est_ms of all steps is more than "
+                f"{decoding.MILLISECONDS_MAX}",
+            )
+        )
     for number, step in enumerate(job.steps):
         if any(not 0 <= earlier < number for earlier in step.after):
             return result.Failure(
@@ -262,13 +276,14 @@
     )
 
 
-def _build_job(
+def build_job(
     content: _Job,
     queue: model.Queue,
     job_id: str,
     arrived_at: datetime.datetime,
     wait: datetime.timedelta,
 ) -> model.Job:
+    """Return the job that a caller has submitted to a queue."""
     steps = tuple(
         model.Step(
             count=step.count,
--- a/waxwingwalk/platform/catalog.py
+++ b/waxwingwalk/platform/catalog.py
@@ -37,6 +37,9 @@
 ERROR_MAX = 300
 # Maximum length of the names of servers and zones, in characters.
 NAME_MAX = 200
+# The product of this and the longest estimate of a job, eleven days, can be
+# added to a time.
+STRETCH_MAX = 1000
 # Queues that are decoded before the event loop runs again.
 QUEUES_PER_STEP = 100
 
@@ -47,9 +50,9 @@
     prefix: str
     # The service whose backend servers run the queue's tasks.
     backend: str
-    priority: int = 1
-    attempts: Annotated[int, msgspec.Meta(ge=1)] = 1
-    stretch: float = 1.6
+    priority: decoding.Integer = 1
+    attempts: Annotated[int, msgspec.Meta(ge=1, le=decoding.COUNT_MAX)] = 1
+    stretch: Annotated[float, msgspec.Meta(ge=0, le=STRETCH_MAX)] = 1.6
     # A job's target response time is ``stretch`` times the duration of its
     # critical path, plus this time.
     slo_ms: decoding.Milliseconds = 60.0
@@ -61,13 +64,13 @@
 
 
 class _RequestLimits(msgspec.Struct):
-    max_header_bytes: int = 16384
-    max_body_bytes: int = 262144
+    max_header_bytes: decoding.Count = 16384
+    max_body_bytes: decoding.Count = 262144
     idle_timeout_ms: decoding.Milliseconds = 15000.0
 
 
 class _Config(msgspec.Struct):
-    version: int
+    version: decoding.Count
     routes: list[_Route] = []
     backends: list[_Service] = []
     limits: _RequestLimits = msgspec.field(default_factory=_RequestLimits)
@@ -79,9 +82,9 @@
 
 class _Room(msgspec.Struct):
     # Thousandths of a core.
-    cpu: decoding.Count = 0
-    mem_mb: decoding.Count = 0
-    gpu: decoding.Count = 0
+    cpu: decoding.Amount = 0
+    mem_mb: decoding.Amount = 0
+    gpu: decoding.Amount = 0
 
 
 class _Worker(msgspec.Struct):
--- a/waxwingwalk/platform/store.py
+++ b/waxwingwalk/platform/store.py
@@ -4,6 +4,7 @@
 import base64
 import binascii
 from collections.abc import Sequence
+import contextlib
 import datetime
 import time
 from typing import Any
@@ -33,7 +34,7 @@
 
 class _Row(msgspec.Struct):
     key: str
-    ver: int
+    ver: decoding.Version
     # In Base64; absent if the row was removed.
     value: str | None = None
     tombstone: bool = False
@@ -41,11 +42,21 @@
 
 class _Rows(msgspec.Struct):
     rows: list[_Row] = []
-    ver: int = 0
+    ver: decoding.Version = 0
+    has_more: bool = False
+
+
+class _RawRows(msgspec.Struct):
+    """A page whose rows are not decoded."""
+
+    rows: list[msgspec.Raw] = []
+    ver: decoding.Version = 0
     has_more: bool = False
 
 
 _rows_decoder: decoding.Decoder[_Rows] = decoding.Decoder(_Rows)
+_raw_rows_decoder: decoding.Decoder[_RawRows] = decoding.Decoder(_RawRows)
+_row_decoder: decoding.Decoder[_Row] = decoding.Decoder(_Row)
 
 
 class PlatformStore:
@@ -212,10 +223,18 @@
 
 
 def _parse_page(content: bytes) -> _Rows | None:
-    try:
+    """Return a page without malformed rows, None if it is no page."""
+    with contextlib.suppress(decoding.MalformedError):
         return _rows_decoder.decode(content)
+    try:
+        raw = _raw_rows_decoder.decode(content)
     except decoding.MalformedError:
         return None
+    page = _Rows(ver=raw.ver, has_more=raw.has_more)
+    for each in raw.rows:
+        with contextlib.suppress(decoding.MalformedError):
+            page.rows.append(_row_decoder.decode(bytes(each)))
+    return page
 
 
 async def _parse_rows(content: bytes) -> store_rows.Rows | None:
