Dispatch: a host does not claim a pool that a linked host has with a higher fence

The emulator did not go on: at one moment, some 170,000 status messages were received until it was stopped. Real hosts would send as many as their processors allow, until the store is back.

Cause: the standby claims the pool, as no host that precedes it in the row is left, and gives it up at once, as the linked owner has a higher fence. Both are announced, and each status received evaluates the ownership again.

Change: a host does not claim a pool in the row while a linked host schedules it with a higher fence.

--- a/tests/dispatch/test_ownership.py
+++ b/tests/dispatch/test_ownership.py
@@ -250,6 +250,20 @@
         self.ownership.decide(builders.at(10))
         self.assertEqual(self.ownership.claims, {})
 
+    def test_host_does_not_claim_again_what_a_higher_fence_has(self):
+        # The standby was cut off, and the next host took over without being
+        # able to write a row.
+        self.set_status(1, fence=pool_rows.fence(10, 2))
+        self.hosts.link_closed(0, builders.START)
+        self.hosts.link_failed("a", True, builders.START)
+        done = self.list_row(self.others[0], self.local_host, self.others[1])
+        self.assertEqual(self.ownership.claims, {})
+        self.assertEqual(done, [])
+        self.hosts.link_closed(1, builders.at(10))
+        self.hosts.link_opened(5, host("d"), builders.at(10))
+        self.ownership.decide(builders.at(20))
+        self.assertIn(POOL, self.ownership.claims)
+
     def test_claim_is_lost_to_the_owner_of_a_newer_row(self):
         self.list_row(self.local_host, *self.others)
         self.list_row(self.others[0], self.local_host, version=11, at=10)
--- a/waxwingwalk/dispatch/ownership.py
+++ b/waxwingwalk/dispatch/ownership.py
@@ -472,12 +472,8 @@
 
     def _is_superseded(self, claim: Claim, state: _PoolState) -> bool:
         """Return whether a linked host has a better claim."""
-        for peer in self._hosts.all():
-            if peer.link is None or peer.status is None:
-                continue
-            for load in peer.status.loads:
-                if load.pool == claim.pool and load.fence > claim.fence:
-                    return True
+        if self._is_claimed_above(claim.pool, claim.fence):
+            return True
         row = state.row
         if row is None or pool_rows.fence(state.version, 0) <= claim.fence:
             return False
@@ -485,6 +481,19 @@
             row.owner
         )
 
+    def _is_claimed_above(self, pool: str, fence: int) -> bool:
+        """Return whether a linked host schedules a pool with a higher fence.
+
+        It may have a lower rank than this host, which was cut off or paused
+        when the pool was taken over.
+        """
+        return any(
+            load.pool == pool and load.fence > fence
+            for peer in self._hosts.all()
+            if peer.link is not None and peer.status is not None
+            for load in peer.status.loads
+        )
+
     def _create_row(
         self, pool: str, state: _PoolState, now: datetime.datetime
     ) -> effects.Effects:
@@ -513,6 +522,10 @@
         local_host = self._hosts.local_host
         for rank, record in enumerate(row.order):
             if record == local_host:
+                fence = pool_rows.fence(state.version, rank)
+                if self._is_claimed_above(pool, fence):
+                    state.unowned_since = None
+                    return []
                 if rank and local_host.zone != pool:
                     if not self._may_take_over_other_zone(pool, state, now):
                         return []
