Dispatch: the owner of an idle pool learns that it was fenced off

The former owner kept its claim: it polls no idle server, and only an answer tells that a higher fence was seen. So the claim was given up, and claimed anew, only after the first jobs had been sent to servers that refused them.

Change: if no server of a pool was polled for 2 s, the one that was polled least recently is. Once a server refuses the fence, all others of its pool are polled. A busy pool has no additional polls, an idle one has one every 2 to 2.5 s.

--- a/tests/dispatch/test_unscheduled_pools.py
+++ b/tests/dispatch/test_unscheduled_pools.py
@@ -313,6 +313,25 @@
 
 
 class FencedServerTests(reducer_case.ReducerTestCase):
+    def test_owner_of_an_idle_pool_learns_that_it_was_fenced_off(self):
+        self.report = builders.report()
+        second = builders.report("server-2")
+        self.apply(events.BackendsListed((self.report, second)), 0)
+        self.schedule_here()
+        self.apply(builders.polled(second), 1)
+        done = self.tick_until(1900, 25)
+        self.assertEqual(builders.of_type(done, effects.PollBackend), [])
+        done = self.tick_until(3000, 1900)
+        (poll,) = builders.of_type(done, effects.PollBackend)
+        fenced = events.BackendPolled(
+            poll.incarnation, model.CallOutcome.FENCED
+        )
+        self.apply(fenced, 3000)
+        # The other server is polled at once.
+        done = self.apply(events.Ticked(), 3025)
+        (other,) = builders.of_type(done, effects.PollBackend)
+        self.assertNotEqual(other.incarnation, poll.incarnation)
+
     def fence_off(self, at):
         self.apply(
             events.BackendPolled(
--- a/waxwingwalk/dispatch/backend.py
+++ b/waxwingwalk/dispatch/backend.py
@@ -286,6 +286,8 @@
         self.is_exclusive = False
         self.reserved_for: str | None = None
         self.missing_since: datetime.datetime | None = None
+        # Whether a poll has to show that the server still obeys this host.
+        self.is_check_wanted = False
         # Until then an unanswered order may still be carried out.
         self.order_pending_until = now
         self._clock_reading: tuple[int, datetime.datetime] | None = None
--- a/waxwingwalk/dispatch/run_tracker.py
+++ b/waxwingwalk/dispatch/run_tracker.py
@@ -35,6 +35,10 @@
 # A poll without an outcome after this time is sent again. Its call ends after
 # less than a second.
 POLL_LIMIT = datetime.timedelta(seconds=5)
+# A pool of which no server was polled for this time is checked. Pools are
+# looked at in this interval.
+IDLE_POOL_LIMIT = datetime.timedelta(seconds=2)
+POOL_CHECK_INTERVAL = datetime.timedelta(milliseconds=500)
 # A failed poll is repeated after this time, doubled up to the maximum unless
 # an order may be carried out late: a new incarnation has to see the higher
 # fence.
@@ -135,6 +139,7 @@
         self.crash_evidence: list[model.CrashEvidence] = []
         # How often the listed progress of runs has risen, by queue.
         self.progress_rises: collections.Counter[str] = collections.Counter()
+        self._pools_checked_at = clock.DISTANT_PAST
         # Counts the changes that may affect the free capacity.
         self.changes = 0
         # Caches: the usable servers, until the state of a server changes
@@ -603,6 +608,7 @@
             or backend.foreign_runs
             or backend.is_acknowledgement_due(now)
             or backend.is_check_due(now)
+            or backend.is_check_wanted
             or backend.state
             in (
                 backends.BackendState.UNVERIFIED,
@@ -866,6 +872,7 @@
             or server_clock_ms is None
         ):
             return self._poll_failed(backend, now, outcome, number)
+        backend.is_check_wanted = False
         backend.record_clock(server_clock_ms, now)
         backend.last_heard_at = backend.last_polled_at = now
         backend.failed_polls = backend.failed_checks = 0
@@ -1207,6 +1214,10 @@
         for run in list(backend.runs.values()):
             self._end_run(backend, run, model.TaskEnd.LOST, "fenced", now)
         backend.foreign_runs.clear()
+        for other in self._backends.values():
+            # The newer scheduler is likely to have them, too.
+            if other.report.zone == backend.report.zone:
+                other.is_check_wanted = True
         return [
             effects.Log(
                 "backend.fenced",
@@ -1423,6 +1434,7 @@
     def tick(self, now: datetime.datetime) -> effects.Effects:
         """Repeat unanswered stops, poll, and report runs of expired leases."""
         self._forget_late_starts(now)
+        self._check_idle_pools(now)
         done: effects.Effects = []
         for backend in list(self._backends.values()):
             if (
@@ -1431,6 +1443,7 @@
                 and backend.acknowledge_at is None
                 and now >= backend.order_pending_until
                 and not backend.foreign_runs
+                and not backend.is_check_wanted
             ):
                 # There is nothing to poll for on an idle server.
                 continue
@@ -1439,6 +1452,34 @@
             done += failures.confine(backend, self._tick_backend, backend, now)
         return done
 
+    def _check_idle_pools(self, now: datetime.datetime) -> None:
+        """Have a server of each pool polled that has long been idle.
+
+        A server tells only in answers that another host has fenced it off.
+        The one that was polled least recently is polled.
+        """
+        if now - self._pools_checked_at < POOL_CHECK_INTERVAL:
+            return
+        self._pools_checked_at = now
+        idle: dict[str, backends.Backend] = {}
+        busy = set()
+        for backend in self._backends.values():
+            polled_at = backend.last_polled_at
+            if (
+                backend.state is not backends.BackendState.READY
+                or polled_at is None
+            ):
+                continue
+            zone = backend.report.zone
+            if backend.is_polling or now - polled_at < IDLE_POOL_LIMIT:
+                busy.add(zone)
+            known = idle.setdefault(zone, backend)
+            if polled_at < (known.last_polled_at or polled_at):
+                idle[zone] = backend
+        for zone, backend in idle.items():
+            if zone not in busy:
+                backend.is_check_wanted = True
+
     def _tick_backend(
         self, backend: backends.Backend, now: datetime.datetime
     ) -> effects.Effects:
