--- a/waxwingwalk/emulator/fleet.py
+++ b/waxwingwalk/emulator/fleet.py
@@ -206,6 +206,8 @@
         self.do_servers_keep_ids = True
         # The ids that have replaced others.
         self._replacements: dict[str, str] = {}
+        # The rows of hosts. That of a host that was killed stays.
+        self._host_rows: dict[str, model.HostRecord] = {}
         self._rows: dict[str, tuple[int, pool_rows.PoolRow]] = {}
         # The rows that evacuate zones, with their versions.
         self._evacuations: dict[str, int] = {}
@@ -299,6 +301,7 @@
             settings=self._settings,
         )
         self.checker.record_host_started(host.address)
+        self._host_rows[host.address] = record
         host.link_targets = frozenset()
         host.list_read_at = None
         incarnation = host.incarnation
@@ -725,11 +728,7 @@
         )
         if not self._reaches_store(host):
             return
-        records = tuple(
-            each.reducer.local_host
-            for each in self.hosts.values()
-            if each.reducer is not None
-        )
+        records = tuple(self._host_rows.values())
         self._apply_evacuations(host)
         read = events.CatalogRead(self.catalogs[self.document], self.document)
         self._apply(host, read)
@@ -845,6 +844,7 @@
                 self._apply_later(host, DECODE_DELAY, decoded)
             case effects.Exit():
                 host.has_exited = True
+                self._host_rows.pop(host.address, None)
             case effects.ReportFailure():
                 # The emulator shows errors of the program, and hides none.
                 raise effect.error
