Dispatch: a job that fails to start does not have another one answered as lost

Found when the code of failures.confine was read again: the answer 'internal error' for a failed submission was given whenever any step of its handling had failed, also that of another job that waits. The submission is answered only if its own handling raises. Beside it, a scheduler whose list of servers is recent looks for hosts to ask no more at each tick.

Result: the test, which now also looks at the answers, fails without the change.

--- a/tests/dispatch/test_failures.py
+++ b/tests/dispatch/test_failures.py
@@ -24,7 +24,7 @@
         self.failures += builders.of_type(done, effects.ReportFailure)
         return done
 
-    def fail(self, target, name, on=None):
+    def break_method(self, target, name, on=None):
         """Let a method fail, with ``on`` only for that first argument."""
         method = getattr(target, name)
 
@@ -42,8 +42,8 @@
         steps = ("run_tracker.tick", "scheduler.tick", "catalog_sharing.tick")
         for name in steps:
             component, method = name.split(".")
-            self.fail(getattr(self.reducer, component), method)
-        self.fail(self.reducer, "_check_links")
+            self.break_method(getattr(self.reducer, component), method)
+        self.break_method(self.reducer, "_check_links")
         done = self.apply(events.DrainRequested(model.ZERO), 10)
         done = self.tick_until(200, 25)
         self.assertIn(effects.Exit, [type(each) for each in done])
@@ -51,7 +51,7 @@
 
     def test_server_that_cannot_be_handled_costs_no_other_server(self):
         bad = builders.report("a-bad")
-        self.fail(
+        self.break_method(
             run_tracker.RunTracker,
             "acquire",
             lambda _, report, *rest: report == bad,
@@ -83,7 +83,7 @@
 
     def test_job_that_cannot_be_handled_is_answered_as_lost(self):
         self.schedule_here()
-        self.fail(self.reducer.front, "submit")
+        self.break_method(self.reducer.front, "submit")
         done = self.apply(events.JobSubmitted(builders.job()), 2)
         ((outcome, reason),) = self.answers(done)
         self.assertIs(outcome, model.JobOutcome.LOST)
@@ -91,7 +91,7 @@
 
     def test_job_of_a_peer_that_cannot_be_handled_is_answered_as_lost(self):
         self.schedule_here()
-        self.fail(self.reducer.scheduler, "submit")
+        self.break_method(self.reducer.scheduler, "submit")
         submit = messages.SubmitJob(
             "j", "q", "s", 0, 1, "spec", 1.6, builders.job().steps, 9, 99, 3
         )
@@ -107,7 +107,7 @@
     def test_job_whose_tasks_cannot_be_started_keeps_no_other_waiting(self):
         self.schedule_here()
         scheduler = self.reducer.scheduler
-        self.fail(
+        self.break_method(
             scheduler,
             "_start_ready_tasks",
             lambda record, now: record.job.job_id == "bad",
@@ -116,3 +116,4 @@
         done = self.apply(events.JobSubmitted(builders.job("good")), 3)
         (start,) = builders.of_type(done, effects.StartRun)
         self.assertTrue(start.run.task.startswith("good."))
+        self.assertEqual(self.answers(done), [])
--- a/waxwingwalk/dispatch/backend_list_sharing.py
+++ b/waxwingwalk/dispatch/backend_list_sharing.py
@@ -82,6 +82,10 @@
         is_received_recent = now - self._received_at < LIST_AGE_MAX
         return is_received_recent and version < self._version
 
+    def is_old(self, now: datetime.datetime) -> bool:
+        """Return whether the store has long delivered no list."""
+        return now - self._store_listed_at > LIST_AGE_MAX
+
     def record_list(
         self,
         version: int,
@@ -122,13 +126,13 @@
         hosts: dict[int, str],
         now: datetime.datetime,
     ) -> effects.Effects:
-        """Ask a linked host if the list is old.
+        """Ask a linked host if the list is old, and it is time to.
 
         ``pools`` are those that this host schedules, ``hosts`` the addresses
         of linked hosts by link, in the order in which they are asked.
         """
         age = now - self._store_listed_at
-        if not pools or not hosts or age <= LIST_AGE_MAX:
+        if not (pools and hosts and self.is_old(now)):
             return []
         request = self._request
         if request is not None and now - request.sent_at < REQUEST_INTERVAL:
--- a/waxwingwalk/dispatch/reducer.py
+++ b/waxwingwalk/dispatch/reducer.py
@@ -245,11 +245,10 @@
                 self.scheduler.hold_starts()
                 done.append(effects.ReadConnections(self._pauses))
         name = type(event).__name__
-        handled = failures.confine(
-            name, self._handlers[type(event)], event, now
-        )
-        done += handled
-        if any(isinstance(each, effects.ReportFailure) for each in handled):
+        try:
+            done += self._handlers[type(event)](event, now)
+        except Exception as error:
+            done.append(effects.ReportFailure(name, error))
             done += self._answer_failed(event)
         for step in (
             self.front.route_waiting,
@@ -506,6 +505,10 @@
 
         Hosts that schedule pools come first, as they read it often.
         """
+        if not (
+            self.ownership.claims and self._backend_list_sharing.is_old(now)
+        ):
+            return []
         hosts: dict[str, int] = {}
         for number, link in self._links.items():
             hosts.setdefault(link.host.address, number)
