Platform: an unexpected error in a worker's row costs that row; addresses are compared without case

Cause: an exception that is no malformed value ended the decoding of the whole list of workers. And a worker whose address has an upper-case host name or an IPv6 address, both of which can be called, would have been refused since the address is checked; found when that check was read again.

Result: without the change, both new tests of test_odd_backends fail.

--- a/tests/platform/test_odd_backends.py
+++ b/tests/platform/test_odd_backends.py
@@ -1,6 +1,7 @@
 """Odd rows and answers of backend servers cost no other server anything."""
 
 import unittest
+from unittest import mock
 
 import hypothesis
 from hypothesis import strategies
@@ -9,6 +10,7 @@
 from tests.platform import fuzzed_host
 from tests.platform import stand_in
 from waxwingwalk.platform import catalog
+from waxwingwalk.store import rows as store_rows
 
 ZONE = fuzzed_host.ZONE
 NUMBERS = fuzzed_host.NUMBERS
@@ -112,6 +114,34 @@
             decoded = catalog.decode_backend(key, content)
             self.assertIsInstance(decoded, result.Failure)
 
+    def test_addresses_that_can_be_called_are_accepted(self):
+        for address in ("127.0.0.1:80", "Worker-1.example:8169", "[::1]:80"):
+            with self.subTest(address=address):
+                content = encode(stand_in.worker_row(address))
+                report = catalog.decode_backend("key", content).unwrap()
+                self.assertEqual(report.address, address)
+
+    def test_row_that_fails_unexpectedly_costs_no_other_row(self):
+        rows = {
+            key: store_rows.StoredRow(
+                key, 1, encode(stand_in.worker_row("a:1"))
+            )
+            for key in ("bad", "good")
+        }
+        decode = catalog.decode_backend
+
+        def failing(key, value):
+            if key == "bad":
+                raise ZeroDivisionError("unexpected")
+            return decode(key, value)
+
+        log = mock.Mock()
+        with mock.patch.object(catalog, "decode_backend", failing):
+            reports = catalog.BackendRowDecoder(log).decode(rows)
+        (report,) = reports
+        self.assertEqual(report.incarnation.backend_id, "good")
+        log.info.assert_called_once()
+
     def test_deeply_nested_row_is_refused(self):
         content = b'{"backend":' + b"[" * 100_000
         decoded = catalog.decode_backend("key", content)
--- a/waxwingwalk/platform/catalog.py
+++ b/waxwingwalk/platform/catalog.py
@@ -238,7 +238,7 @@
         and port.isdigit()
         and url.explicit_port == int(port)
         and int(port) > 0
-        and url.host == host
+        and url.host == host.strip("[]").lower()
         and url.user is None
     )
 
@@ -297,7 +297,11 @@
         )
 
     def _decode(self, row: store_rows.StoredRow) -> model.BackendReport | None:
-        decoded = decode_backend(row.key, row.value or b"")
+        try:
+            decoded = decode_backend(row.key, row.value or b"")
+        except Exception as error:
+            # Other rows are not affected.
+            decoded = result.Failure(f"{type(error).__name__}: {error}")
         report = decoded.value_or(None)
         if report is None:
             self._log.info(
