Entry: an effect that fails costs no other effect

Cause: the same as in the dispatch host (an effect that raises keeps those after it from being executed, though the reducer counts on them), found by looking for it on related paths. There the log line of a placement came before the task was sent, so that a value which no line can hold kept the task from being sent.

Change: each effect is executed on its own, tasks are sent before they are logged, and log lines that the fast encoder refuses are encoded by the standard library, as in the dispatch host.

Result: the new test of tests.entry.test_engine fails without the change.

--- a/tests/entry/test_engine.py
+++ b/tests/entry/test_engine.py
@@ -1,12 +1,14 @@
 """Tests that the engine applies exactly one reply for each task sent."""
 
 import random
+from unittest import mock
 
 import structlog
 
 from tests.core import reducers
 from tests.entry import jobs
 from waxwingwalk.core import clock
+from waxwingwalk.core import effects
 from waxwingwalk.core import events
 from waxwingwalk.core import results
 from waxwingwalk.entry import engine
@@ -29,6 +31,26 @@
 
 
 class EngineTests(jobs.FleetTestCase):
+    async def test_effect_that_fails_costs_no_other_effect(self):
+        captured = structlog.testing.LogCapture()
+        logger = structlog.wrap_logger(
+            structlog.ReturnLogger(),
+            processors=[captured],
+            wrapper_class=structlog.make_filtering_bound_logger(0),
+        )
+        reducer = mock.Mock()
+        # The first effect has no fields to log.
+        reducer.apply.return_value = [
+            effects.Log("task.placed", None),
+            effects.Exit(),
+        ]
+        time = clock.ManualClock()
+        running = engine.Engine(reducer, time, BrokenBackends(), logger)
+        running.apply(events.Ticked())
+        self.assertTrue(running.exited.is_set())
+        names = [entry["event"] for entry in captured.entries]
+        self.assertEqual(names, ["internal.error"])
+
     async def test_unexpected_error_leaves_no_job_unanswered(self):
         captured = structlog.testing.LogCapture()
         logger = structlog.wrap_logger(
--- a/waxwingwalk/entry/engine.py
+++ b/waxwingwalk/entry/engine.py
@@ -82,29 +82,42 @@
         return self._clock
 
     def apply(self, event: events.Event) -> None:
-        """Apply an event and execute its effects."""
+        """Apply an event and execute its effects.
+
+        An effect that fails does not keep the others from being executed.
+        """
         requested = self._reducer.apply(event, self._clock.now())
         stops: dict[str, list[str]] = {}
         for effect in requested:
-            match effect:
-                case effects.SendTask():
-                    self._log_placement(effect)
-                    self._spawn(self._run(effect))
-                case effects.SendToPeer():
-                    if self.peers is not None:
-                        self.peers.send(effect.address, effect.message)
-                case effects.DeliverAnswer():
-                    self._deliver(effect.answer)
-                case effects.StopTask():
-                    name = identity.task_name(effect.job_id, effect.index)
-                    stops.setdefault(effect.address, []).append(name)
-                case effects.Log():
-                    self._log.info(effect.event, **effect.fields)
-                case _:
-                    self._execute_infrequent(effect)
+            try:
+                self._execute(effect, stops)
+            except Exception as error:
+                self.report_failure(type(effect).__name__, error)
         for address, tasks in stops.items():
             self._spawn(self._backends.stop(address, tasks))
 
+    def _execute(
+        self, effect: effects.Effect, stops: dict[str, list[str]]
+    ) -> None:
+        """Execute an effect; add tasks to stop to ``stops``, by address."""
+        match effect:
+            case effects.SendTask():
+                # The log comes second, as the task has to be sent.
+                self._spawn(self._run(effect))
+                self._log_placement(effect)
+            case effects.SendToPeer():
+                if self.peers is not None:
+                    self.peers.send(effect.address, effect.message)
+            case effects.DeliverAnswer():
+                self._deliver(effect.answer)
+            case effects.StopTask():
+                name = identity.task_name(effect.job_id, effect.index)
+                stops.setdefault(effect.address, []).append(name)
+            case effects.Log():
+                self._log.info(effect.event, **effect.fields)
+            case _:
+                self._execute_infrequent(effect)
+
     def _execute_infrequent(self, effect: effects.Effect) -> None:
         match effect:
             case effects.ClaimKey():
--- a/waxwingwalk/entry/logs.py
+++ b/waxwingwalk/entry/logs.py
@@ -6,7 +6,6 @@
 
 import logging
 
-import orjson
 import structlog
 
 from waxwingwalk.host import logs as host_logs
@@ -34,7 +33,7 @@
             structlog.processors.add_log_level,
             structlog.processors.TimeStamper(fmt="iso", utc=True),
             structlog.processors.format_exc_info,
-            structlog.processors.JSONRenderer(serializer=orjson.dumps),
+            structlog.processors.JSONRenderer(serializer=host_logs.serialize),
         ],
         wrapper_class=structlog.make_filtering_bound_logger(number),
         cache_logger_on_first_use=True,
--- a/waxwingwalk/host/logs.py
+++ b/waxwingwalk/host/logs.py
@@ -127,7 +127,7 @@
                     structlog.processors.add_log_level,
                     structlog.processors.TimeStamper(fmt="iso", utc=True),
                     structlog.processors.format_exc_info,
-                    structlog.processors.JSONRenderer(serializer=_serialize),
+                    structlog.processors.JSONRenderer(serializer=serialize),
                 ],
                 wrapper_class=structlog.make_filtering_bound_logger(
                     logging.getLevelNamesMapping()[level.upper()]
@@ -162,7 +162,7 @@
         self._writer.flush()
 
 
-def _serialize(line: dict[str, Any], **options: Any) -> bytes:
+def serialize(line: dict[str, Any], **options: Any) -> bytes:
     """Return a line as JSON, also with values that the fast encoder refuses.
 
     Such are integers of more than 64 bits and unpaired surrogates.
