Tests: a thousand jobs are cancelled before any of them can end

Its tasks ran 3 s, and the first cancellations are sent after 1,000 submissions one after the other, which took 5.8 s on the loaded machine (a measurement right after). So jobs can end first, rightly, and the check asked for more than the guarantee. The tasks now run 30 s; the check is the same for every job.

--- a/tests/entry/test_entry_faults.py
+++ b/tests/entry/test_entry_faults.py
@@ -319,7 +319,7 @@
             await jobs.add_backends(started, 2)
             accepted = [
                 await started.submit(
-                    i % 2, jobs.job(count=1, seconds=3, wait=False)
+                    i % 2, jobs.job(count=1, seconds=30, wait=False)
                 )
                 for i in range(1000)
             ]
