Dispatch: a host does not look at servers of pools that it does not schedule

Cause, of a part of it at least: since each server is acquired in a step of its own, a host that schedules no pool takes 0.36 ms for a tick with 350 listed servers, 0.13 ms before (a measurement of the reducer alone).

Change: servers of pools that this host has not claimed are passed over first.

--- a/waxwingwalk/dispatch/reducer.py
+++ b/waxwingwalk/dispatch/reducer.py
@@ -537,6 +537,9 @@
             for backend in self.run_tracker
         }
         for report in self._backend_reports.values():
+            # Most servers are of pools that other hosts schedule.
+            if report.zone not in self.ownership.claims:
+                continue
             done += failures.confine(
                 report.incarnation,
                 self._acquire_backend,
