Platform: the address of a worker is checked once, not with each of its rows

Cause, of a second part: each server repeats its row about every 1.5 s, each version of a row is decoded, and the check of its address parses a URL: 20 us a row, 8 before the check (a measurement of decode_backend with 350 rows).

Change: the result for an address is kept.

Result: 9 us a row from the second time on.

--- a/waxwingwalk/platform/catalog.py
+++ b/waxwingwalk/platform/catalog.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Iterator
 import datetime
+import functools
 import math
 from typing import Annotated
 from typing import Any
@@ -40,6 +41,8 @@
 # The product of this and the longest estimate of a job, eleven days, can be
 # added to a time.
 STRETCH_MAX = 1000
+# Addresses whose check is kept. Each server repeats its row every 1.5 s.
+ADDRESSES_CACHED = 4096
 # Queues that are decoded before the event loop runs again.
 QUEUES_PER_STEP = 100
 
@@ -225,6 +228,7 @@
     return 0 < len(text) <= NAME_MAX and text.isprintable()
 
 
+@functools.lru_cache(maxsize=ADDRESSES_CACHED)
 def _is_address(text: str) -> bool:
     """Return whether a URL can be formed from a server's address."""
     host, _, port = text.rpartition(":")
