--- a/tests/entry/test_engine.py
+++ b/tests/entry/test_engine.py
@@ -30,14 +30,20 @@
         """Do nothing."""
 
 
+def capture_log():
+    """Return the entries of a log, and the logger that writes them."""
+    captured = structlog.testing.LogCapture()
+    logger = structlog.wrap_logger(
+        structlog.ReturnLogger(),
+        processors=[captured],
+        wrapper_class=structlog.make_filtering_bound_logger(0),
+    )
+    return captured, logger
+
+
 class EngineTests(jobs.FleetTestCase):
     async def test_effect_that_fails_costs_no_other_effect(self):
-        captured = structlog.testing.LogCapture()
-        logger = structlog.wrap_logger(
-            structlog.ReturnLogger(),
-            processors=[captured],
-            wrapper_class=structlog.make_filtering_bound_logger(0),
-        )
+        captured, logger = capture_log()
         reducer = mock.Mock()
         # The first effect has no fields to log.
         reducer.apply.return_value = [
@@ -52,12 +58,7 @@
         self.assertEqual(names, ["internal.error"])
 
     async def test_unexpected_error_leaves_no_job_unanswered(self):
-        captured = structlog.testing.LogCapture()
-        logger = structlog.wrap_logger(
-            structlog.ReturnLogger(),
-            processors=[captured],
-            wrapper_class=structlog.make_filtering_bound_logger(0),
-        )
+        captured, logger = capture_log()
         time = clock.ManualClock()
         reducer = wiring.build_reducer(
             reducers.SELF, reducers.PLACE, time, random.Random(1)
--- a/tests/platform/test_clients.py
+++ b/tests/platform/test_clients.py
@@ -59,7 +59,13 @@
             with self.subTest(odd=odd):
                 page = {"rows": [odd, good], "ver": 9, "has_more": False}
                 content = orjson.dumps(page)
-                rows = await platform_store._parse_rows(content)
+                log = mock.Mock()
+                client = platform_store.PlatformStore(
+                    "127.0.0.1:1", metrics.HostMetrics(), log
+                )
+                self.addAsyncCleanup(client.close)
+                rows = await client._parse_rows(content, "servers")
+                log.info.assert_called_once()
                 self.assertEqual(rows.version, 9)
                 (row,) = rows.rows
                 self.assertEqual((row.key, row.value), ("k", b"x"))
--- a/waxwingwalk/host/engine.py
+++ b/waxwingwalk/host/engine.py
@@ -302,6 +302,9 @@
             *(backends.accepts_connections(each) for each in effect.addresses),
             return_exceptions=True,
         )
+        for each in accepted:
+            if isinstance(each, BaseException):
+                self.report_failure("probe", each)
         is_reachable = any(each is True for each in accepted)
         self.apply(events.BackendsProbed(effect.pool, is_reachable))
 
--- a/waxwingwalk/host/links.py
+++ b/waxwingwalk/host/links.py
@@ -128,7 +128,7 @@
                 contents.append(messages.encode(message))
             except Exception as error:
                 # Other messages of the link are not affected.
-                _report_failure(self._log, message, error)
+                _report_failure(self._log, f"message {message.kind}", error)
             else:
                 kinds.append(message.kind)
         if self._traffic is not None:
@@ -230,8 +230,11 @@
             except aiohttp.ClientConnectorError as error:
                 refused = isinstance(error.os_error, ConnectionRefusedError)
                 self._notify(events.LinkFailed(address, refused))
-            except Exception:
-                # A record may also have an address that is no URL.
+            except (aiohttp.ClientError, TimeoutError, OSError):
+                self._notify(events.LinkFailed(address, False))
+            except Exception as error:
+                # A record may have an address that is no URL.
+                _report_failure(self._log, f"link to {address}", error)
                 self._notify(events.LinkFailed(address, False))
             if opened is None:
                 delay = attempts.after_failure()
@@ -345,7 +348,7 @@
                 self._notify(events.MessageReceived(number, message))
             except Exception as error:
                 # Other messages of the link are not affected.
-                _report_failure(self._log, message, error)
+                _report_failure(self._log, f"message {message.kind}", error)
 
     def _decode(self, content: str) -> messages.Frame | None:
         """Return a frame without its malformed messages, if it is one.
@@ -368,12 +371,10 @@
         return frame
 
 
-def _report_failure(
-    log: logs.HostLog, message: messages.Message, error: Exception
-) -> None:
+def _report_failure(log: logs.HostLog, where: str, error: Exception) -> None:
     log.error(
         "internal.error",
-        where=f"message {message.kind}",
+        where=where,
         error=f"{type(error).__name__}: {error}",
         exc_info=error,
     )
--- a/waxwingwalk/platform/backends.py
+++ b/waxwingwalk/platform/backends.py
@@ -156,8 +156,11 @@
             body,
             send_by=order.send_by,
         )
+        server_clock_ms = decode_clock(content)
+        if content and server_clock_ms is None:
+            self._log_malformed("start", order.incarnation)
         return events.RunStarted(
-            order.incarnation, order.run, outcome, decode_clock(content)
+            order.incarnation, order.run, outcome, server_clock_ms
         )
 
     async def stop(self, order: effects.StopRun) -> events.RunStopped:
--- a/waxwingwalk/platform/store.py
+++ b/waxwingwalk/platform/store.py
@@ -16,6 +16,7 @@
 
 from waxwingwalk.core import decoding
 from waxwingwalk.host import metrics
+from waxwingwalk.store import follower
 from waxwingwalk.store import rows as store_rows
 
 # A transaction takes 8 ms, but many times as long while the store is slow.
@@ -63,10 +64,14 @@
     """Calls the store over HTTP."""
 
     def __init__(
-        self, address: str, host_metrics: metrics.HostMetrics
+        self,
+        address: str,
+        host_metrics: metrics.HostMetrics,
+        log: follower.FollowerLog | None = None,
     ) -> None:
         self._url = f"http://{address}"
         self._metrics = host_metrics
+        self._log = log
         self._session = aiohttp.ClientSession(
             cookie_jar=aiohttp.DummyCookieJar()
         )
@@ -103,7 +108,7 @@
         if not isinstance(reply, result.Success):
             return result.Failure(reply.failure())
         status, content = reply.unwrap()
-        table = await _parse_rows(content)
+        table = await self._parse_rows(content, writes[0].table)
         if table is None:
             return result.Failure(Failure.UNKNOWN)
         return result.Success(
@@ -125,7 +130,7 @@
             reply = await self._call("GET", "/rows-get", "read", params=params)
             if not isinstance(reply, result.Success):
                 return result.Failure(reply.failure())
-            page = _parse_page(reply.unwrap()[1])
+            page = self._parse_page(reply.unwrap()[1], table)
             if page is None:
                 return result.Failure(Failure.MALFORMED)
             found += await _to_stored_rows(page)
@@ -157,11 +162,38 @@
         status, content = reply.unwrap()
         if status == 410:
             return result.Failure(Failure.HISTORY_GONE)
-        changed = await _parse_rows(content)
+        changed = await self._parse_rows(content, table)
         if changed is None:
             return result.Failure(Failure.MALFORMED)
         return result.Success(changed)
 
+    def _parse_page(self, content: bytes, table: str) -> _Rows | None:
+        """Return a page without malformed rows, None if it is no page."""
+        with contextlib.suppress(decoding.MalformedError):
+            return _rows_decoder.decode(content)
+        try:
+            raw = _raw_rows_decoder.decode(content)
+        except decoding.MalformedError:
+            return None
+        page = _Rows(ver=raw.ver, has_more=raw.has_more)
+        for each in raw.rows:
+            try:
+                page.rows.append(_row_decoder.decode(bytes(each)))
+            except decoding.MalformedError as error:
+                if self._log is not None:
+                    self._log.info(
+                        "row.malformed", table=table, key="", error=str(error)
+                    )
+        return page
+
+    async def _parse_rows(
+        self, content: bytes, table: str
+    ) -> store_rows.Rows | None:
+        page = self._parse_page(content, table)
+        if page is None:
+            return None
+        return store_rows.Rows(tuple(await _to_stored_rows(page)), page.ver)
+
     async def _call(
         self,
         method: str,
@@ -222,28 +254,6 @@
     return {"table": write.table, "part": SHARED_PART, "key": write.key}
 
 
-def _parse_page(content: bytes) -> _Rows | None:
-    """Return a page without malformed rows, None if it is no page."""
-    with contextlib.suppress(decoding.MalformedError):
-        return _rows_decoder.decode(content)
-    try:
-        raw = _raw_rows_decoder.decode(content)
-    except decoding.MalformedError:
-        return None
-    page = _Rows(ver=raw.ver, has_more=raw.has_more)
-    for each in raw.rows:
-        with contextlib.suppress(decoding.MalformedError):
-            page.rows.append(_row_decoder.decode(bytes(each)))
-    return page
-
-
-async def _parse_rows(content: bytes) -> store_rows.Rows | None:
-    page = _parse_page(content)
-    if page is None:
-        return None
-    return store_rows.Rows(tuple(await _to_stored_rows(page)), page.ver)
-
-
 async def _to_stored_rows(page: _Rows) -> list[store_rows.StoredRow]:
     return [
         store_rows.StoredRow(
--- a/waxwingwalk/platform/wiring.py
+++ b/waxwingwalk/platform/wiring.py
@@ -24,7 +24,7 @@
 ) -> service.HostService:
     """Return the host, which does not listen yet."""
     host_metrics = metrics.HostMetrics()
-    store = platform_store.PlatformStore(config.store, host_metrics)
+    store = platform_store.PlatformStore(config.store, host_metrics, log)
     engine = wiring.build_engine(config, time, log, host_metrics)
     backend_decoder = catalog.BackendRowDecoder(log)
     catalog_decoder = catalog.CatalogDecoder(log)
