Tests: crowds of clients that do not behave, against the real program

Users saw a process run out of memory under clients that send heads without end, bodies that stop just short of their end, and chunked bodies.

The modules test_crowd_* run one at a time, after all others.

--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -1,7 +1,8 @@
 """Runs the tests with nose2 and prints the number of each outcome.
 
 Without arguments, all tests run, several groups at a time, each in a process
-of its own. With arguments, which nose2 takes, the tests run in this process.
+of its own; those of crowds of clients run alone, after the others. With
+arguments, which nose2 takes, the tests run in this process.
 
 A failing test that is listed in KNOWN-RED.txt is printed and does not change
 the exit status. Any other failure makes it 1, and so does a run in which no
@@ -9,6 +10,7 @@
 """
 
 from concurrent import futures
+import itertools
 import os
 import pathlib
 import re
@@ -26,6 +28,9 @@
 # Packages whose tests take longest. Their modules run as groups of their own,
 # and first.
 SLOW_PACKAGES = ("emulator", "soak", "host", "platform")
+# Modules whose tests measure what a process holds. They run one at a time,
+# after all others.
+ALONE = "test_crowd_"
 # Tests with real processes need most of a processor each, so some are left
 # free.
 PROCESSES = max(1, (os.cpu_count() or 2) // 2)
@@ -36,25 +41,33 @@
     if not KNOWN_FAILURES_FILE.exists():
         return set()
     return {
-        line.removeprefix(TEST_PREFIX).strip()
+        line.removeprefix(TEST_PREFIX).split()[0]
         for line in KNOWN_FAILURES_FILE.read_text().splitlines()
         if line.startswith(TEST_PREFIX)
     }
 
 
 def find_groups():
-    """Return lists of the names of test modules, the slow ones first."""
-    slow, fast = [], []
+    """Return lists of the names of test modules, the slow ones first.
+
+    The second result are those that run alone.
+    """
+    slow, fast, alone = [], [], []
     for package in sorted((ROOT / "tests").iterdir()):
         modules = [
             f"tests.{package.name}.{path.stem}"
             for path in sorted(package.glob("test_*.py"))
+            if not path.stem.startswith(ALONE)
+        ]
+        alone += [
+            [f"tests.{package.name}.{path.stem}"]
+            for path in sorted(package.glob(f"{ALONE}*.py"))
         ]
         if package.name in SLOW_PACKAGES:
             slow += [[module] for module in modules]
         elif modules:
             fast.append(modules)
-    return slow + fast
+    return slow + fast, alone
 
 
 def run_group(modules):
@@ -73,9 +86,12 @@
     """Run all tests in several processes; return the exit status."""
     has_failed = False
     totals = [0, 0, 0]
-    groups = find_groups()
+    groups, alone = find_groups()
     with futures.ThreadPoolExecutor(PROCESSES) as pool:
-        for modules, done in zip(groups, pool.map(run_group, groups)):
+        outputs = itertools.chain(
+            pool.map(run_group, groups), map(run_group, alone)
+        )
+        for modules, done in zip(groups + alone, outputs):
             counts = COUNTS.findall(done.stdout)
             print(f"== {' '.join(modules)}: exit status {done.returncode}")
             print(COUNTS.sub(r"  \g<0>", done.stdout).strip(), flush=True)
--- /dev/null
+++ b/tests/connections/__init__.py
@@ -0,0 +1,1 @@
+"""Connections of clients that do not behave."""
--- a/tests/soak/hosts.py
+++ b/tests/soak/hosts.py
@@ -24,8 +24,11 @@
     ``incarnation`` counts the starts of the process.
     """
 
-    def __init__(self, name, ip, zone, folder, dispatch_settings=""):
+    def __init__(
+        self, name, ip, zone, folder, dispatch_settings="", limits=None
+    ):
         self.name = name
+        self.limits = limits or {}
         self.zone = zone
         self.ip = ip
         self.folder = pathlib.Path(folder)
@@ -50,11 +53,21 @@
         """The address that serves readiness checks."""
         return f"{self.ip}:{READINESS_PORT}"
 
+    @property
+    def process_id(self):
+        """The id of the process that was started last."""
+        return self._process.pid
+
     @property
     def is_running(self):
         """Whether the process is running."""
         return self._process is not None and self._process.returncode is None
 
+    @property
+    def peers_address(self):
+        """The address that serves links of peers."""
+        return f"{self.ip}:{PEERS_PORT}"
+
     async def listen(self, store_address):
         """Start the proxies in front of the host and of the store."""
         await self.link_proxy.start()
@@ -78,6 +91,7 @@
                 "control_advertised": self.link_proxy.address,
             },
             "seeds": seeds,
+            "limits": self.limits,
             "bounds": {"grace_s": GRACE_SECONDS},
             "platform": {"address": self.store_proxy.address},
         }
