Dispatch: the starts under way, and the tasks that wait, are bounded

Callers saw a host run out of memory under a legal job: 5,000 tasks that all fit at once, in one body of 262,144 bytes, took 215 MB of a host of 128 MB.

Cause: a scheduler ordered every task that fits at once. Each order is a call that waits for one of six connections to its server, and takes 43 KB until it is answered. Those far back in the line also ran out of time, so the server counted as suspect. Ruled out: the tasks themselves, 1.5 KB each.

Now a host sends a start only while fewer than WorkLimits.starts, and fewer than 32 for each server, are unanswered; an answer sends the next ones. The tasks of all jobs of a scheduler have a limit as well (WorkLimits.tasks); a job beyond it is refused as not run. The limits are decisions of the reducer.

--- a/waxwingwalk/dispatch/reducer.py
+++ b/waxwingwalk/dispatch/reducer.py
@@ -94,6 +94,7 @@
         job_order: ordering.JobOrder | None = None,
         placement: dispatch_placement.Placement | None = None,
         settings: dispatch_settings.DispatchSettings | None = None,
+        work_limits: dispatch_settings.WorkLimits | None = None,
         zone_evacuation: evacuation.Evacuation | None = None,
     ) -> None:
         self.local_host = local_host
@@ -107,7 +108,7 @@
         self.evacuation = zone_evacuation or evacuation.Evacuation()
         self._observed = observed_time.ObservedTime()
         self.run_tracker = run_tracker.RunTracker(
-            self._observed, self.evacuation, self.settings
+            self._observed, self.evacuation, self.settings, work_limits
         )
         self._crash_history = crashes.CrashHistory()
         placement = placement or dispatch_placement.FastestInTime()
@@ -124,6 +125,7 @@
             self.ownership.claims,
             self.settings,
             look_ahead,
+            work_limits,
         )
         self.front = dispatch_front.Front(
             self.hosts,
@@ -1001,13 +1003,16 @@
     def _run_started(
         self, event: events.RunStarted, now: datetime.datetime
     ) -> effects.Effects:
-        return self.run_tracker.started(
-            event.incarnation,
-            event.run,
-            event.outcome,
-            event.server_clock_ms,
-            now,
-        )
+        return [
+            *self.run_tracker.started(
+                event.incarnation,
+                event.run,
+                event.outcome,
+                event.server_clock_ms,
+                now,
+            ),
+            *self.scheduler.dispatch_postponed(now),
+        ]
 
     def _run_stopped(
         self, event: events.RunStopped, now: datetime.datetime
--- a/waxwingwalk/dispatch/run_tracker.py
+++ b/waxwingwalk/dispatch/run_tracker.py
@@ -53,6 +53,8 @@
 # is silent for 0.6 s are closed, and another host may start the task after
 # that. A server that has restarted since would not refuse the start.
 START_SEND_LIMIT = datetime.timedelta(milliseconds=500)
+# Starts that a server answers in a fraction of a call's time limit.
+STARTS_PER_SERVER = 32
 # An unanswered stop is sent again after this time.
 STOP_RETRY = datetime.timedelta(milliseconds=150)
 # With fast settlement, a server is suspect once this many stops or additional
@@ -110,7 +112,9 @@
         observed: observed_time.ObservedTime | None = None,
         zone_evacuation: evacuation.Evacuation | None = None,
         settings: dispatch_settings.DispatchSettings | None = None,
+        work_limits: dispatch_settings.WorkLimits | None = None,
     ) -> None:
+        self._work_limits = work_limits or dispatch_settings.WorkLimits()
         self._observed = observed or observed_time.ObservedTime()
         self._evacuation = zone_evacuation or evacuation.Evacuation()
         self._settings = settings or dispatch_settings.DispatchSettings()
@@ -120,6 +124,8 @@
         self.settlement_seconds = 0.0
         self._backends: dict[model.BackendIncarnation, backends.Backend] = {}
         self._backend_by_run: dict[model.RunKey, backends.Backend] = {}
+        # Runs whose start is under way.
+        self._starting: set[model.RunKey] = set()
         self._active_run_counts: collections.Counter[str] = (
             collections.Counter()
         )
@@ -168,6 +174,7 @@
             for key, backend in self._backend_by_run.items()
             if backend.incarnation in trial._backends
         }
+        trial._starting = set(self._starting)
         trial._active_run_counts = self._active_run_counts.copy()
         trial._late_starts = {
             task: dict(limits) for task, limits in self._late_starts.items()
@@ -320,6 +327,19 @@
         backend = self._backend_by_run.get(key)
         return None if backend is None else backend.runs[key]
 
+    @property
+    def starts_left(self) -> int:
+        """How many starts may be sent before others are answered.
+
+        Each takes memory until then, and waits for those before it to the
+        same server, for which it has as little time as the others.
+        """
+        limit = min(
+            self._work_limits.starts,
+            STARTS_PER_SERVER * len(self._backends),
+        )
+        return limit - len(self._starting)
+
     @property
     def unsettled_processors(self) -> int:
         """The processors that runs with an unanswered start occupy."""
@@ -551,6 +571,7 @@
             self._record_fate(run, model.ServerFate.SILENT)
         self.changes += 1
         self._backend_by_run[order.key] = backend
+        self._starting.add(order.key)
         self._active_run_counts[order.ref.name] += 1
         return [
             effects.StartRun(
@@ -696,6 +717,7 @@
         now: datetime.datetime,
     ) -> effects.Effects:
         """Handle the reply to an order to start a run."""
+        self._starting.discard(key)
         backend = self._backends.get(incarnation)
         run = backend.runs.get(key) if backend is not None else None
         if backend is None or run is None:
@@ -1251,6 +1273,7 @@
         # one was reported, for a later request for the same job.
         if self._backend_by_run.get(run.order.key) is backend:
             del self._backend_by_run[run.order.key]
+            self._starting.discard(run.order.key)
         self.changes += 1
 
     def _report_end(
--- a/waxwingwalk/dispatch/scheduler.py
+++ b/waxwingwalk/dispatch/scheduler.py
@@ -131,8 +131,10 @@
         pools: Collection[str] = (),
         settings: dispatch_settings.DispatchSettings | None = None,
         look_ahead: lookahead.LookAhead | None = None,
+        work_limits: dispatch_settings.WorkLimits | None = None,
     ) -> None:
         self._look_ahead = look_ahead
+        self._work_limits = work_limits or dispatch_settings.WorkLimits()
         self._evacuation = zone_evacuation or evacuation.Evacuation()
         # The pools that this host schedules, as its claims change.
         self._pools = pools
@@ -175,6 +177,10 @@
         self._dispatched_at = clock.DISTANT_PAST
         self._is_queue_long = False
         self._are_starts_held = False
+        # Whether tasks wait because too many starts are under way.
+        self._are_starts_postponed = False
+        # The tasks of all jobs.
+        self._task_count = 0
 
     @property
     def jobs(self) -> dict[str, job_record.JobRecord]:
@@ -266,6 +272,7 @@
         if reason is not None:
             return self._answer(record, model.JobOutcome.NOT_RUN, reason, now)
         self._jobs[job.job_id] = record
+        self._task_count += len(record.tasks)
         if self._look_ahead is not None:
             self._look_ahead.learn(record, self._run_tracker.usable(now))
         log = effects.Log(
@@ -364,7 +371,10 @@
             for order in orders
         ):
             return "fits no backend server"
-        if len(self._jobs) >= MAX_JOBS:
+        tasks = self._task_count + len(record.tasks)
+        if len(self._jobs) >= MAX_JOBS or (
+            self._jobs and tasks > self._work_limits.tasks
+        ):
             return "queue full"
         if now + record.remaining_critical_path() > record.useful_until:
             return "too late"
@@ -399,6 +409,7 @@
         if record is None or (record.link, record.request) != (link, request):
             return []
         del self._jobs[job_id]
+        self._task_count -= len(record.tasks)
         return [
             effects.Log("job.abandoned", {"job": job_id}),
             *self._stop_tasks(record, now),
@@ -562,6 +573,7 @@
         now: datetime.datetime,
     ) -> effects.Effects:
         del self._jobs[record.job.job_id]
+        self._task_count -= len(record.tasks)
         return [
             *self._answer(record, outcome, reason, now),
             *self._stop_tasks(record, now),
@@ -750,6 +762,13 @@
         """Start no task of this host's jobs until ``resume_starts``."""
         self._are_starts_held = True
 
+    def dispatch_postponed(self, now: datetime.datetime) -> effects.Effects:
+        """Start tasks that waited while too many starts were under way."""
+        if not self._are_starts_postponed or self._run_tracker.starts_left < 1:
+            return []
+        self._are_starts_postponed = False
+        return self.dispatch(now)
+
     def resume_starts(self, now: datetime.datetime) -> effects.Effects:
         """Start tasks again, with those that waited meanwhile."""
         self._are_starts_held = False
@@ -907,6 +926,9 @@
         now: datetime.datetime,
     ) -> effects.Effects:
         """Start a task here or offer it to a peer; no effects if it waits."""
+        if self._run_tracker.starts_left <= 0:
+            self._are_starts_postponed = True
+            return []
         order = record.task_order(task, task.run + 1)
         suspicion = self._suspicion(task)
         backend = self._choose_by_suspicion(
@@ -1273,6 +1295,7 @@
         backend = None
         if (
             not has_ready_tasks
+            and self._run_tracker.starts_left > 0
             and self._evacuation.is_known(now)
             and not self._has_unfinished_run(order.ref.name, now)
         ):
--- a/waxwingwalk/dispatch/settings.py
+++ b/waxwingwalk/dispatch/settings.py
@@ -24,3 +24,17 @@
     zone_balance: bool = False
     run_progress: bool = False
     fast_settlement: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WorkLimits:
+    """How much work a host takes on at a time.
+
+    ``tasks`` is how many tasks the jobs that it schedules may have together;
+    a job that is too large for that is taken if there is no other one.
+    ``starts`` is how many starts of tasks may be unanswered; further ones
+    wait. Both follow from the memory of the process.
+    """
+
+    tasks: int = 16384
+    starts: int = 512
