Connections: what clients hold is bounded for a process, at all listeners

Users saw a process end under clients that they do not control: it ran out of memory. They sent heads over the limit or without end, empty lines, and many large or chunked bodies that stop just short of their end; chunks of one byte also kept ordinary callers from being served.

Cause: nothing counted what connections hold together, and the limits of the configuration were read and not used. The HTTP library allows 128 fields of 8 KB, bodies of 1 MB and 256 KB in one read, keeps trailing fields, parses a read of small chunks in one go, and what it has parsed stays until the connection is gone. A handler kept the body of a job while it ran, and the traceback of an error kept it until the next collection of garbage.

waxwingwalk/connections/limits.py decides without input or output: a ledger of what each connection holds, by the settings' memory_mb and max_fds and by the configuration's limits. Over the memory, the largest requests that have not arrived whole are refused; over the connections of a listener, the oldest one without a request is closed; each listener has its own number, so that links and readiness are served. protocol.py subclasses the HTTP library's protocol: it passes on slices of 8 KB, one connection of those with more in each iteration of the event loop, and reports to the ledger after each one. Listening sockets get small buffers, as bytes that were received and not read count. Refusals have a code and a reason, a counter by listener and reason, and one log line a second for each of these.

--- a/waxwingwalk/host/config.py
+++ b/waxwingwalk/host/config.py
@@ -5,6 +5,10 @@
 
 from waxwingwalk.dispatch import settings as dispatch_settings
 
+# What a process may use if the settings file does not tell.
+MEMORY_DEFAULT = 300 * 2**20
+DESCRIPTORS_DEFAULT = 4096
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class HostConfig:
@@ -15,7 +19,9 @@
     SIGKILL. ``linger`` is the time after SIGTERM during which new connections
     may still arrive and are served. ``advertised`` is the address at which
     peers reach this host if it is not ``peers``, for example behind a port
-    mapping. ``dispatch`` enables decisions under heavy load.
+    mapping. ``dispatch`` enables decisions under heavy load. ``memory`` is how
+    much the process may hold, in bytes, and ``descriptors`` how many it may
+    open.
     """
 
     name: str
@@ -35,6 +41,8 @@
     dispatch: dispatch_settings.DispatchSettings = (
         dispatch_settings.DispatchSettings()
     )
+    memory: int = MEMORY_DEFAULT
+    descriptors: int = DESCRIPTORS_DEFAULT
 
     @property
     def peer_address(self) -> str:
--- a/waxwingwalk/host/links.py
+++ b/waxwingwalk/host/links.py
@@ -17,6 +17,7 @@
 import aiohttp
 from aiohttp import web
 
+from waxwingwalk.connections import protocol
 from waxwingwalk.core import clock
 from waxwingwalk.core import decoding
 from waxwingwalk.dispatch import events
@@ -280,6 +281,7 @@
         socket = web.WebSocketResponse(max_msg_size=FRAME_MAX, compress=False)
         try:
             await socket.prepare(request)
+            protocol.become_link(request)
             await socket.send_str(records.encode(self._local_host).decode())
         except (aiohttp.ClientError, OSError) as error:
             # The other host closed the connection during the handshake.
--- a/waxwingwalk/host/listeners.py
+++ b/waxwingwalk/host/listeners.py
@@ -7,7 +7,10 @@
 
 from aiohttp import web
 
-LISTEN_BACKLOG = 1024
+from waxwingwalk.connections import limits
+from waxwingwalk.connections import protocol
+from waxwingwalk.connections import sites
+
 # Time for the first request of a connection that was accepted just before the
 # listener was closed to arrive.
 FIRST_REQUEST_TIME = datetime.timedelta(milliseconds=50)
@@ -22,15 +25,27 @@
 class Listener:
     """An application that is served at an address.
 
+    Its connections keep to the limits of ``guard``, as those of a kind.
+
     ::
 
-        listener = Listener("10.1.0.13:8161", app)
+        listener = Listener(
+            "10.1.0.13:8161", app, guard, limits.Listener.CALLERS
+        )
         await listener.open()
         await listener.close(datetime.timedelta(seconds=2))
     """
 
-    def __init__(self, address: str, app: web.Application) -> None:
+    def __init__(
+        self,
+        address: str,
+        app: web.Application,
+        guard: protocol.Guard,
+        kind: limits.Listener,
+    ) -> None:
         self._address = address
+        self._guard = guard
+        self._kind = kind
         self._runner = web.AppRunner(
             app, access_log=None, handler_cancellation=True
         )
@@ -39,11 +54,13 @@
     async def open(self) -> None:
         """Accept connections from now on."""
         host, _, port = self._address.rpartition(":")
-        self._socket = socket.create_server(
-            (host, int(port)), backlog=LISTEN_BACKLOG
+        self._socket = sites.listen(
+            host, int(port), self._kind, self._guard.ledger.limits.backlog
         )
         await self._runner.setup()
-        await web.SockSite(self._runner, self._socket).start()
+        await sites.GuardedSite(
+            self._runner, self._socket, self._guard, self._kind
+        ).start()
 
     async def close(
         self,
--- a/waxwingwalk/host/log_catalogue.py
+++ b/waxwingwalk/host/log_catalogue.py
@@ -53,6 +53,12 @@
         "callers could still be reached; the first 20 of these are listed",
         ("jobs", "unanswered"),
     ),
+    "connection.refused": LogEvent(
+        "requests were refused, or connections closed, to keep to the limits; "
+        "one line a second for each `listener` and `reason`, with their "
+        "`count`",
+        ("listener", "reason", "count"),
+    ),
     "settings.reloaded": LogEvent(
         "the settings file changed", ("changed", "needs_restart")
     ),
--- a/waxwingwalk/host/metrics.py
+++ b/waxwingwalk/host/metrics.py
@@ -10,6 +10,7 @@
 from aioprometheus import histogram
 from aioprometheus import renderer
 
+from waxwingwalk.connections import limits
 from waxwingwalk.dispatch import effects
 from waxwingwalk.dispatch import reducer as dispatch_reducer
 
@@ -141,6 +142,18 @@
             "Frames sent over links that hold messages of a kind.",
             "kind",
         )
+        self._refusals = self._counter(
+            "connections_refused",
+            "Requests refused and connections closed to keep to the limits.",
+            "listener",
+            "reason",
+        )
+        self._connections = prometheus.Gauge(
+            f"{PREFIX}_connections",
+            "Open connections of clients, by listener.",
+            registry=self._registry,
+        )
+        self._ledger: limits.Ledger | None = None
         self._suppressed = prometheus.Counter(
             f"{PREFIX}_log_lines_suppressed_total",
             "Log lines left out.",
@@ -184,6 +197,10 @@
                 ),
                 ("stranded_cores", "Free cores while tasks wait, else 0."),
                 ("catalog_version", "The version of the catalog in force."),
+                (
+                    "connection_bytes",
+                    "What connections of clients hold, as accounted for.",
+                ),
             )
         }
         self._slowness = prometheus.Gauge(
@@ -262,6 +279,14 @@
         for kind in {kind for kind, _ in sizes}:
             self._link_frames.increment(kind)
 
+    def observe_connections(self, ledger: limits.Ledger) -> None:
+        """Show what a ledger has."""
+        self._ledger = ledger
+
+    def record_refusal(self, listener: str, reason: str) -> None:
+        """Count a request that was refused, or a connection closed."""
+        self._refusals.increment(listener, reason)
+
     def record_event_loop_lag(self, lag: datetime.timedelta) -> None:
         """Record how late a timer fired."""
         self._lag_seconds.observe(max(0.0, lag.total_seconds()))
@@ -291,6 +316,12 @@
             / 1000,
             "catalog_version": 0 if catalog is None else catalog.version,
         }
+        if self._ledger is not None:
+            values["connection_bytes"] = self._ledger.held
+            for listener in limits.Listener:
+                self._connections.set(
+                    {"listener": listener.value}, self._ledger.count(listener)
+                )
         for name, value in values.items():
             self._gauges[name].set({}, value)
         for backend in backends:
--- a/waxwingwalk/host/service.py
+++ b/waxwingwalk/host/service.py
@@ -15,6 +15,7 @@
 import aiomisc
 from returns import result
 
+from waxwingwalk.connections import protocol
 from waxwingwalk.dispatch import events
 from waxwingwalk.host import config as host_config
 from waxwingwalk.host import engine as host_engine
@@ -31,6 +32,8 @@
 GC_THRESHOLD = 20_000
 # Interval of checks of the settings file, which may change without SIGHUP.
 SETTINGS_INTERVAL = datetime.timedelta(seconds=5)
+# Interval of checks of connections whose requests make no progress.
+CONNECTIONS_INTERVAL = datetime.timedelta(seconds=1)
 # Settings that take effect only at the next start.
 RESTART_SETTINGS = (
     "zone",
@@ -40,6 +43,8 @@
     "advertised",
     "metrics",
     "log_level",
+    "memory",
+    "descriptors",
 )
 # Maximum length of a validation error in a log line, in characters.
 ERROR_MAX = 500
@@ -76,6 +81,7 @@
         links: host_links.HostLinks,
         registry: host_registry.HostRegistry,
         store: RelocatableStore,
+        guard: protocol.Guard,
         callers_listeners: Sequence[host_listeners.Listener],
         listeners: Sequence[host_listeners.Listener],
         followers: Sequence[follower.TableFollower],
@@ -88,6 +94,7 @@
         self._links = links
         self._registry = registry
         self._store = store
+        self._guard = guard
         self._callers_listeners = callers_listeners
         self._listeners = listeners
         self._followers = followers
@@ -136,6 +143,7 @@
             self._registry.register(),
             self._run_ticks(),
             self._watch_settings(),
+            self._watch_connections(),
             *(each.run() for each in [*table_followers, *self._followers]),
         ]
         for loop in loops:
@@ -179,6 +187,14 @@
             except Exception as error:
                 self._engine.report_failure("tick", error)
 
+    async def _watch_connections(self) -> None:
+        while True:
+            await asyncio.sleep(CONNECTIONS_INTERVAL.total_seconds())
+            try:
+                self._guard.check()
+            except Exception as error:
+                self._engine.report_failure("connections", error)
+
     async def _watch_settings(self) -> None:
         while True:
             await asyncio.sleep(SETTINGS_INTERVAL.total_seconds())
--- a/waxwingwalk/platform/boot.py
+++ b/waxwingwalk/platform/boot.py
@@ -25,6 +25,7 @@
 # have failed; it makes one check per second.
 LINGER = datetime.timedelta(milliseconds=2100)
 
+MEGABYTE = 2**20
 # An hour; the platform waits some seconds.
 GRACE_SECONDS_MAX = 3600
 
@@ -38,10 +39,15 @@
     control_advertised: str | None = None
 
 
+_Limit = Annotated[int, msgspec.Meta(ge=1, le=decoding.COUNT_MAX)]
+
+
 class _Limits(msgspec.Struct):
     cpu_share: float = 1.0
     # Speed of the processor as a multiple of the speed of a standard core.
     cores: float = 1.0
+    memory_mb: _Limit = config.MEMORY_DEFAULT // MEGABYTE
+    max_fds: _Limit = config.DESCRIPTORS_DEFAULT
 
 
 class _Bounds(msgspec.Struct):
@@ -134,6 +140,8 @@
             advertised=decoded.listen.control_advertised,
             linger=LINGER,
             dispatch=dispatch_settings.unwrap(),
+            memory=limits.memory_mb * MEGABYTE,
+            descriptors=limits.max_fds,
         )
     )
 
--- a/waxwingwalk/platform/callers.py
+++ b/waxwingwalk/platform/callers.py
@@ -12,6 +12,9 @@
 import orjson
 from returns import result
 
+from waxwingwalk.connections import bodies
+from waxwingwalk.connections import limits
+from waxwingwalk.connections import protocol
 from waxwingwalk.core import decoding
 from waxwingwalk.core import results
 from waxwingwalk.dispatch import effects
@@ -72,7 +75,7 @@
 
     def application(self) -> web.Application:
         """Return the application for callers."""
-        app = web.Application(client_max_size=2**20)
+        app = web.Application()
         app.router.add_route("*", "/{path:.*}", self._handle)
         return app
 
@@ -141,18 +144,61 @@
         self, request: web.Request, queue: model.Queue, job_id: str
     ) -> web.Response:
         arrived_at = self._engine.clock.now()
-        content = await self._read_body(request)
+        limit = self._request_limits.body_bytes
+        try:
+            content = await self._read_body(request, limit)
+        except bodies.BodyTooLargeError:
+            return self._refuse_job(
+                job_id,
+                ResultCode.BODY_TOO_LARGE,
+                f"the body has more than {limit} bytes",
+            )
         if content is None:
             return _error_response(
                 ResultCode.DRAINING, retry_after=NOT_READY_RETRY
             )
         decoded = decode_job(content)
+        # The body is not kept while the job runs.
+        del content
         if not isinstance(decoded, result.Success):
-            code, detail = decoded.failure()
-            self._engine.log.info(
-                "job.refused", job=job_id, code=int(code), reason=detail
+            return self._refuse_job(job_id, *decoded.failure())
+        tasks = sum(step.count for step in decoded.unwrap().steps)
+        size = limits.JOB_BYTES + limits.TASK_BYTES * tasks
+        if not protocol.serve(request, size):
+            return self._refuse_job(
+                job_id,
+                ResultCode.QUEUE_FULL,
+                "no memory is left for the job",
+                NOT_READY_RETRY,
             )
-            return _error_response(code, detail)
+        try:
+            return await self._run(
+                request, queue, job_id, arrived_at, decoded.unwrap()
+            )
+        finally:
+            protocol.end_request(request)
+
+    def _refuse_job(
+        self,
+        job_id: str,
+        code: ResultCode,
+        reason: str,
+        retry_after: datetime.timedelta | None = None,
+    ) -> web.Response:
+        self._engine.log.info(
+            "job.refused", job=job_id, code=int(code), reason=reason
+        )
+        return _error_response(code, reason, retry_after)
+
+    async def _run(
+        self,
+        request: web.Request,
+        queue: model.Queue,
+        job_id: str,
+        arrived_at: datetime.datetime,
+        content: _Job,
+    ) -> web.Response:
+        """Run a job whose caller has waited since its head arrived."""
         wait = _parse_wait(request.headers.get(DEADLINE_HEADER), queue)
         drain_deadline = self._engine.reducer.drain_deadline
         if drain_deadline is not None:
@@ -162,7 +208,9 @@
                 left_ms=model.milliseconds(drain_deadline - arrived_at),
                 is_reused=request.task in self._used_connections,
             )
-        job = build_job(decoded.unwrap(), queue, job_id, arrived_at, wait)
+        job = build_job(content, queue, job_id, arrived_at, wait)
+        # The job in the form of the request is not kept, either.
+        del content
         answer = await self._engine.run_job(job)
         self._engine.log.info(
             "job.answered",
@@ -178,14 +226,16 @@
         )
         return _to_response(answer)
 
-    async def _read_body(self, request: web.Request) -> bytes | None:
+    async def _read_body(
+        self, request: web.Request, limit: int
+    ) -> bytes | None:
         """Return the body, None if the listener closes before it arrives.
 
         What arrives later than that is discarded.
         """
         if request.content.is_eof():
-            return await request.read()
-        reading = asyncio.ensure_future(request.read())
+            return await bodies.read(request, limit)
+        reading = asyncio.ensure_future(bodies.read(request, limit))
         closing = asyncio.ensure_future(self._engine.closing.wait())
         try:
             await asyncio.wait(
@@ -196,6 +246,11 @@
             reading.cancel()
             closing.cancel()
 
+    @property
+    def _request_limits(self) -> limits.RequestLimits:
+        catalog = self._engine.reducer.catalog
+        return limits.RequestLimits() if catalog is None else catalog.limits
+
     @property
     def _catalog_version(self) -> int:
         catalog = self._engine.reducer.catalog
--- a/waxwingwalk/platform/catalog.py
+++ b/waxwingwalk/platform/catalog.py
@@ -13,6 +13,7 @@
 from returns import result
 import yarl
 
+from waxwingwalk.connections import limits
 from waxwingwalk.core import decoding
 from waxwingwalk.dispatch import model
 from waxwingwalk.store import follower
@@ -150,7 +151,7 @@
             version=head.version,
             queues=tuple(found),
             services=frozenset(each.name for each in head.backends),
-            limits=model.RequestLimits(
+            limits=limits.RequestLimits(
                 body_bytes=head.limits.max_body_bytes,
                 header_bytes=head.limits.max_header_bytes,
                 idle=_milliseconds(head.limits.idle_timeout_ms),
--- a/waxwingwalk/platform/wiring.py
+++ b/waxwingwalk/platform/wiring.py
@@ -2,6 +2,7 @@
 
 import datetime
 
+from waxwingwalk.connections import limits
 from waxwingwalk.core import clock
 from waxwingwalk.dispatch import events
 from waxwingwalk.host import config as host_config
@@ -72,8 +73,8 @@
         backends=backends.PlatformBackends(host_metrics, time, log),
         catalogs=catalog_decoder,
         applications=[
-            (config.callers, api.application()),
-            (config.readiness, api.readiness()),
+            (limits.Listener.CALLERS, config.callers, api.application()),
+            (limits.Listener.READINESS, config.readiness, api.readiness()),
         ],
         reload=reload,
         followers=[operators_follower, backends_follower],
