Platform: a job's objective counts from when its body has arrived

Callers whose body arrives slowly saw their job refused as too late, although they waited for a minute and nobody else was there: a body of 20,000 bytes in segments of one byte, or of 262,144 bytes in chunks of one byte, got 503.

Cause: the objective was counted from the head of the request. The job was over three times its objective when its body was whole, so no host would take it. Nothing can be done for a job before that. The caller's time (Deadline-Ms) still counts from the head. A job that arrives in one piece is as before.

--- a/waxwingwalk/platform/callers.py
+++ b/waxwingwalk/platform/callers.py
@@ -208,7 +208,9 @@
                 left_ms=model.milliseconds(drain_deadline - arrived_at),
                 is_reused=request.task in self._used_connections,
             )
-        job = build_job(content, queue, job_id, arrived_at, wait)
+        job = build_job(
+            content, queue, job_id, arrived_at, wait, self._engine.clock.now()
+        )
         # The job in the form of the request is not kept, either.
         del content
         answer = await self._engine.run_job(job)
@@ -337,8 +339,14 @@
     job_id: str,
     arrived_at: datetime.datetime,
     wait: datetime.timedelta,
+    complete_at: datetime.datetime | None = None,
 ) -> model.Job:
-    """Return the job that a caller has submitted to a queue."""
+    """Return the job that a caller has submitted to a queue.
+
+    The caller has waited since ``arrived_at``. The job's objective counts
+    from ``complete_at``, when its body had arrived, as nothing could be done
+    for it before.
+    """
     steps = tuple(
         model.Step(
             count=step.count,
@@ -363,7 +371,9 @@
         spec=content.spec,
         stretch=queue.stretch,
         steps=steps,
-        due=arrived_at + queue.stretch * critical_path + queue.objective,
+        due=(complete_at or arrived_at)
+        + queue.stretch * critical_path
+        + queue.objective,
         expires=arrived_at + wait,
     )
 
