Connections: a message of a link that does not end counts as held

Found beside the issue: 100 links that stop short of the end of a message of 8 MB, of the 16 MB that are allowed, took 253 MB of a host of 128 MB. The frames of a link were not counted, as nothing in them is a request.

Now a connection counts what has arrived on a link since its last whole message, and reports it to the ledger beyond 64 KB; the largest ones are closed if the process is over its memory.

--- a/tests/connections/crowd.py
+++ b/tests/connections/crowd.py
@@ -199,6 +199,20 @@
     yield from _repeated(b"GET /metrics HTTP/1.1\r\nHost: a\r\n\r\n", 65536)
 
 
+def short_link_message(number):
+    """Open a link between hosts, and send a large message in part."""
+    host = b'{"address":"127.0.0.1:%d","incarnation":"1","zone":"north"}'
+    yield (
+        b"GET /v1/dispatch/link HTTP/1.1\r\nHost: a\r\nConnection: Upgrade\r\n"
+        b"Upgrade: websocket\r\nSec-WebSocket-Version: 13\r\n"
+        b"Sec-WebSocket-Key: MDEyMzQ1Njc4OWFiY2RlZg==\r\n"
+        b"X-Waxwingwalk-Host: " + host % (1 + number) + b"\r\n\r\n"
+    )
+    # The header of a masked text frame of 8 MB.
+    yield b"\x81\xff" + (8 * 2**20).to_bytes(8) + bytes(4)
+    yield from _repeated(b" ", 2 * ENDLESS)
+
+
 def idle(number):
     """Send nothing."""
     yield b""
@@ -211,7 +225,8 @@
         *(unended_heads, empty_lines, whole_body, short_body, large_body),
         *(chunked_body, small_chunks, chunk_extensions, trailers),
         *(compressed_body, large_job, wide_job, unread_answers),
-        *(pipelined_heads, refused_upload, upgrade, unread_metrics, idle),
+        *(pipelined_heads, refused_upload, upgrade, unread_metrics),
+        *(short_link_message, idle),
     )
 }
 
--- a/tests/connections/test_crowd_connections.py
+++ b/tests/connections/test_crowd_connections.py
@@ -5,6 +5,8 @@
 
 # More connections than the machine of the tests has descriptors for.
 MANY = host_case.DESCRIPTORS
+# Links of one host.
+LINKS = 100
 
 
 class ConnectionTests(host_case.HostCase):
@@ -38,6 +40,11 @@
             crowd.endless_header, address=self.host.peers_address
         )
 
+    async def test_messages_of_links_without_end_exhaust_no_memory(self):
+        await self.check_crowd(
+            crowd.short_link_message, LINKS, self.host.peers_address
+        )
+
     async def test_unread_metrics_exhaust_no_memory(self):
         address = f"{self.host.ip}:{host_case.METRICS_PORT}"
         await self.check_crowd(crowd.unread_metrics, address=address)
--- a/waxwingwalk/connections/protocol.py
+++ b/waxwingwalk/connections/protocol.py
@@ -34,6 +34,8 @@
 # A field has a name, a colon and a line end.
 FIELD_BYTES_MIN = 4
 HEAD_END = b"\r\n\r\n"
+# Messages of links that are not larger need no account.
+LINK_MESSAGE_BYTES = 64 * 2**10
 # What may still arrive on a connection whose request was refused, in bytes.
 DISCARDED_MAX = 2**20
 RETRY_AFTER_SECONDS = "1"
@@ -155,7 +157,8 @@
         "_is_refused",
         "_head_bytes",
         "_head_lines",
-        "_head_size",
+        "_message",
+        "_link_bytes",
         "_payload",
         "_body_bytes",
         "_discarded_bytes",
@@ -190,11 +193,13 @@
         # The bytes and lines of a head that has not ended.
         self._head_bytes = 0
         self._head_lines = 0
-        # What the head of the last request takes.
-        self._head_size = 0
+        # The head of the last request, as the library has parsed it.
+        self._message: Any = None
         # The body of the last request, and its bytes with their framing.
         self._payload: streams.StreamReader = streams.EMPTY_PAYLOAD
         self._body_bytes = 0
+        # What has arrived of a message of a link, at most.
+        self._link_bytes = 0
         # What arrived after the request was refused.
         self._discarded_bytes = 0
 
@@ -223,7 +228,7 @@
         if self._is_refused:
             self._discard(data)
         elif self._payload_parser is not None:
-            super().data_received(data)
+            self._receive_on_link(data)
         elif not data:
             # The library parses what it has kept.
             self._parse(data)
@@ -239,6 +244,19 @@
             if self._body_bytes > SLICE:
                 self._wait_for_turn()
 
+    def _receive_on_link(self, data: bytes) -> None:
+        """Pass on a part of a message of a link, which may be a large one."""
+        self._link_bytes += len(data)
+        super().data_received(data)
+        if self._link_bytes > LINK_MESSAGE_BYTES:
+            self._guard.hold(self.connection, self._link_bytes)
+
+    def end_link_message(self) -> None:
+        """Record that a message of a link has arrived whole."""
+        self._link_bytes = 0
+        if self.connection.arriving:
+            self._guard.hold(self.connection, 0)
+
     def _discard(self, data: bytes) -> None:
         self._discarded_bytes += len(data)
         if self._discarded_bytes > DISCARDED_MAX and self.transport:
@@ -259,7 +277,7 @@
         if self._pending:
             data, self._pending = self._pending[:SLICE], self._pending[SLICE:]
             if self._payload_parser is not None:
-                super().data_received(data)
+                self._receive_on_link(data)
             else:
                 self._parse(data)
         if self._pending:
@@ -290,7 +308,7 @@
         was_body = not self._payload.is_eof()
         super().data_received(data)
         if self._request_count != count:
-            if self._note_request(data):
+            if not self._note_request(data):
                 return
         elif was_body:
             self._body_bytes += len(data)
@@ -299,7 +317,6 @@
             self._head_lines += data.count(b"\n")
             if self._head_bytes > self._request_limits.header_bytes:
                 self._refuse_request(limits.Reason.HEAD)
-                return
         if self._is_refused:
             return
         size = self._arriving_size()
@@ -321,7 +338,10 @@
             self._refuse_request(limits.Reason.FRAMING)
 
     def _note_request(self, data: bytes) -> bool:
-        """Account for a head that has ended; return whether it is refused."""
+        """Record that a head has ended; return whether more is to be done.
+
+        That is not so for a request that has arrived in one piece.
+        """
         message, payload = self._messages[-1]
         head_bytes = self._head_bytes
         self._head_bytes = self._head_lines = self._body_bytes = 0
@@ -334,8 +354,8 @@
             self._messages.pop()
             self._stop_reading(reason)
             self._append_refusal(reason, message.message)
-            return True
-        self._head_size = self._estimate_head(message)
+            return False
+        self._message = message
         limit = self._request_limits.header_bytes
         if head_bytes + len(data) > limit:
             end = data.find(HEAD_END)
@@ -344,12 +364,19 @@
                 self._messages.pop()
                 self._stop_reading(limits.Reason.HEAD)
                 self._append_refusal(limits.Reason.HEAD)
-                return True
-        return False
+                return False
+        return bool(
+            self.connection.arriving
+            or self._pending
+            or len(self._messages) > 1
+            or not payload.is_eof()
+        )
 
     @staticmethod
     def _estimate_head(message: Any) -> int:
         """Return about how many bytes of memory a parsed head takes."""
+        if message is None:
+            return 0
         fields = message.raw_headers
         return limits.LINE_BYTES * len(fields) + limits.HEAD_FACTOR * sum(
             len(name) + len(value) for name, value in fields
@@ -365,7 +392,7 @@
             )
         payload = self._payload
         if not payload.is_eof():
-            size += self._head_size + max(
+            size += self._estimate_head(self._message) + max(
                 self._body_bytes, payload.total_bytes
             )
         if len(self._messages) > 1:
@@ -374,15 +401,12 @@
             )
         return size
 
-    @property
-    def head_size(self) -> int:
-        """About what the head of the last request takes, in bytes."""
-        return self._head_size
-
     def serve(self, size: int) -> bool:
         """Return whether there is room to serve a request of some size."""
         ledger = self._guard.ledger
-        if ledger.serve(self.connection, size + self._head_size):
+        if ledger.serve(
+            self.connection, size + self._estimate_head(self._message)
+        ):
             return True
         self._guard.record_refusal(
             self.connection.listener, limits.Reason.MEMORY
@@ -399,7 +423,7 @@
 
     def refuse(self, reason: limits.Reason) -> None:
         """Refuse the request that arrives, or close the connection."""
-        if reason in limits.CODES:
+        if reason in limits.CODES and self._payload_parser is None:
             self._refuse_request(reason)
             return
         self._stop_reading(reason)
@@ -514,6 +538,12 @@
         request.protocol.become_link()
 
 
+def end_link_message(request: web.BaseRequest) -> None:
+    """Record that a message of a link has arrived whole."""
+    if isinstance(request.protocol, GuardedProtocol):
+        request.protocol.end_link_message()
+
+
 def end_request(request: web.BaseRequest) -> None:
     """Record that a request was answered."""
     if isinstance(request.protocol, GuardedProtocol):
--- a/waxwingwalk/host/links.py
+++ b/waxwingwalk/host/links.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 import contextlib
 import datetime
+import functools
 import itertools
 import random
 from typing import Protocol
@@ -287,7 +288,12 @@
             # The other host closed the connection during the handshake.
             self._log.info("link.broken", host=host.address, error=repr(error))
             return socket
-        await self._serve(socket, host, is_outbound=False)
+        await self._serve(
+            socket,
+            host,
+            is_outbound=False,
+            on_message=functools.partial(protocol.end_link_message, request),
+        )
         return socket
 
     async def _serve(
@@ -296,6 +302,7 @@
         host: model.HostRecord,
         *,
         is_outbound: bool,
+        on_message: Callable[[], None] = lambda: None,
     ) -> None:
         number = next(self._numbers)
         link = _Link(socket, self._clock, self._traffic, self._log)
@@ -303,7 +310,7 @@
         self._notify(events.LinkOpened(number, host, is_outbound))
         tasks = [
             asyncio.create_task(link.send_queued()),
-            asyncio.create_task(self._read(number, socket)),
+            asyncio.create_task(self._read(number, socket, on_message)),
             asyncio.create_task(link.close_requested.wait()),
         ]
         try:
@@ -321,8 +328,11 @@
                     )
             await _close_socket(socket)
 
-    async def _read(self, number: int, socket: Socket) -> None:
+    async def _read(
+        self, number: int, socket: Socket, on_message: Callable[[], None]
+    ) -> None:
         async for frame in socket:
+            on_message()
             self._receive(number, frame)
 
     def _receive(self, number: int, frame: aiohttp.WSMessage) -> None:
