Connections: the answer to a refused request says that the connection ends

A caller whose body was over the limit got 413 on a connection that seemed to stay open. Its next request on it was discarded, and the connection closed.

Cause: what follows a refused request is not parsed any more, but the answer of the handler did not carry Connection: close.

Now every answer after a refusal closes.

--- a/tests/connections/test_calm_limits.py
+++ b/tests/connections/test_calm_limits.py
@@ -55,6 +55,14 @@
         content = crowd.job(size=crowd.BODY_MAX + 1)
         self.assertEqual(await self.submit(1, json=None, data=content), 413)
 
+    async def test_caller_goes_on_after_a_body_over_the_limit(self):
+        content = crowd.job(size=crowd.BODY_MAX + 1)
+        for number in range(3):
+            self.assertEqual(
+                await self.submit(number, json=None, data=content), 413
+            )
+            self.assertEqual(await self.submit(number), 200)
+
     async def test_chunks_of_one_byte_are_served(self):
         body = b"".join(b"1\r\n%c\r\n" % each for each in crowd.job())
         start = crowd.HEAD % 1 + b"Transfer-Encoding: chunked\r\n\r\n"
--- a/waxwingwalk/connections/protocol.py
+++ b/waxwingwalk/connections/protocol.py
@@ -490,6 +490,17 @@
         if waiter is not None and not waiter.done():
             waiter.set_result(None)
 
+    async def finish_response(
+        self,
+        request: web.BaseRequest,
+        resp: web.StreamResponse,
+        start_time: float | None,
+    ) -> tuple[web.StreamResponse, bool]:
+        if self._is_refused:
+            # What follows is discarded, so the client must not send more.
+            resp.force_close()
+        return await super().finish_response(request, resp, start_time)
+
     def handle_error(
         self,
         request: web.BaseRequest,
