Entry: connections of clients keep to the limits of a process

The entry process has the same listeners without limits: 300 connections with heads without end took 329 to 507 MB, bodies of 4 MB that stop just short 1,749 MB, whole ones 1,566 MB, as a body was kept while its job ran; 2,500 idle connections took 2,522 descriptors.

Now it uses the guard of the dispatch host, with limits.memory_mb and limits.descriptors of its settings file (300 MB and 4,096 by default, of which connections hold a quarter). Bodies count until their request is answered.

--- a/tests/connections/crowd.py
+++ b/tests/connections/crowd.py
@@ -21,6 +21,8 @@
 # What an endless part of a request is cut off at, in bytes.
 ENDLESS = 2**20
 PIECE = 32768
+# A body far below the limit of entry processes, in bytes.
+ENTRY_BODY = 4 * 2**20
 RECONNECTIONS = 1
 # A connection on which nothing can be sent for so long counts as done.
 STALL_SECONDS = 3.0
@@ -213,6 +215,26 @@
     yield from _repeated(b" ", 2 * ENDLESS)
 
 
+def _entry_body(size):
+    yield b"POST /v1/jobs HTTP/1.1\r\nHost: a\r\n"
+    yield b"Content-Length: %d\r\n\r\n" % ENTRY_BODY
+    task = b'{"payload":{"run_seconds":0.02,"value":1},"run_time_seconds":30}'
+    content = b'{"service":"refunds","team":"shops","tasks":[%s]}' % task
+    yield content
+    yield from _repeated(b" ", size - len(content) - PIECE)
+    yield b" " * ((size - len(content)) % PIECE + PIECE)
+
+
+def short_entry_body(number):
+    """Stop just short of the end of a job for an entry process."""
+    yield from _entry_body(ENTRY_BODY - 1)
+
+
+def whole_entry_body(number):
+    """Send a large job to an entry process."""
+    yield from _entry_body(ENTRY_BODY)
+
+
 def idle(number):
     """Send nothing."""
     yield b""
@@ -226,7 +248,7 @@
         *(chunked_body, small_chunks, chunk_extensions, trailers),
         *(compressed_body, large_job, wide_job, unread_answers),
         *(pipelined_heads, refused_upload, upgrade, unread_metrics),
-        *(short_link_message, idle),
+        *(short_link_message, idle, short_entry_body, whole_entry_body),
     )
 }
 
--- a/waxwingwalk/connections/limits.py
+++ b/waxwingwalk/connections/limits.py
@@ -65,6 +65,7 @@
     READINESS = "readiness"
     PEERS = "peers"
     METRICS = "metrics"
+    OPERATORS = "operators"
 
 
 class Phase(enum.Enum):
@@ -162,6 +163,7 @@
             Listener.READINESS: min(sockets // 16, 64),
             Listener.PEERS: sockets // 4,
             Listener.METRICS: min(sockets // 32, 16),
+            Listener.OPERATORS: min(sockets // 32, 32),
         }
         return cls(
             memory=shared,
--- a/waxwingwalk/entry/config.py
+++ b/waxwingwalk/entry/config.py
@@ -11,6 +11,7 @@
     platform: {url: "http://127.0.0.1:7900"}
     seeds: ["127.0.0.1:7103"]
     access: {peers_secret_file: peers.secret}
+    limits: {memory_mb: 300, descriptors: 4096}
 """
 
 import pathlib
@@ -59,6 +60,13 @@
     operators_file: pathlib.Path | None = None
 
 
+class LimitsConfig(_StrictModel):
+    """What the process may use: memory in MB, and open descriptors."""
+
+    memory_mb: int = pydantic.Field(default=300, ge=1)
+    descriptors: int = pydantic.Field(default=4096, ge=1)
+
+
 class EntryConfig(_StrictModel):
     """Contents of the settings file."""
 
@@ -69,6 +77,7 @@
     platform: PlatformConfig
     access: AccessConfig
     seeds: list[str] = []
+    limits: LimitsConfig = LimitsConfig()
     log_level: str = "info"
 
 
--- a/waxwingwalk/entry/links.py
+++ b/waxwingwalk/entry/links.py
@@ -22,6 +22,7 @@
 import orjson
 import pydantic
 
+from waxwingwalk.connections import protocol
 from waxwingwalk.core import events
 from waxwingwalk.core import identity
 from waxwingwalk.core import messages
@@ -211,11 +212,13 @@
         incarnation = request.headers.get(INCARNATION_HEADER, "")
         socket = web.WebSocketResponse(max_msg_size=FRAME_MAX, compress=False)
         await socket.prepare(request)
+        protocol.become_link(request)
         await socket.send_str(self._process.incarnation)
         self._incoming.add(socket)
         self._notify(events.PeerLinkOpened(address, incarnation))
         try:
             async for frame in socket:
+                protocol.end_link_message(request)
                 self._receive(address, incarnation, frame)
         finally:
             self._incoming.discard(socket)
--- a/waxwingwalk/entry/metrics.py
+++ b/waxwingwalk/entry/metrics.py
@@ -25,6 +25,7 @@
             field.name: self._counter(field.name)
             for field in dataclasses.fields(core_state.Counters)
         }
+        self._refusals = self._counter("connections_refused")
         self._messages = self._counter("messages_sent")
         self._bytes = self._counter("bytes_sent")
         self._gauges = {
@@ -47,6 +48,10 @@
             registry=self._registry,
         )
 
+    def record_refusal(self, listener: str, reason: str) -> None:
+        """Count a request that was refused, or a connection closed."""
+        self._refusals.inc({"listener": listener, "reason": reason})
+
     def render(self, accepts: Sequence[str]) -> tuple[bytes, dict[str, str]]:
         """Return the rendered metrics and their HTTP headers."""
         self._collect()
--- a/waxwingwalk/entry/open_requests.py
+++ b/waxwingwalk/entry/open_requests.py
@@ -14,6 +14,9 @@
 
 from aiohttp import web
 
+from waxwingwalk.connections import bodies
+from waxwingwalk.connections import protocol
+from waxwingwalk.core import results
 from waxwingwalk.entry import links
 from waxwingwalk.entry import replies
 
@@ -24,6 +27,10 @@
     """The process ends before an operation of a request is complete."""
 
 
+class NoMemoryError(Exception):
+    """The process holds as many request bodies as it may."""
+
+
 class OpenRequests:
     """Counts the open requests of all listeners, and ends them."""
 
@@ -73,14 +80,23 @@
         """Return the body of a request.
 
         A body that is still arriving does not delay the end of a drain, as
-        nothing has been done for its request.
+        nothing has been done for its request. Raise HTTPRequestEntityTooLarge
+        for a body over the request's limit, and NoMemoryError if the process
+        holds too many others until they are answered.
         """
         self._arriving += 1
         try:
             async with self.until_end():
-                return await request.read()
+                body = await bodies.read(request, request.client_max_size)
+        except bodies.BodyTooLargeError:
+            raise web.HTTPRequestEntityTooLarge(
+                request.client_max_size
+            ) from None
         finally:
             self._arriving -= 1
+        if not protocol.serve(request, len(body)):
+            raise NoMemoryError
+        return body
 
     @web.middleware
     async def middleware(
@@ -98,11 +114,15 @@
             response = await handler(request)
         except ProcessEndedError:
             response = replies.draining().response()
+        except NoMemoryError:
+            reply = replies.Reply(results.ResultCode.QUEUE_FULL)
+            response = reply.response()
         except web.HTTPException as error:
             self._close_after(error)
             raise
         finally:
             self._open -= 1
+            protocol.end_request(request)
         self._close_after(response)
         return response
 
--- a/waxwingwalk/entry/server.py
+++ b/waxwingwalk/entry/server.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 from collections.abc import Coroutine
+import dataclasses
 import datetime
 import gc
 import socket
@@ -12,8 +13,10 @@
 import aiomisc
 from returns import result
 
+from waxwingwalk.connections import limits
+from waxwingwalk.connections import protocol
+from waxwingwalk.connections import sites
 from waxwingwalk.core import events
-from waxwingwalk.entry import config as entry_config
 from waxwingwalk.entry import engine as entry_engine
 from waxwingwalk.entry import links
 from waxwingwalk.entry import open_requests
@@ -32,18 +35,21 @@
 RESPONSE_TIME_MAX = datetime.timedelta(seconds=1)
 # Interval of requests to the store until there is a first revision.
 INITIAL_SETTINGS_INTERVAL = datetime.timedelta(milliseconds=500)
-LISTEN_BACKLOG = 1024
+# Interval of checks of connections whose requests make no progress.
+CONNECTIONS_INTERVAL = datetime.timedelta(seconds=1)
 # Length of the errors of a host list that are logged, in characters.
 REPORTED_ERRORS_MAX = 1000
 
 Step = Callable[[], Coroutine[Any, Any, datetime.timedelta]]
 
 
-def bind(listener: entry_config.ListenerConfig) -> socket.socket:
-    """Return a listening socket for a configured listener."""
-    return socket.create_server(
-        (listener.address, listener.port), backlog=LISTEN_BACKLOG
-    )
+@dataclasses.dataclass(frozen=True, slots=True)
+class Listener:
+    """An application, and the socket on which its clients connect."""
+
+    kind: limits.Listener
+    socket: socket.socket
+    app: web.Application
 
 
 class EntryService(aiomisc.Service):
@@ -57,7 +63,8 @@
         hosts: store_base.HostList,
         store: settings_store.SettingsStore,
         seeds: list[str],
-        listeners: list[tuple[socket.socket, web.Application]],
+        listeners: list[Listener],
+        guard: protocol.Guard,
         close_callbacks: list[Callable[[], Coroutine[Any, Any, None]]],
     ) -> None:
         super().__init__()
@@ -68,6 +75,7 @@
         self._store = store
         self._seeds = seeds
         self._listeners = listeners
+        self._guard = guard
         self._close_callbacks = close_callbacks
         self._runners: list[web.AppRunner] = []
         self._tasks: list[asyncio.Task[None]] = []
@@ -75,14 +83,23 @@
     async def start(self) -> None:
         """Start the listeners and the periodic steps."""
         self._engine.apply(events.PeersListed(self._seeds))
-        for listener, app in self._listeners:
-            runner = web.AppRunner(app, access_log=None, shutdown_timeout=1)
+        for each in self._listeners:
+            runner = web.AppRunner(
+                each.app, access_log=None, shutdown_timeout=1
+            )
             await runner.setup()
-            await web.SockSite(runner, listener).start()
+            await sites.GuardedSite(
+                runner, each.socket, self._guard, each.kind
+            ).start()
             self._runners.append(runner)
         gc.freeze()
         gc.set_threshold(GC_THRESHOLD)
-        for step in (self._tick, self._read_hosts, self._read_settings):
+        for step in (
+            self._tick,
+            self._read_hosts,
+            self._read_settings,
+            self._check_connections,
+        ):
             self._tasks.append(
                 asyncio.create_task(self._run_periodically(step))
             )
@@ -163,6 +180,10 @@
         self._engine.apply(events.Ticked())
         return TICK_INTERVAL
 
+    async def _check_connections(self) -> datetime.timedelta:
+        self._guard.check()
+        return CONNECTIONS_INTERVAL
+
     async def _read_hosts(self) -> datetime.timedelta:
         read = await self._hosts.hosts()
         listed = read.value_or(None)
--- a/waxwingwalk/wiring.py
+++ b/waxwingwalk/wiring.py
@@ -8,6 +8,10 @@
 import aiohttp
 import structlog
 
+from waxwingwalk.connections import limits
+from waxwingwalk.connections import protocol
+from waxwingwalk.connections import refusals
+from waxwingwalk.connections import sites
 from waxwingwalk.core import clock
 from waxwingwalk.core import identity
 from waxwingwalk.core import reducer as core_reducer
@@ -45,6 +49,7 @@
 # Largest request body that the callers' and peers' listeners read, in bytes.
 # The settings may set a lower limit.
 BODY_LIMIT = 2**30
+MEGABYTE = 2**20
 
 
 class Policies:
@@ -154,11 +159,20 @@
 ) -> EntryProcess:
     """Return an entry process whose sockets listen but are not served yet."""
     time = time or clock.SystemClock()
-    sockets = [
-        server.bind(listener)
-        for listener in (config.callers, config.operators, config.peers)
-    ]
-    callers_socket, operators_socket, peers_socket = sockets
+    kinds = limits.Listener
+    process_limits = limits.ProcessLimits.derive(
+        config.limits.memory_mb * MEGABYTE, config.limits.descriptors
+    )
+    callers_socket, operators_socket, peers_socket = (
+        sites.listen(
+            listener.address, listener.port, kind, process_limits.backlog
+        )
+        for kind, listener in (
+            (kinds.CALLERS, config.callers),
+            (kinds.OPERATORS, config.operators),
+            (kinds.PEERS, config.peers),
+        )
+    )
     process = identity.ProcessId(
         _bound_address(peers_socket), identity.new_incarnation(time.now())
     )
@@ -211,6 +225,18 @@
     engine.fetch_settings = settings_fetch.PeerSettingsFetcher(
         peer_links.session, engine.apply
     ).fetch
+    exporter = metrics.MetricsExporter(reducer.state, sent_traffic)
+
+    def request_limits() -> limits.RequestLimits:
+        body_max = reducer.state.settings.process().body_max
+        return limits.RequestLimits(body_bytes=body_max)
+
+    guard = protocol.Guard(
+        limits.Ledger(process_limits),
+        request_limits,
+        time,
+        refusals.Refusals(logger, exporter),
+    )
     body_max = BODY_LIMIT
     callers = callers_api.CallersApi(
         engine, submissions, unanswered, secrets.callers
@@ -218,7 +244,7 @@
     operators = operators_api.OperatorsApi(
         engine,
         store,
-        metrics.MetricsExporter(reducer.state, sent_traffic),
+        exporter,
         unanswered,
         secrets.operators,
     )
@@ -233,10 +259,17 @@
         store,
         config.seeds,
         [
-            (callers_socket, callers.application(body_max)),
-            (operators_socket, operators.application()),
-            (peers_socket, peers.application(body_max)),
+            server.Listener(
+                kinds.CALLERS, callers_socket, callers.application(body_max)
+            ),
+            server.Listener(
+                kinds.OPERATORS, operators_socket, operators.application()
+            ),
+            server.Listener(
+                kinds.PEERS, peers_socket, peers.application(body_max)
+            ),
         ],
+        guard,
         [backends.close, session.close],
     )
     return EntryProcess(
