Connections: the guard has a module of its own

protocol.py had the guard of a process and the protocol of one connection. A move; the guard has properties, as elsewhere. Limits and accounting are the same.

--- a/waxwingwalk/connections/protocol.py
+++ b/waxwingwalk/connections/protocol.py
@@ -7,12 +7,9 @@
 """
 
 import asyncio
-import collections
-from collections.abc import Callable
 import datetime
 from typing import Any
 from typing import cast
-from typing import Protocol
 
 from aiohttp import http_exceptions
 from aiohttp import streams
@@ -20,8 +17,8 @@
 from aiohttp import web_protocol
 import orjson
 
+from waxwingwalk.connections import guards
 from waxwingwalk.connections import limits
-from waxwingwalk.core import clock
 from waxwingwalk.core import results
 
 # What the library parses of one connection at a time, in bytes.
@@ -51,100 +48,6 @@
         self.reason = reason
 
 
-class Recorder(Protocol):
-    """Records what is refused."""
-
-    def record_refusal(
-        self, listener: limits.Listener, reason: limits.Reason
-    ) -> None: ...
-
-    def log_refusals(self) -> None: ...
-
-
-class ReadTurns:
-    """Lets one connection in each iteration of the event loop read on."""
-
-    def __init__(self) -> None:
-        self._waiting: collections.deque[GuardedProtocol] = collections.deque()
-
-    def add(self, connection: "GuardedProtocol") -> None:
-        """Let a connection read a slice when it is its turn."""
-        self._waiting.append(connection)
-        if len(self._waiting) == 1:
-            asyncio.get_running_loop().call_soon(self._take_turn)
-
-    def _take_turn(self) -> None:
-        connection = self._waiting[0]
-        try:
-            connection.read_slice()
-        finally:
-            self._waiting.popleft()
-            if self._waiting:
-                asyncio.get_running_loop().call_soon(self._take_turn)
-
-
-class Guard:
-    """The connections of all listeners of a process.
-
-    ``request_limits`` returns the limits that are in force. ``start`` has to
-    be called on the running event loop.
-    """
-
-    def __init__(
-        self,
-        ledger: limits.Ledger,
-        request_limits: Callable[[], limits.RequestLimits],
-        time: clock.Clock,
-        recorder: Recorder,
-    ) -> None:
-        self.ledger = ledger
-        self.request_limits = request_limits
-        self.clock = time
-        self.turns = ReadTurns()
-        self._recorder = recorder
-        self._protocols: dict[limits.Connection, GuardedProtocol] = {}
-
-    def connection_made(self, protocol: "GuardedProtocol") -> None:
-        """Accept a connection, or refuse it or another one."""
-        self._protocols[protocol.connection] = protocol
-        for each in self.ledger.open(protocol.connection):
-            self._refuse(each, limits.Reason.CONNECTIONS)
-
-    def connection_lost(self, protocol: "GuardedProtocol") -> None:
-        """Forget a connection."""
-        self._protocols.pop(protocol.connection, None)
-        self.ledger.close(protocol.connection)
-
-    def hold(self, connection: limits.Connection, size: int) -> None:
-        """Record what a connection holds; refuse requests if it is much."""
-        now = self.clock.now()
-        for each in self.ledger.hold(connection, size, now):
-            self._refuse(each, limits.Reason.MEMORY)
-
-    def check(self) -> None:
-        """Refuse requests that make no progress, and log what was refused.
-
-        It has to be called once a second or so.
-        """
-        idle = self.request_limits().idle
-        for each, reason in self.ledger.stalled(idle, self.clock.now()):
-            self._refuse(each, reason)
-        self._recorder.log_refusals()
-
-    def _refuse(
-        self, connection: limits.Connection, reason: limits.Reason
-    ) -> None:
-        protocol = self._protocols.get(connection)
-        if protocol is not None:
-            protocol.refuse(reason)
-
-    def record_refusal(
-        self, listener: limits.Listener, reason: limits.Reason
-    ) -> None:
-        """Record that a request was refused, or a connection closed."""
-        self._recorder.record_refusal(listener, reason)
-
-
 class GuardedProtocol(web_protocol.RequestHandler):
     """A connection of a client that keeps to the limits."""
 
@@ -167,11 +70,11 @@
     def __init__(
         self,
         server: web.Server,
-        guard: Guard,
+        guard: guards.Guard,
         listener: limits.Listener,
         loop: asyncio.AbstractEventLoop,
     ) -> None:
-        request_limits = guard.request_limits()
+        request_limits = guard.request_limits
         header_bytes = request_limits.header_bytes
         super().__init__(
             server,
@@ -183,7 +86,7 @@
             lingering_time=LINGER.total_seconds(),
             read_bufsize=SLICE,
         )
-        self.connection = limits.Connection(listener, guard.clock.now())
+        self.connection = limits.Connection(listener, guard.now())
         self._guard = guard
         self._request_limits = request_limits
         # Received, and not passed to the library yet.
@@ -218,7 +121,7 @@
 
     def pause_writing(self) -> None:
         super().pause_writing()
-        self.connection.blocked_at = self._guard.clock.now()
+        self.connection.blocked_at = self._guard.now()
 
     def resume_writing(self) -> None:
         super().resume_writing()
@@ -294,7 +197,7 @@
             return
         self._is_waiting_for_turn = True
         self._pause_transport_reading()
-        self._guard.turns.add(self)
+        self._guard.wait_for_turn(self)
 
     def _resume_transport_reading(self) -> None:
         if self._pending and not self._is_refused:
@@ -468,7 +371,7 @@
         # It keeps what it has parsed of a request.
         self._parser = None
         connection = self.connection
-        self._guard.ledger.hold(connection, 0, self._guard.clock.now())
+        self._guard.ledger.hold(connection, 0, self._guard.now())
         self._guard.record_refusal(connection.listener, reason)
 
     def _append_refusal(
--- a/waxwingwalk/connections/sites.py
+++ b/waxwingwalk/connections/sites.py
@@ -6,6 +6,7 @@
 
 from aiohttp import web
 
+from waxwingwalk.connections import guards
 from waxwingwalk.connections import limits
 from waxwingwalk.connections import protocol
 
@@ -44,7 +45,7 @@
         self,
         runner: web.BaseRunner,
         listening: socket.socket,
-        guard: protocol.Guard,
+        guard: guards.Guard,
         listener: limits.Listener,
     ) -> None:
         super().__init__(
--- a/waxwingwalk/entry/server.py
+++ b/waxwingwalk/entry/server.py
@@ -13,8 +13,8 @@
 import aiomisc
 from returns import result
 
+from waxwingwalk.connections import guards
 from waxwingwalk.connections import limits
-from waxwingwalk.connections import protocol
 from waxwingwalk.connections import sites
 from waxwingwalk.core import events
 from waxwingwalk.entry import engine as entry_engine
@@ -64,7 +64,7 @@
         store: settings_store.SettingsStore,
         seeds: list[str],
         listeners: list[Listener],
-        guard: protocol.Guard,
+        guard: guards.Guard,
         close_callbacks: list[Callable[[], Coroutine[Any, Any, None]]],
     ) -> None:
         super().__init__()
--- a/waxwingwalk/host/listeners.py
+++ b/waxwingwalk/host/listeners.py
@@ -7,8 +7,8 @@
 
 from aiohttp import web
 
+from waxwingwalk.connections import guards
 from waxwingwalk.connections import limits
-from waxwingwalk.connections import protocol
 from waxwingwalk.connections import sites
 
 # Time for the first request of a connection that was accepted just before the
@@ -40,7 +40,7 @@
         self,
         address: str,
         app: web.Application,
-        guard: protocol.Guard,
+        guard: guards.Guard,
         kind: limits.Listener,
     ) -> None:
         self._address = address
--- a/waxwingwalk/host/service.py
+++ b/waxwingwalk/host/service.py
@@ -15,7 +15,7 @@
 import aiomisc
 from returns import result
 
-from waxwingwalk.connections import protocol
+from waxwingwalk.connections import guards
 from waxwingwalk.dispatch import events
 from waxwingwalk.host import config as host_config
 from waxwingwalk.host import engine as host_engine
@@ -81,7 +81,7 @@
         links: host_links.HostLinks,
         registry: host_registry.HostRegistry,
         store: RelocatableStore,
-        guard: protocol.Guard,
+        guard: guards.Guard,
         callers_listeners: Sequence[host_listeners.Listener],
         listeners: Sequence[host_listeners.Listener],
         followers: Sequence[follower.TableFollower],
--- a/waxwingwalk/host/wiring.py
+++ b/waxwingwalk/host/wiring.py
@@ -9,8 +9,8 @@
 
 from aiohttp import web
 
+from waxwingwalk.connections import guards
 from waxwingwalk.connections import limits
-from waxwingwalk.connections import protocol
 from waxwingwalk.connections import refusals
 from waxwingwalk.core import clock
 from waxwingwalk.core import identity
@@ -71,7 +71,7 @@
 
 def build_guard(
     config: host_config.HostConfig, engine: host_engine.Engine
-) -> protocol.Guard:
+) -> guards.Guard:
     """Return the guard of all connections of clients to the process."""
     ledger = limits.Ledger(
         limits.ProcessLimits.derive(config.memory, config.descriptors)
@@ -82,7 +82,7 @@
         catalog = engine.reducer.catalog
         return limits.RequestLimits() if catalog is None else catalog.limits
 
-    return protocol.Guard(
+    return guards.Guard(
         ledger,
         request_limits,
         engine.clock,
--- a/waxwingwalk/wiring.py
+++ b/waxwingwalk/wiring.py
@@ -8,8 +8,8 @@
 import aiohttp
 import structlog
 
+from waxwingwalk.connections import guards
 from waxwingwalk.connections import limits
-from waxwingwalk.connections import protocol
 from waxwingwalk.connections import refusals
 from waxwingwalk.connections import sites
 from waxwingwalk.core import clock
@@ -231,7 +231,7 @@
         body_max = reducer.state.settings.process().body_max
         return limits.RequestLimits(body_bytes=body_max)
 
-    guard = protocol.Guard(
+    guard = guards.Guard(
         limits.Ledger(process_limits),
         request_limits,
         time,
