Tests: a slow sender leaves the stand-ins their turn

Traced: the test writes 20,000 segments without a turn for the stand-in worker, which shares its event loop and left a poll unanswered for 600 ms; the host rightly took it for lost. Now the sender yields after each segment.

--- a/tests/connections/test_calm_limits.py
+++ b/tests/connections/test_calm_limits.py
@@ -27,6 +27,8 @@
             for piece in pieces:
                 writer.write(piece)
                 await writer.drain()
+                # The stand-ins are served by this event loop, too.
+                await asyncio.sleep(0)
             async with asyncio.timeout(host_case.ANSWER_SECONDS):
                 return int((await reader.readline()).split()[1])
         finally:
--- a/tests/host/test_listeners.py
+++ b/tests/host/test_listeners.py
@@ -9,8 +9,8 @@
 from aiohttp import web
 import uvloop
 
+from waxwingwalk.connections import guards
 from waxwingwalk.connections import limits
-from waxwingwalk.connections import protocol
 from waxwingwalk.core import clock
 from waxwingwalk.host import listeners
 
@@ -72,7 +72,7 @@
             self.address = f"127.0.0.1:{free.getsockname()[1]}"
         app = web.Application()
         app.router.add_get("/", self._handle)
-        guard = protocol.Guard(
+        guard = guards.Guard(
             limits.Ledger(limits.ProcessLimits.derive(2**28, 4096)),
             limits.RequestLimits,
             clock.SystemClock(),
