Connections: a large head does not stay with an idle connection

Found when the change was read again: clients that send whole requests with heads of legal size and many fields, get their answers and stay, took 217 MB of a host of 128 MB. The HTTP library keeps the fields of a head until the next one on the connection, 670 KB each, and nothing counted them once the request was answered.

Now a connection is closed with its answer if its head takes more than 16 KB by the account, about 35 fields; up to that it counts for each connection. Heads that are cleared after the answer were weighed: the library's parser keeps its own lists.

--- a/tests/connections/crowd.py
+++ b/tests/connections/crowd.py
@@ -21,6 +21,10 @@
 # What an endless part of a request is cut off at, in bytes.
 ENDLESS = 2**20
 PIECE = 32768
+# Stand for a connection that is closed and opened again, and for a pause.
+RECONNECT, PAUSE = object(), object()
+PAUSE_SECONDS = 0.02
+ABANDONED = 10
 # A body far below the limit of entry processes, in bytes.
 ENTRY_BODY = 4 * 2**20
 RECONNECTIONS = 1
@@ -182,6 +186,33 @@
     yield from _repeated(request % (b"a:b\r\n" * 100))
 
 
+def answered_heads(number):
+    """Send whole requests with heads of legal size in turn, and stay."""
+    yield from itertools.repeat(PAUSE, number)
+    start = b"GET /refund/ HTTP/1.1\r\nHost: shop.example\r\n"
+    count = (HEADER_MAX - len(start) - len(b"\r\n")) // len(b"a1000:1000\r\n")
+    fields = (
+        b"a%d:%d\r\n" % (each, each) for each in range(1000, 1000 + count)
+    )
+    yield start + b"".join(fields) + b"\r\n"
+
+
+def abandoned_bodies(number):
+    """Send most of a body again and again, and leave each time."""
+    for _ in range(ABANDONED):
+        yield from short_body(number)
+        yield RECONNECT
+
+
+def abandoned_jobs(number):
+    """Submit a job again and again, and do not wait for its answer."""
+    content = job(size=500)
+    for index in range(ABANDONED):
+        yield HEAD % (number * ABANDONED + index)
+        yield b"Content-Length: %d\r\n\r\n" % len(content) + content
+        yield RECONNECT
+
+
 def refused_upload(number):
     """Send a body without end to a path that is refused at once."""
     yield b"POST /unknown HTTP/1.1\r\nHost: shop.example\r\n"
@@ -247,27 +278,47 @@
         *(unended_heads, empty_lines, whole_body, short_body, large_body),
         *(chunked_body, small_chunks, chunk_extensions, trailers),
         *(compressed_body, large_job, wide_job, unread_answers),
+        *(answered_heads, abandoned_bodies, abandoned_jobs),
         *(pipelined_heads, refused_upload, upgrade, unread_metrics),
         *(short_link_message, idle, short_entry_body, whole_entry_body),
     )
 }
 
 
-async def _send(address, pieces):
-    """Open a connection and send on it; return it if it is still open."""
-    loop = asyncio.get_running_loop()
+async def _open(address):
     connection = socket.socket()
     connection.setblocking(False)
     try:
         async with asyncio.timeout(STALL_SECONDS):
+            loop = asyncio.get_running_loop()
             await loop.sock_connect(connection, address)
+    except OSError:
+        connection.close()
+        raise
+    return connection
+
+
+async def _send(address, pieces):
+    """Open a connection and send on it; return it if it is still open."""
+    loop = asyncio.get_running_loop()
+    connection = None
+    try:
+        connection = await _open(address)
         for piece in pieces:
+            if piece is PAUSE:
+                await asyncio.sleep(PAUSE_SECONDS)
+                continue
+            if piece is RECONNECT:
+                connection.close()
+                connection = await _open(address)
+                continue
             async with asyncio.timeout(STALL_SECONDS):
                 await loop.sock_sendall(connection, piece)
     except TimeoutError:
         return connection
     except OSError:
-        connection.close()
+        if connection is not None:
+            connection.close()
         return None
     return connection
 
--- a/tests/connections/test_crowd_connections.py
+++ b/tests/connections/test_crowd_connections.py
@@ -19,6 +19,18 @@
     async def test_requests_behind_a_waiting_one_exhaust_no_memory(self):
         await self.check_crowd(crowd.pipelined_heads)
 
+    async def test_answered_requests_with_large_heads_are_not_kept(self):
+        await self.check_crowd(crowd.answered_heads)
+
+    async def test_clients_that_leave_amid_a_body_leave_nothing(self):
+        await self.check_crowd(crowd.abandoned_bodies)
+
+    async def test_clients_that_leave_before_their_answer_leave_nothing(self):
+        await self.check_crowd(crowd.abandoned_jobs)
+
+    async def test_job_is_served_beside_requests_without_a_pause(self):
+        await self.check_beside_crowd(crowd.unread_answers)
+
     async def test_data_behind_an_upgrade_exhausts_no_memory(self):
         await self.check_crowd(crowd.upgrade)
 
--- a/waxwingwalk/connections/limits.py
+++ b/waxwingwalk/connections/limits.py
@@ -1,4 +1,4 @@
-"""Decides what connections of clients may hold, and which one has to go.
+"""Decides what connections may hold, and which one is closed first.
 
 A process has one :class:`Ledger` for the connections of all its listeners.
 Connections report what they hold; the ledger answers with those that have to
@@ -27,12 +27,17 @@
 # set on the listening socket; the system allocates up to twice as much.
 RECEIVE_BUFFER = 16 * 2**10
 # Bytes of answers that wait for their client until no more are written.
-WRITE_BUFFER = 16 * 2**10
+WRITE_BUFFER = 8 * 2**10
+# What the head of an answered request may take while its connection stays
+# open: the HTTP library keeps it until the next one.
+KEPT_HEAD_BYTES = 16 * 2**10
 # The size of the system's buffer for what is sent on a connection.
 SEND_BUFFER = 64 * 2**10
 # What an open connection holds without any request, in bytes: its objects,
-# and the buffers above.
-CONNECTION_BYTES = 8 * 2**10 + 2 * RECEIVE_BUFFER + WRITE_BUFFER
+# its last head, and the buffers above.
+CONNECTION_BYTES = (
+    8 * 2**10 + KEPT_HEAD_BYTES + 2 * RECEIVE_BUFFER + WRITE_BUFFER
+)
 # What a line of a head takes beside its bytes: the name and the value, both
 # raw and decoded, and their places in the collections of fields.
 LINE_BYTES = 400
--- a/waxwingwalk/connections/protocol.py
+++ b/waxwingwalk/connections/protocol.py
@@ -402,6 +402,9 @@
         if self._is_refused:
             # What follows is discarded, so the client must not send more.
             resp.force_close()
+        elif self._estimate_head(self._message) > limits.KEPT_HEAD_BYTES:
+            # The library keeps the head until the connection is closed.
+            resp.force_close()
         return await super().finish_response(request, resp, start_time)
 
     def handle_error(
