Connections: requests that are served leave room for those that arrive

Now they leave an eighth; the test asks for room for ten bodies of legal size. On the host of its caller a job counts by its steps and not by its tasks, of which that host keeps nothing, so that large jobs are not refused for it.

--- a/tests/connections/test_limits.py
+++ b/tests/connections/test_limits.py
@@ -156,7 +156,9 @@
         opened, _ = self.open(self.most)
         served = [self.ledger.serve(each, BODY) for each in opened]
         self.assertIn(False, served)
-        self.assertLess(self.ledger.held, self.ledger.limits.memory)
+        self.assertLessEqual(
+            self.ledger.held + BODY * 10, self.ledger.limits.memory
+        )
 
     def test_request_over_the_whole_room_is_served_alone(self):
         opened, _ = self.open(2)
--- a/waxwingwalk/connections/limits.py
+++ b/waxwingwalk/connections/limits.py
@@ -20,9 +20,10 @@
 
 # The part of a process's memory that connections of clients may hold.
 MEMORY_PART = 4
-# The part of that which requests that are being served may hold. The rest is
-# left for requests that arrive.
+# The part of that which requests that are being served may hold, and the part
+# that they leave, with the connections themselves, for requests that arrive.
 SERVED_PART = 2
+ARRIVING_PART = 8
 # The size of the system's buffer for what a connection has received. It is
 # set on the listening socket; the system allocates up to twice as much.
 RECEIVE_BUFFER = 16 * 2**10
@@ -45,9 +46,10 @@
 HEAD_FACTOR = 2
 # A chunk of one byte has a size, two line ends and the byte.
 CHUNK_BYTES = 6
-# What a task of a job takes until the job is answered, in bytes.
-TASK_BYTES = 1024
-JOB_BYTES = 4096
+# What a step of a job takes until the job is answered, in bytes, and the job
+# itself.
+STEP_BYTES = 1024
+JOB_BYTES = 8192
 # The part of a process's memory for unanswered starts, and for the tasks that
 # a scheduler keeps.
 WORK_PART = 8
@@ -221,6 +223,8 @@
             listener: {} for listener in Listener
         }
         self._held = 0
+        # Of that, for requests that arrive, and that are served.
+        self._arriving = 0
         self._served = 0
 
     @property
@@ -287,13 +291,17 @@
     def serve(self, connection: Connection, size: int) -> bool:
         """Record that a request is served from now on, and what it holds.
 
-        Return whether there is room for that. A request that needs more than
-        the whole room is served alone.
+        Return whether there is room for that. If no other request is served,
+        there is room for any one.
         """
         if connection not in self._connections[connection.listener]:
             return True
-        limit = max(self._limits.memory // SERVED_PART, size)
-        if self._served + size > limit:
+        memory = self._limits.memory
+        kept = self._held - self._arriving
+        if self._served and (
+            self._served + size > memory // SERVED_PART
+            or kept + size > memory - memory // ARRIVING_PART
+        ):
             return False
         self._set_arriving(connection, 0)
         connection.phase = Phase.SERVED
@@ -338,6 +346,7 @@
 
     def _set_arriving(self, connection: Connection, size: int) -> None:
         self._held += size - connection.arriving
+        self._arriving += size - connection.arriving
         connection.arriving = size
         if connection.phase is Phase.IDLE and size:
             connection.phase = Phase.ARRIVING
--- a/waxwingwalk/platform/callers.py
+++ b/waxwingwalk/platform/callers.py
@@ -164,8 +164,8 @@
         del content
         if not isinstance(decoded, result.Success):
             return self._refuse_job(job_id, *decoded.failure())
-        tasks = sum(step.count for step in decoded.unwrap().steps)
-        size = limits.JOB_BYTES + limits.TASK_BYTES * tasks
+        steps = len(decoded.unwrap().steps)
+        size = limits.JOB_BYTES + limits.STEP_BYTES * steps
         if not protocol.serve(request, size):
             return self._refuse_job(
                 job_id,
