Dispatch: a server with many unanswered starts does not hold up the others

A server that answers nothing and has room for many small tasks could take most of it until its calls time out, and tasks for the others would wait.

Now a server counts its own unanswered starts, and takes none beyond 32; the limit by memory is for all of them. Waiting tasks are looked through after eight answers instead of each one, as a job may have thousands of them.

--- a/tests/dispatch/test_work_limits.py
+++ b/tests/dispatch/test_work_limits.py
@@ -3,6 +3,7 @@
 import unittest
 
 from tests.dispatch import builders
+from waxwingwalk.dispatch import backend
 from waxwingwalk.dispatch import effects
 from waxwingwalk.dispatch import model
 from waxwingwalk.dispatch import ordering
@@ -61,7 +62,19 @@
     def test_few_servers_get_few_starts_at_a_time(self):
         self.build(starts=1000)
         starts = builders.of_type(self.submit("j"), effects.StartRun)
-        self.assertEqual(len(starts), 3 * run_tracker.STARTS_PER_SERVER)
+        self.assertEqual(len(starts), 3 * backend.STARTS_MAX)
+
+    def test_silent_server_does_not_hold_up_the_others(self):
+        self.build(starts=1000)
+        starts = builders.of_type(self.submit("j"), effects.StartRun)
+        silent = starts[0].incarnation
+        started = len(starts)
+        while starts:
+            starts = self.answer(
+                [each for each in starts if each.incarnation != silent]
+            )
+            started += len(starts)
+        self.assertGreater(started, TASKS - backend.STARTS_MAX)
 
     def test_starts_that_fail_make_room_for_others(self):
         self.build(starts=50)
--- a/waxwingwalk/dispatch/backend.py
+++ b/waxwingwalk/dispatch/backend.py
@@ -32,6 +32,8 @@
 # A lease is not renewed while a stop has been unanswered for longer than this,
 # so that its expiry ends the run that the stop did not end.
 UNANSWERED_STOP_LIMIT = datetime.timedelta(milliseconds=150)
+# Starts that a server answers in a fraction of a call's time limit.
+STARTS_MAX = 32
 # Progress that has risen this often tells how long a run will take.
 PERCENT_RISES_MIN = 2
 # The slowness of a server changes when a run ends or becomes overdue. Overdue
@@ -249,6 +251,8 @@
         self.fence = fence
         self.state = BackendState.UNVERIFIED
         self.runs: dict[model.RunKey, Run] = {}
+        # Starts that are under way.
+        self.starting = 0
         self.foreign_runs: set[model.RunKey] = set()
         self.foreign_stop_sent_at: dict[model.RunKey, datetime.datetime] = {}
         self.used = model.Resources()
@@ -336,6 +340,15 @@
         self.report = report
         self._free = report.capacity - self.used
 
+    @property
+    def is_busy(self) -> bool:
+        """Whether it has as many unanswered starts as it may.
+
+        They share a few connections, so that one more would wait for all of
+        them, and has as little time as they have.
+        """
+        return self.starting >= STARTS_MAX
+
     def add_run(self, run: Run) -> None:
         """Add a run, which occupies its resources."""
         run.incarnation = run.incarnation or self.incarnation
@@ -473,7 +486,7 @@
         A run for an earlier request for the same job may have the same key. A
         server that was ejected gets one task at a time until one completes.
         """
-        if self.is_exclusive or self.is_acknowledging:
+        if self.is_exclusive or self.is_acknowledging or self.is_busy:
             return False
         if self.ejected_until is not None and self.runs:
             return False
--- a/waxwingwalk/dispatch/run_tracker.py
+++ b/waxwingwalk/dispatch/run_tracker.py
@@ -53,8 +53,6 @@
 # is silent for 0.6 s are closed, and another host may start the task after
 # that. A server that has restarted since would not refuse the start.
 START_SEND_LIMIT = datetime.timedelta(milliseconds=500)
-# Starts that a server answers in a fraction of a call's time limit.
-STARTS_PER_SERVER = 32
 # An unanswered stop is sent again after this time.
 STOP_RETRY = datetime.timedelta(milliseconds=150)
 # With fast settlement, a server is suspect once this many stops or additional
@@ -124,8 +122,8 @@
         self.settlement_seconds = 0.0
         self._backends: dict[model.BackendIncarnation, backends.Backend] = {}
         self._backend_by_run: dict[model.RunKey, backends.Backend] = {}
-        # Runs whose start is under way.
-        self._starting: set[model.RunKey] = set()
+        # The servers of runs whose start is under way.
+        self._starting: dict[model.RunKey, backends.Backend] = {}
         self._active_run_counts: collections.Counter[str] = (
             collections.Counter()
         )
@@ -174,7 +172,11 @@
             for key, backend in self._backend_by_run.items()
             if backend.incarnation in trial._backends
         }
-        trial._starting = set(self._starting)
+        trial._starting = {
+            key: trial._backends[backend.incarnation]
+            for key, backend in self._starting.items()
+            if backend.incarnation in trial._backends
+        }
         trial._active_run_counts = self._active_run_counts.copy()
         trial._late_starts = {
             task: dict(limits) for task, limits in self._late_starts.items()
@@ -331,14 +333,25 @@
     def starts_left(self) -> int:
         """How many starts may be sent before others are answered.
 
-        Each takes memory until then, and waits for those before it to the
-        same server, for which it has as little time as the others.
+        Each takes memory until then.
         """
-        limit = min(
-            self._work_limits.starts,
-            STARTS_PER_SERVER * len(self._backends),
-        )
-        return limit - len(self._starting)
+        return self._work_limits.starts - len(self._starting)
+
+    @property
+    def starting(self) -> int:
+        """The number of starts that are under way."""
+        return len(self._starting)
+
+    @property
+    def has_busy_server(self) -> bool:
+        """Whether a server has as many unanswered starts as it may."""
+        return any(each.is_busy for each in self._backends.values())
+
+    def _end_start(self, key: model.RunKey) -> None:
+        """Record that a start is answered, or that its run is over."""
+        backend = self._starting.pop(key, None)
+        if backend is not None:
+            backend.starting -= 1
 
     @property
     def unsettled_processors(self) -> int:
@@ -571,7 +584,8 @@
             self._record_fate(run, model.ServerFate.SILENT)
         self.changes += 1
         self._backend_by_run[order.key] = backend
-        self._starting.add(order.key)
+        self._starting[order.key] = backend
+        backend.starting += 1
         self._active_run_counts[order.ref.name] += 1
         return [
             effects.StartRun(
@@ -717,7 +731,7 @@
         now: datetime.datetime,
     ) -> effects.Effects:
         """Handle the reply to an order to start a run."""
-        self._starting.discard(key)
+        self._end_start(key)
         backend = self._backends.get(incarnation)
         run = backend.runs.get(key) if backend is not None else None
         if backend is None or run is None:
@@ -1273,7 +1287,7 @@
         # one was reported, for a later request for the same job.
         if self._backend_by_run.get(run.order.key) is backend:
             del self._backend_by_run[run.order.key]
-            self._starting.discard(run.order.key)
+            self._end_start(run.order.key)
         self.changes += 1
 
     def _report_end(
--- a/waxwingwalk/dispatch/scheduler.py
+++ b/waxwingwalk/dispatch/scheduler.py
@@ -53,6 +53,9 @@
 # The estimate of the backlog is requested often. It is cached for this time,
 # which is short compared with the shortest tasks.
 BACKLOG_CACHE_TIME = datetime.timedelta(milliseconds=5)
+# Tasks that wait for the answers to others' starts are looked through after so
+# many answers, as a job may have thousands of them.
+STARTS_BATCH = 8
 # With more waiting jobs than LONG_QUEUE_JOBS, dispatch runs at most once per
 # interval, because its cost grows with the queue and the end of each run
 # requests it. The interval is short compared with the wait in such a queue.
@@ -177,8 +180,10 @@
         self._dispatched_at = clock.DISTANT_PAST
         self._is_queue_long = False
         self._are_starts_held = False
-        # Whether tasks wait because too many starts are under way.
+        # Whether tasks wait because too many starts are under way, and the
+        # number of answers until the next ones are sent.
         self._are_starts_postponed = False
+        self._answers_awaited = 0
         # The tasks of all jobs.
         self._task_count = 0
 
@@ -764,11 +769,20 @@
 
     def dispatch_postponed(self, now: datetime.datetime) -> effects.Effects:
         """Start tasks that waited while too many starts were under way."""
-        if not self._are_starts_postponed or self._run_tracker.starts_left < 1:
+        if not self._are_starts_postponed:
+            return []
+        self._answers_awaited -= 1
+        if self._answers_awaited > 0 and self._run_tracker.starting:
             return []
         self._are_starts_postponed = False
         return self.dispatch(now)
 
+    def _postpone_starts(self) -> None:
+        """Let tasks wait until some of the starts under way are answered."""
+        if not self._are_starts_postponed:
+            self._are_starts_postponed = True
+            self._answers_awaited = STARTS_BATCH
+
     def resume_starts(self, now: datetime.datetime) -> effects.Effects:
         """Start tasks again, with those that waited meanwhile."""
         self._are_starts_held = False
@@ -927,7 +941,7 @@
     ) -> effects.Effects:
         """Start a task here or offer it to a peer; no effects if it waits."""
         if self._run_tracker.starts_left <= 0:
-            self._are_starts_postponed = True
+            self._postpone_starts()
             return []
         order = record.task_order(task, task.run + 1)
         suspicion = self._suspicion(task)
@@ -937,6 +951,9 @@
         if backend is None:
             if order.runs_alone and self._reserve(order, now):
                 return []
+            if self._run_tracker.has_busy_server:
+                self._postpone_starts()
+                return []
             return self._offer_to_peer(record, task, order, now)
         self._cancel_reservation(task.ref.name)
         record.mark_placed(
